--- a/src/entry/access_control.cpp
+++ b/src/entry/access_control.cpp
@@ -19,7 +19,8 @@
 
 } // namespace
 
-access_control::access_control(std::vector<config::operator_entry> bootstrap)
+access_control::access_control(
+    std::span<const config::operator_entry> bootstrap)
 {
     for (const auto& entry : bootstrap)
         operators_[entry.token_sha256] = {entry.name, entry.role};
--- a/src/entry/access_control.hpp
+++ b/src/entry/access_control.hpp
@@ -5,6 +5,7 @@
 #include "config/bundle.hpp"
 
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -30,7 +31,7 @@
 {
 public:
     /// Operators that are accepted while no bundle is in force.
-    explicit access_control(std::vector<config::operator_entry> bootstrap);
+    explicit access_control(std::span<const config::operator_entry> bootstrap);
 
     /// Replaces all callers and operators by those of a bundle in force.
     void use(const config::bundle& in_force);
--- a/src/entry/submission_codec.cpp
+++ b/src/entry/submission_codec.cpp
@@ -5,7 +5,6 @@
 #include <boost/json.hpp>
 
 #include <array>
-#include <limits>
 #include <string>
 
 namespace pimentograde::entry
@@ -17,6 +16,8 @@
 {
 
 constexpr std::chrono::seconds default_time_limit{30};
+// Year 2255; larger numbers are not exact as a double.
+constexpr double max_issued_at_ms = 9e12;
 constexpr std::string_view parse_step = "parse submission";
 constexpr std::array<std::string_view, 8> known_fields{
     "queue", "priority",     "size",        "idempotent",
@@ -145,7 +146,7 @@
         throw field_error("key", "a non-empty idempotency key");
     const double issued_at = read_number(
         fields, "issued_at_ms", static_cast<double>(base::to_millis(now)),
-        static_cast<double>(std::numeric_limits<std::int64_t>::max() / 1024));
+        max_issued_at_ms);
     work.issued_at = base::from_millis(static_cast<std::int64_t>(issued_at));
     // A retry without the first attempt's time could pass the horizon of
     // dropped records.
