Add the decision functions of the request path

Cause: the request path had types for slots but nothing that decides. The lending policy, budgets, ejection and estimates have no tests yet.

--- a/src/policy/slot.hpp
+++ b/src/policy/slot.hpp
@@ -29,6 +29,13 @@
     std::vector<base::worker_id> excluded;
     /// Whether this is another attempt, charged to the retry budget.
     bool retry = false;
+    /// Unique for this acquisition; becomes the id of the grant, so that a
+    /// caller that lost the response can return it. `slot_service` sets it.
+    std::string id;
+    /// Estimated run time; 0 unknown. `slot_service` sets it.
+    base::duration expected_time{};
+    /// Whether the task can be stopped early without losing its progress.
+    bool checkpointable = false;
 };
 
 /// Permission to use one slot. The worker may still refuse when it is full.
@@ -75,6 +82,8 @@
     unused
 };
 
+std::string_view to_string(slot_outcome outcome);
+
 /// How the code that runs tasks gets and returns slots.
 struct slot_operations
 {
--- /dev/null
+++ b/src/policy/slot_broker.hpp
@@ -0,0 +1,161 @@
+#ifndef PIMENTOGRADE_POLICY_SLOT_BROKER_HPP
+#define PIMENTOGRADE_POLICY_SLOT_BROKER_HPP
+
+#include "base/strong_id.hpp"
+#include "base/time.hpp"
+#include "policy/lending_policy.hpp"
+#include "policy/outlier_ejector.hpp"
+#include "policy/slot.hpp"
+#include "policy/worker_table.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace pimentograde::policy
+{
+
+struct broker_queue
+{
+    base::queue_name name;
+    std::uint32_t max_waiting = 0;
+    base::duration max_wait{};
+};
+
+struct broker_department
+{
+    base::department_name name;
+    std::uint32_t quota_slots = 0;
+};
+
+/// What a broker takes from the bundle.
+struct broker_terms
+{
+    std::vector<broker_queue> queues;
+    std::vector<broker_department> departments;
+    /// Workers that the budgets of the pool's departments require.
+    std::uint32_t min_workers = 0;
+    /// Whether another pool can lend.
+    bool may_borrow = false;
+};
+
+struct broker_settings
+{
+    base::member_id self;
+    base::pool_name pool;
+    lending_settings lending;
+    ejection_settings ejection;
+};
+
+/// A waiting request was granted or refused.
+struct slot_event
+{
+    std::uint64_t ticket = 0;
+    slot_decision decision;
+};
+
+struct submit_result
+{
+    std::uint64_t ticket = 0;
+    /// Nothing while the request waits.
+    std::optional<slot_decision> decision;
+};
+
+/// A waiting request for which lenders should be asked.
+struct borrow_need
+{
+    std::uint64_t ticket = 0;
+    slot_request request;
+    base::member_id holder;
+};
+
+struct broker_state
+{
+    std::map<base::queue_name, std::uint32_t> waiting;
+    std::uint32_t slots = 0;
+    std::uint32_t used = 0;
+    std::uint32_t lent = 0;
+    std::uint32_t borrowed = 0;
+    std::uint32_t ejected = 0;
+};
+
+/// The wait queue and the grants of one pool.
+///
+/// Urgent requests are served before batch requests; batch gets one in 8
+/// grants while it waits. Between departments the least used share of quota
+/// is served first. A request that cannot wait is refused at once. After each
+/// call, `advance` returns the waiting requests that were decided.
+class slot_broker
+{
+public:
+    /// One in this many grants is for batch while it waits (design, section 5).
+    static constexpr std::uint32_t batch_interval = 8;
+    /// Pause before the same request is offered to lenders again.
+    static constexpr base::duration borrow_pause =
+        std::chrono::milliseconds{20};
+    /// A queue whose task overran the lending bound borrows nothing for this
+    /// time.
+    static constexpr base::duration overrun_penalty = std::chrono::seconds{60};
+
+    explicit slot_broker(broker_settings settings);
+    ~slot_broker();
+    slot_broker(const slot_broker&) = delete;
+    slot_broker& operator=(const slot_broker&) = delete;
+
+    void set_terms(broker_terms terms);
+    /// Replaces the workers of the pool. Grants of removed ones stay valid.
+    void set_workers(const std::vector<broker_worker>& workers);
+    void set_accepting(const base::worker_id& worker, bool accepting);
+    /// The worker restarted: its old outcomes and grants are void.
+    void reset_worker(const base::worker_id& worker);
+    void record_report(const base::worker_id& worker, std::uint32_t slots_used,
+                       base::time_point now);
+
+    /// A repeated request with the id of an earlier one returns its result.
+    /// `charge`: slots' worth charged to the department.
+    submit_result submit(const slot_request& request,
+                         const base::member_id& holder, double charge,
+                         base::time_point now);
+    /// Withdraws a waiting request, or returns its grant unused.
+    void cancel(const std::string& request_id, base::time_point now);
+    /// Returns a slot. The outcome of a grant of another broker counts too.
+    void release(const slot_grant& grant, slot_outcome outcome,
+                 base::time_point now);
+    std::vector<slot_event> advance(base::time_point now);
+    /// When `advance` should be called next without another call.
+    [[nodiscard]] std::optional<base::time_point>
+    next_event(base::time_point now) const;
+
+    /// Lends a slot at once or refuses with `no_worker`.
+    slot_decision lend(const slot_request& request,
+                       const base::member_id& borrower, base::time_point now);
+    /// Grants of this pool lent for longer than the bound.
+    [[nodiscard]] std::vector<slot_grant>
+    overdue_loans(base::time_point now) const;
+    /// The next waiting request to borrow for, if any.
+    std::optional<borrow_need> next_borrow(base::time_point now);
+    /// Gives a borrowed slot to a waiting request. Returns whether it still
+    /// waited; otherwise the slot has to be returned.
+    bool add_loan(std::uint64_t ticket, const slot_grant& grant);
+
+    /// Drops the requests and grants of a member. Returns the slots that it
+    /// had borrowed, which have to be returned to their lenders.
+    std::vector<slot_grant> drop_member(const base::member_id& member,
+                                        base::time_point now);
+    /// Removes all waiting requests and returns their tickets.
+    std::vector<std::uint64_t> withdraw_waiting();
+
+    [[nodiscard]] std::size_t waiting_count() const;
+    [[nodiscard]] broker_state state(base::time_point now) const;
+    [[nodiscard]] const worker_table& workers() const;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace pimentograde::policy
+
+#endif
--- /dev/null
+++ b/src/policy/worker_table.hpp
@@ -0,0 +1,105 @@
+#ifndef PIMENTOGRADE_POLICY_WORKER_TABLE_HPP
+#define PIMENTOGRADE_POLICY_WORKER_TABLE_HPP
+
+#include "base/strong_id.hpp"
+#include "base/task_size.hpp"
+#include "base/time.hpp"
+#include "policy/outlier_ejector.hpp"
+#include "policy/slot.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace pimentograde::policy
+{
+
+/// A worker of a broker's pool.
+struct broker_worker
+{
+    base::worker_id id;
+    base::task_size size;
+    std::uint32_t slots = 0;
+    /// In service and not leaving.
+    bool accepting = true;
+};
+
+/// Known slot use of the workers of one pool.
+class worker_table
+{
+public:
+    /// A worker that refused as full gets nothing for this time, unless one of
+    /// its slots is released earlier.
+    static constexpr base::duration full_pause = std::chrono::milliseconds{100};
+    /// A report of slots used through others counts for this time.
+    static constexpr base::duration report_validity = std::chrono::seconds{2};
+
+    explicit worker_table(ejection_settings ejection = {});
+
+    /// Adds or updates. `used` are the slots of grants that are still held.
+    void set(const broker_worker& worker, std::uint32_t used);
+    void remove(const base::worker_id& worker);
+    void set_accepting(const base::worker_id& worker, bool accepting);
+    [[nodiscard]] bool is_accepting(const base::worker_id& worker) const;
+    [[nodiscard]] std::vector<base::worker_id> ids() const;
+
+    void take_slot(const base::worker_id& worker);
+    void return_slot(const base::worker_id& worker);
+    /// Applies the outcome of a task to ejection and fullness.
+    void record_outcome(const base::worker_id& worker, slot_outcome outcome,
+                        base::time_point now);
+    /// Applies a report, which lags: only slots beyond the grants held at any
+    /// time since the report before the last count as used by others.
+    void record_report(const base::worker_id& worker, std::uint32_t slots_used,
+                       base::time_point now);
+
+    /// The eligible worker with the most free slots.
+    [[nodiscard]] std::optional<base::worker_id>
+    pick(const slot_request& request, base::time_point now) const;
+    [[nodiscard]] bool has_free(base::time_point now) const;
+    /// Whether any worker, also one out of service, could hold the task.
+    [[nodiscard]] bool fits_any(const base::task_size& size) const;
+    /// Whether a worker accepts, fits and is not excluded, free or not.
+    [[nodiscard]] bool has_candidate(const slot_request& request) const;
+
+    /// Slots of workers that accept, as limited by ejection.
+    [[nodiscard]] std::uint32_t slots(base::time_point now) const;
+    /// Used slots of these workers.
+    [[nodiscard]] std::uint32_t used(base::time_point now) const;
+    [[nodiscard]] std::uint32_t max_slots() const;
+    [[nodiscard]] const broker_worker*
+    find(const base::worker_id& worker) const;
+    /// When a pause or an ejection ends next.
+    [[nodiscard]] std::optional<base::time_point>
+    next_change(base::time_point now) const;
+    [[nodiscard]] outlier_ejector& ejector() { return ejector_; }
+    [[nodiscard]] const outlier_ejector& ejector() const { return ejector_; }
+
+private:
+    struct entry
+    {
+        broker_worker worker;
+        std::uint32_t held = 0;
+        std::uint32_t peak = 0;
+        std::uint32_t earlier_peak = 0;
+        std::uint32_t foreign = 0;
+        base::time_point foreign_until{};
+        base::time_point full_until{};
+    };
+
+    [[nodiscard]] entry* find_entry(const base::worker_id& worker);
+    [[nodiscard]] const entry* find_entry(const base::worker_id& worker) const;
+    [[nodiscard]] std::uint32_t used_of(const entry& known,
+                                        base::time_point now) const;
+    [[nodiscard]] std::uint32_t free_of(const entry& known,
+                                        base::time_point now) const;
+
+    std::vector<entry> entries_;
+    std::unordered_map<base::worker_id, std::size_t> index_;
+    outlier_ejector ejector_;
+};
+
+} // namespace pimentograde::policy
+
+#endif
