--- /dev/null
+++ b/src/dispatch/fleet_service.cpp
@@ -0,0 +1,496 @@
+#include "dispatch/fleet_service.hpp"
+
+#include "base/error.hpp"
+#include "capacity/budget_checker.hpp"
+#include "capacity/events.hpp"
+#include "dispatch/fleet_commands.hpp"
+#include "dispatch/fleet_events.hpp"
+#include "dispatch/fleet_snapshot.hpp"
+#include "dispatch/fleet_store.hpp"
+#include "dispatch/worker_round.hpp"
+#include "net/task_group.hpp"
+
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace pimentograde::dispatch
+{
+
+using capacity::change_kind;
+using capacity::fleet_change;
+using capacity::fleet_state;
+using capacity::worker_state;
+
+namespace
+{
+
+constexpr std::string_view lease_name = "planner";
+// A command loses its race only against another write, and each writer needs
+// some milliseconds, so a handful of attempts is enough.
+constexpr int command_attempts = 8;
+
+void log_change(const fleet_change& change)
+{
+    switch (change.kind)
+    {
+    case change_kind::pause_wave:
+        log::write(capacity::event_wave_paused,
+                   {{"wave", change.wave}, {"reason", change.reason}});
+        break;
+    case change_kind::resume_wave:
+        log::write(capacity::event_wave_resumed, {{"wave", change.wave}});
+        break;
+    case change_kind::start_wave:
+    case change_kind::begin_pass:
+        log::write(capacity::event_wave_started, {{"wave", change.wave}});
+        break;
+    case change_kind::start_drain:
+        if (!change.pool.empty())
+            log::write(
+                capacity::event_move_started,
+                {{"worker", change.worker.str()}, {"pool", change.pool.str()}});
+        break;
+    case change_kind::mark_down:
+        log::write(capacity::event_worker_down,
+                   {{"worker", change.worker.str()}});
+        break;
+    case change_kind::confirm_healthy:
+        log::write(capacity::event_worker_serving,
+                   {{"worker", change.worker.str()}});
+        break;
+    default:
+        break;
+    }
+}
+
+} // namespace
+
+struct fleet_service::impl
+{
+    impl(base::member_id id, const fleet_settings& values, hooks hook_table)
+        : self(std::move(id)), settings(values), calls(std::move(hook_table)),
+          store(calls.store, self), observer(values.observer),
+          moves(values.moves)
+    {
+    }
+
+    base::member_id self;
+    fleet_settings settings;
+    hooks calls;
+    fleet_store store;
+    capacity::fleet_observer observer;
+    capacity::move_planner moves;
+    fleet_state known;
+    fleet_report report;
+    std::shared_ptr<const config::bundle> bundle;
+    net::stop_signal stopping;
+    net::task_group fibers;
+    bool stepping = false;
+
+    base::time_point deadline() const
+    {
+        return calls.steady_now() + settings.call_timeout;
+    }
+
+    void publish(const fleet_state& state)
+    {
+        if (state.version <= known.version)
+            return;
+        known = state;
+        if (calls.on_state)
+            calls.on_state(known);
+    }
+
+    void store_failed(const base::error& failure)
+    {
+        const bool invalid = failure.code() == base::error_code::invalid;
+        if (report.store_available)
+            log::write(invalid ? event_fleet_state_invalid
+                               : event_fleet_store_down,
+                       {{"reason", failure.what()}});
+        report.store_available = false;
+        report.store_error = failure.what();
+    }
+
+    void store_answered()
+    {
+        if (!report.store_available)
+            log::write(event_fleet_store_back);
+        report.store_available = true;
+        report.store_error.clear();
+    }
+
+    bool hold_lease()
+    {
+        const auto grant = calls.store.acquire_lease(
+            lease_name, self.str(), settings.lease_ttl, deadline());
+        if (grant.held && !report.planner)
+            log::write(event_planner_active, {{"member", self.str()}});
+        report.planner = grant.held;
+        report.lease_holder = grant.holder;
+        return grant.held;
+    }
+
+    void give_up_lease()
+    {
+        report.planner = false;
+        try
+        {
+            calls.store.release_lease(lease_name, self.str(), deadline());
+        }
+        catch (const base::error&)
+        {
+            // The lease expires by itself.
+        }
+    }
+
+    std::optional<stored_fleet> read_as_planner()
+    {
+        try
+        {
+            const bool held = hold_lease();
+            std::optional<stored_fleet> stored;
+            if (held)
+                stored = store.read(deadline());
+            store_answered();
+            return stored;
+        }
+        catch (const base::error& failure)
+        {
+            store_failed(failure);
+            return std::nullopt;
+        }
+    }
+
+    bool write(stored_fleet& stored, fleet_state next)
+    {
+        if (next == stored.state && stored.store_version != 0)
+            return true;
+        try
+        {
+            const bool applied = store.swap(stored, std::move(next),
+                                            calls.wall_now(), deadline());
+            report.conflicts += applied ? 0 : 1;
+            return applied;
+        }
+        catch (const base::error& failure)
+        {
+            // The write may have taken effect. The next step reads again and
+            // decides from what it finds.
+            store_failed(failure);
+            return false;
+        }
+    }
+
+    fleet_state plan(const stored_fleet& stored, const worker_round& round,
+                     std::vector<fleet_change>& applied)
+    {
+        const base::wall_time now = calls.wall_now();
+        fleet_state next = stored.store_version == 0
+                               ? capacity::initial_state(*bundle, now)
+                               : stored.state;
+        capacity::reconcile(next, *bundle, now);
+        for (const fleet_change& each :
+             observer.observe(next, round.sightings, now))
+            try_apply(next, each, now, applied);
+        moves.observe(calls.loads ? calls.loads() : used_slots(next, round),
+                      *bundle, next, now);
+        plan_drains(next, round, now, applied);
+        return next;
+    }
+
+    void plan_drains(fleet_state& next, const worker_round& round,
+                     base::wall_time now, std::vector<fleet_change>& applied)
+    {
+        capacity::serving_ledger cautious(*bundle, next);
+        // A worker that did not answer in this round may be lost although it
+        // is not yet counted as down.
+        for (const auto& seen : round.sightings)
+            if (!seen.reported)
+                cautious.remove(seen.worker);
+        auto waves =
+            capacity::wave_planner(*bundle, settings.waves).plan(next, now);
+        if (auto move = moves.plan(*bundle, next, now))
+            waves.changes.push_back(std::move(*move));
+        for (const fleet_change& each : waves.changes)
+        {
+            const bool drains = each.kind == change_kind::start_drain;
+            if (drains && cautious.breach_without(each.worker))
+                continue;
+            if (try_apply(next, each, now, applied) && drains)
+                cautious.remove(each.worker);
+        }
+        report.waves = std::move(waves.progress);
+        report_budgets(next);
+    }
+
+    static bool try_apply(fleet_state& next, const fleet_change& change,
+                          base::wall_time now,
+                          std::vector<fleet_change>& applied)
+    {
+        try
+        {
+            capacity::apply_change(next, change, now);
+        }
+        catch (const base::error&)
+        {
+            // Another change of this step came first; the next step decides
+            // again.
+            return false;
+        }
+        applied.push_back(change);
+        return true;
+    }
+
+    void report_budgets(const fleet_state& next)
+    {
+        const auto broken = std::move(report.broken_budgets);
+        report.broken_budgets.clear();
+        for (const auto& each :
+             capacity::budget_checker(*bundle).evaluate(next))
+        {
+            if (!each.broken_now())
+                continue;
+            const std::string reason = each.reason();
+            if (broken.empty())
+                log::write(capacity::event_budget_broken, {{"reason", reason}});
+            report.broken_budgets.push_back(reason);
+        }
+    }
+
+    std::vector<capacity::pool_load> used_slots(const fleet_state& next,
+                                                const worker_round& round) const
+    {
+        std::map<base::pool_name, double> used;
+        for (const config::pool& each : bundle->pools)
+            used[each.name] = 0;
+        for (const auto& seen : round.sightings)
+        {
+            const auto found = next.workers.find(seen.worker);
+            if (found != next.workers.end() && seen.reported)
+                used[found->second.pool] += seen.slots_used;
+        }
+        std::vector<capacity::pool_load> loads;
+        for (const auto& [pool, slots] : used)
+            loads.push_back({pool, slots});
+        return loads;
+    }
+
+    void run_step()
+    {
+        if (auto fresh = calls.bundle())
+            bundle = std::move(fresh);
+        if (!bundle)
+            return;
+        auto stored = read_as_planner();
+        if (!stored)
+            return;
+        publish(stored->state);
+        const worker_calls worker_hooks{calls.workers, calls.instances,
+                                        calls.steady_now, settings.call_timeout,
+                                        settings.concurrency};
+        base::time_point as_of = calls.steady_now();
+        const worker_round round = ask_workers(worker_hooks, *bundle);
+        report.workers_answering = round.answered;
+        if (round.answered == 0 && !round.sightings.empty())
+        {
+            log::write(event_no_worker_answers, {{"member", self.str()}});
+            // Another member may reach the workers.
+            give_up_lease();
+        }
+        std::vector<fleet_change> applied;
+        fleet_state next = plan(*stored, round, applied);
+        const std::uint64_t before = stored->state.version;
+        if (!write(*stored, std::move(next)))
+            return;
+        if (stored->state.version != before)
+        {
+            as_of = calls.steady_now();
+            for (const fleet_change& each : applied)
+                log_change(each);
+        }
+        publish(stored->state);
+        act_on_workers(worker_hooks, *bundle, stored->state, round,
+                       calls.wall_now(), as_of + settings.longest_action_age);
+        ++report.steps;
+    }
+
+    template <class Decide>
+    command_result run_command(std::string_view step, Decide decide)
+    {
+        const auto in_force = calls.bundle();
+        if (!in_force)
+            throw base::error(base::error_code::unavailable, std::string(step),
+                              "", "no bundle in force");
+        for (int attempt = 0; attempt < command_attempts; ++attempt)
+        {
+            stored_fleet stored = store.read(deadline());
+            if (stored.store_version == 0)
+                throw base::error(base::error_code::unavailable,
+                                  std::string(step), "",
+                                  "no fleet state yet; try again");
+            const std::optional<fleet_change> change =
+                decide(*in_force, stored.state);
+            if (!change)
+            {
+                publish(stored.state);
+                return {stored.state.version, true};
+            }
+            fleet_state next = stored.state;
+            capacity::apply_change(next, *change, calls.wall_now());
+            if (!store.swap(stored, std::move(next), calls.wall_now(),
+                            deadline()))
+                continue;
+            log_change(*change);
+            publish(stored.state);
+            return {stored.state.version, false};
+        }
+        throw base::error(base::error_code::conflict, std::string(step), "",
+                          "lost against other writers; try again");
+    }
+};
+
+fleet_service::builder& fleet_service::builder::self(base::member_id id)
+{
+    self_ = std::move(id);
+    return *this;
+}
+
+fleet_service::builder& fleet_service::builder::settings(fleet_settings values)
+{
+    settings_ = values;
+    return *this;
+}
+
+fleet_service::builder& fleet_service::builder::use(hooks calls)
+{
+    hooks_ = std::move(calls);
+    return *this;
+}
+
+std::unique_ptr<fleet_service> fleet_service::builder::build()
+{
+    const bool complete = hooks_.store.get && hooks_.store.compare_and_swap &&
+                          hooks_.store.acquire_lease &&
+                          hooks_.store.release_lease && hooks_.workers.report &&
+                          hooks_.workers.drain && hooks_.workers.undrain &&
+                          hooks_.workers.reboot && hooks_.instances.list &&
+                          hooks_.bundle && hooks_.steady_now &&
+                          hooks_.wall_now && !self_.empty();
+    if (!complete)
+        throw base::error(base::error_code::invalid, "build fleet service", "",
+                          "a hook or the member id is missing");
+    return std::unique_ptr<fleet_service>(new fleet_service(
+        std::make_unique<impl>(self_, settings_, std::move(hooks_))));
+}
+
+fleet_service::fleet_service(std::unique_ptr<impl> parts)
+    : impl_(std::move(parts))
+{
+}
+
+fleet_service::~fleet_service()
+{
+    stop();
+}
+
+void fleet_service::start()
+{
+    impl_->fibers.spawn(
+        [this]
+        {
+            while (!impl_->stopping.wait_for(impl_->settings.interval))
+                step();
+            if (impl_->report.planner)
+                impl_->give_up_lease();
+        });
+}
+
+void fleet_service::stop()
+{
+    impl_->stopping.set();
+    impl_->fibers.join();
+}
+
+void fleet_service::step()
+{
+    // A fiber that calls this while a step waits for a worker returns at once.
+    if (std::exchange(impl_->stepping, true))
+        return;
+    try
+    {
+        impl_->run_step();
+    }
+    catch (const base::error& failure)
+    {
+        // A hook of the caller failed; the next step tries again.
+        log::write(event_fleet_step_failed, {{"reason", failure.what()}});
+    }
+    impl_->stepping = false;
+}
+
+command_result fleet_service::hold_worker(const base::worker_id& worker)
+{
+    return impl_->run_command(
+        "hold worker", [&](const config::bundle&, const fleet_state& state)
+        { return hold_change(state, worker); });
+}
+
+command_result fleet_service::drain_worker(const base::worker_id& worker)
+{
+    return impl_->run_command("drain worker", [&](const config::bundle& bundle,
+                                                  const fleet_state& state)
+                              { return drain_change(bundle, state, worker); });
+}
+
+command_result fleet_service::release_worker(const base::worker_id& worker)
+{
+    return impl_->run_command(
+        "release worker", [&](const config::bundle&, const fleet_state& state)
+        { return release_change(state, worker); });
+}
+
+command_result fleet_service::start_wave(std::string_view wave)
+{
+    return impl_->run_command(
+        "start wave",
+        [&](const config::bundle& bundle, const fleet_state& state)
+        { return start_wave_change(bundle, state, wave); });
+}
+
+command_result fleet_service::pause_wave(std::string_view wave,
+                                         std::string_view reason)
+{
+    return impl_->run_command(
+        "pause wave", [&](const config::bundle&, const fleet_state& state)
+        { return pause_wave_change(state, wave, reason); });
+}
+
+command_result fleet_service::resume_wave(std::string_view wave)
+{
+    return impl_->run_command(
+        "resume wave", [&](const config::bundle&, const fleet_state& state)
+        { return resume_wave_change(state, wave); });
+}
+
+command_result fleet_service::create_move(const base::worker_id& worker,
+                                          const base::pool_name& pool)
+{
+    return impl_->run_command(
+        "create move",
+        [&](const config::bundle& bundle, const fleet_state& state)
+        { return move_change(bundle, state, worker, pool); });
+}
+
+const capacity::fleet_state& fleet_service::state() const
+{
+    return impl_->known;
+}
+
+boost::json::object fleet_service::snapshot() const
+{
+    return make_snapshot(impl_->report, impl_->known);
+}
+
+} // namespace pimentograde::dispatch
--- /dev/null
+++ b/src/dispatch/worker_round.hpp
@@ -0,0 +1,50 @@
+#ifndef PIMENTOGRADE_DISPATCH_WORKER_ROUND_HPP
+#define PIMENTOGRADE_DISPATCH_WORKER_ROUND_HPP
+
+#include "capacity/fleet_observer.hpp"
+#include "config/bundle.hpp"
+#include "platform/worker_operations.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <vector>
+
+namespace pimentograde::dispatch
+{
+
+struct worker_calls
+{
+    const platform::worker_operations& workers;
+    const platform::instance_list_operations& instances;
+    const std::function<base::time_point()>& steady_now;
+    /// Limit of each call.
+    base::duration timeout;
+    /// Calls at the same time.
+    std::size_t concurrency;
+};
+
+/// Answers of all workers of a bundle, in its order.
+struct worker_round
+{
+    std::vector<capacity::worker_sighting> sightings;
+    /// Per worker, empty for one that did not answer.
+    std::vector<std::vector<platform::task_usage>> usage;
+    std::size_t answered = 0;
+};
+
+/// Asks the instance list and each worker. Suspends the fiber; throws nothing
+/// for a call that fails.
+worker_round ask_workers(const worker_calls& calls,
+                         const config::bundle& bundle);
+
+/// Tells the workers what their state asks for: drain, checkpoint, reboot or
+/// undrain. Each call may be repeated. Nothing is told after `until`, since
+/// another planner may have changed the state by then.
+void act_on_workers(const worker_calls& calls, const config::bundle& bundle,
+                    const capacity::fleet_state& state,
+                    const worker_round& round, base::wall_time now,
+                    base::time_point until);
+
+} // namespace pimentograde::dispatch
+
+#endif
