Test the planner service against a platform in memory

Cause: the planner service had no tests. Change: 18 cases with a virtual clock; a spread pass begins one interval after its start instead of at once, so that a new fleet is not drained at its first step. Conclusion: waves, moves, holds, leaving workers and store outages behave as designed in single histories.

--- a/src/capacity/wave_planner.cpp
+++ b/src/capacity/wave_planner.cpp
@@ -80,7 +80,7 @@
             view.status->started +
             std::chrono::duration_cast<std::chrono::milliseconds>(
                 base::duration{static_cast<base::duration::rep>(
-                    step * static_cast<double>(rank))});
+                    step * static_cast<double>(rank + 1))});
 }
 
 wave_view make_view(const config::wave& wave, const wave_status& status,
--- /dev/null
+++ b/tests/fleet/fake_platform.hpp
@@ -0,0 +1,239 @@
+#ifndef PIMENTOGRADE_TESTS_FLEET_FAKE_PLATFORM_HPP
+#define PIMENTOGRADE_TESTS_FLEET_FAKE_PLATFORM_HPP
+
+#include "base/error.hpp"
+#include "base/random_source.hpp"
+#include "capacity/fleet_codec.hpp"
+#include "capacity/make_bundle.hpp"
+#include "dispatch/fleet_service.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pimentograde::tests
+{
+
+struct fake_worker
+{
+    std::uint64_t incarnation = 1;
+    bool alive = true;
+    bool refuses_work = false;
+    std::uint32_t slots_used = 0;
+    /// A reboot ends at this time.
+    base::duration back_at{};
+    bool rebooting = false;
+    /// Reboots that met running tasks.
+    int harmful_reboots = 0;
+    int reboots = 0;
+};
+
+/// Store, workers and clock in memory. Time passes only by `advance`.
+class fake_platform
+{
+public:
+    explicit fake_platform(const config::bundle& bundle, std::uint64_t seed = 1)
+        : bundle_(std::make_shared<config::bundle>(bundle)), random_(seed)
+    {
+        for (const auto& worker : bundle.workers)
+            workers[worker.id];
+    }
+
+    std::map<base::worker_id, fake_worker> workers;
+    std::set<base::worker_id> listed_leaving;
+    bool store_up = true;
+    /// Probability that a write takes effect and its response is lost.
+    double lost_responses = 0;
+    /// Probability that a call to a worker fails.
+    double lost_calls = 0;
+    std::set<std::string> cut_off_members;
+    base::duration reboot_time = std::chrono::seconds{5};
+    std::size_t writes = 0;
+    /// Called within each compare-and-swap before it is decided.
+    std::function<void()> before_swap;
+
+    void advance(base::duration step)
+    {
+        elapsed_ += step;
+        for (auto& [id, worker] : workers)
+            if (worker.rebooting && elapsed_ >= worker.back_at)
+            {
+                worker.rebooting = false;
+                worker.refuses_work = false;
+                ++worker.incarnation;
+            }
+    }
+
+    [[nodiscard]] base::wall_time now() const
+    {
+        return start_time() +
+               std::chrono::floor<std::chrono::milliseconds>(elapsed_);
+    }
+
+    [[nodiscard]] bool has_state() const { return version_ != 0; }
+
+    [[nodiscard]] capacity::fleet_state state() const
+    {
+        return capacity::decode(value_);
+    }
+
+    void set_bundle(const config::bundle& bundle)
+    {
+        bundle_ = std::make_shared<config::bundle>(bundle);
+    }
+
+    [[nodiscard]] const config::bundle& bundle() const { return *bundle_; }
+
+    std::unique_ptr<dispatch::fleet_service> make_service(
+        const std::string& member, dispatch::fleet_settings settings,
+        std::function<void(const capacity::fleet_state&)> listener = {})
+    {
+        dispatch::fleet_service::hooks hooks;
+        hooks.store = store_hooks();
+        hooks.workers = worker_hooks();
+        hooks.instances.list = [this](base::time_point)
+        {
+            return listed();
+        };
+        hooks.bundle = [this]
+        {
+            return bundle_;
+        };
+        hooks.on_state = std::move(listener);
+        hooks.steady_now = [this]
+        {
+            return base::time_point{} + elapsed_;
+        };
+        hooks.wall_now = [this]
+        {
+            return now();
+        };
+        return dispatch::fleet_service::builder{}
+            .self(base::member_id(member))
+            .settings(settings)
+            .use(std::move(hooks))
+            .build();
+    }
+
+private:
+    void require_store() const
+    {
+        if (!store_up)
+            throw base::error(base::error_code::unavailable, "store", "", "");
+    }
+
+    platform::kv_operations store_hooks()
+    {
+        platform::kv_operations hooks;
+        hooks.get = [this](std::string_view, base::time_point)
+        {
+            require_store();
+            return platform::kv_entry{value_, version_};
+        };
+        hooks.compare_and_swap =
+            [this](std::string_view, std::uint64_t expected,
+                   std::string_view value, base::time_point)
+        {
+            return swap(expected, value);
+        };
+        hooks.acquire_lease = [this](std::string_view, std::string_view holder,
+                                     base::duration ttl, base::time_point)
+        {
+            require_store();
+            if (holder_ != holder && elapsed_ < lease_end_)
+                return platform::lease_grant{false, holder_};
+            holder_ = holder;
+            lease_end_ = elapsed_ + ttl;
+            return platform::lease_grant{true, holder_};
+        };
+        hooks.release_lease =
+            [this](std::string_view, std::string_view holder, base::time_point)
+        {
+            require_store();
+            if (holder_ == holder)
+                lease_end_ = elapsed_;
+        };
+        return hooks;
+    }
+
+    platform::swap_result swap(std::uint64_t expected, std::string_view value)
+    {
+        require_store();
+        if (before_swap)
+            std::exchange(before_swap, {})();
+        if (expected != version_)
+            return {platform::swap_outcome::conflict, version_};
+        value_ = value;
+        ++version_;
+        ++writes;
+        if (random_.unit() < lost_responses)
+            throw base::error(base::error_code::timeout, "store", "", "");
+        return {platform::swap_outcome::applied, version_};
+    }
+
+    fake_worker& reach(const platform::worker_endpoint& where)
+    {
+        fake_worker& worker = workers[where.id];
+        if (!worker.alive || worker.rebooting || random_.unit() < lost_calls)
+            throw base::error(base::error_code::timeout, "worker",
+                              where.id.str(), "");
+        return worker;
+    }
+
+    platform::worker_operations worker_hooks()
+    {
+        platform::worker_operations hooks;
+        hooks.report = [this](const auto& where, base::time_point)
+        {
+            const fake_worker& worker = reach(where);
+            return platform::worker_report{worker.incarnation,
+                                           worker.refuses_work,
+                                           slots_per_worker,
+                                           worker.slots_used,
+                                           {}};
+        };
+        hooks.drain = [this](const auto& where, base::time_point)
+        {
+            reach(where).refuses_work = true;
+        };
+        hooks.undrain = [this](const auto& where, base::time_point)
+        {
+            reach(where).refuses_work = false;
+        };
+        hooks.reboot = [this](const auto& where, base::time_point)
+        {
+            fake_worker& worker = reach(where);
+            worker.harmful_reboots += worker.slots_used == 0 ? 0 : 1;
+            worker.slots_used = 0;
+            worker.rebooting = true;
+            ++worker.reboots;
+            worker.back_at = elapsed_ + reboot_time;
+        };
+        return hooks;
+    }
+
+    std::vector<platform::listed_instance> listed() const
+    {
+        std::vector<platform::listed_instance> all;
+        for (const auto& [id, worker] : workers)
+            all.push_back({id, listed_leaving.contains(id)
+                                   ? platform::listed_state::leaving
+                                   : platform::listed_state::live});
+        return all;
+    }
+
+    std::shared_ptr<config::bundle> bundle_;
+    base::random_source random_;
+    base::duration elapsed_{};
+    std::string value_;
+    std::uint64_t version_ = 0;
+    std::string holder_;
+    base::duration lease_end_{};
+};
+
+} // namespace pimentograde::tests
+
+#endif
--- /dev/null
+++ b/tests/fleet/fleet_service_test.cpp
@@ -0,0 +1,353 @@
+#include "dispatch/fleet_service.hpp"
+#include "fleet/fake_platform.hpp"
+#include "net/io_scheduler.hpp"
+
+#include <boost/fiber/operations.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace pimentograde;
+using namespace std::chrono_literals;
+using capacity::worker_state;
+using tests::fake_platform;
+
+namespace
+{
+
+config::bundle small_bundle()
+{
+    auto bundle = tests::make_bundle(2, 6, 3);
+    tests::add_budgets(bundle, 3, config::failure_domain::zone);
+    tests::add_wave(bundle, 2, 24h * 365);
+    return bundle;
+}
+
+const base::worker_id first_worker("w0");
+
+worker_state state_of(const fake_platform& platform,
+                      const base::worker_id& worker = first_worker)
+{
+    return platform.state().workers.at(worker).state;
+}
+
+void run(fake_platform& platform, dispatch::fleet_service& service, int steps)
+{
+    for (int step = 0; step < steps; ++step)
+    {
+        service.step();
+        platform.advance(500ms);
+    }
+}
+
+} // namespace
+
+TEST_CASE("a started wave reboots each worker once and ends")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    auto service = platform.make_service("a", {});
+    run(platform, *service, 4);
+    service->start_wave("wave");
+    run(platform, *service, 12 * 40);
+    for (const auto& [id, worker] : platform.workers)
+    {
+        CHECK(worker.reboots == 1);
+        CHECK(worker.harmful_reboots == 0);
+        CHECK(state_of(platform, id) == worker_state::serving);
+    }
+    const auto wave = service->snapshot().at("waves").at(0).as_object();
+    CHECK(wave.at("phase").as_string() == "finished");
+    CHECK(wave.at("done").to_number<int>() == 12);
+}
+
+// Guards against a reboot under running tasks: a drain that never waits.
+TEST_CASE("a worker is not rebooted while a task runs on it")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    for (auto& [id, worker] : platform.workers)
+        worker.slots_used = 1;
+    auto service = platform.make_service("a", {});
+    run(platform, *service, 4);
+    service->start_wave("wave");
+    run(platform, *service, 40);
+    for (const auto& [id, worker] : platform.workers)
+        CHECK(worker.reboots == 0);
+}
+
+TEST_CASE("a silent worker is down after 2 s and serves after its return")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    auto service = platform.make_service("a", {});
+    run(platform, *service, 4);
+    platform.workers[first_worker].alive = false;
+    run(platform, *service, 3);
+    CHECK(state_of(platform) == worker_state::serving);
+    run(platform, *service, 3);
+    CHECK(state_of(platform) == worker_state::down);
+    platform.workers[first_worker].alive = true;
+    run(platform, *service, 2);
+    CHECK(state_of(platform) == worker_state::probation);
+    run(platform, *service, 6);
+    CHECK(state_of(platform) == worker_state::serving);
+}
+
+// Guards against a planner that was paused, or is cut off from the workers
+// itself, and takes the whole fleet out of service.
+TEST_CASE("a planner that reaches no worker marks none as down")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    auto service = platform.make_service("a", {});
+    run(platform, *service, 4);
+    platform.lost_calls = 1;
+    run(platform, *service, 20);
+    platform.lost_calls = 0;
+    platform.advance(60s);
+    run(platform, *service, 1);
+    for (const auto& [id, status] : platform.state().workers)
+        CHECK(status.state == worker_state::serving);
+}
+
+// Guards against work that keeps going to a worker which the platform takes
+// away: invariant 6 allows 3 s.
+TEST_CASE("a leaving worker is drained within 3 s and not rebooted")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    auto service = platform.make_service("a", {});
+    run(platform, *service, 4);
+    platform.listed_leaving.insert(first_worker);
+    run(platform, *service, 6);
+    CHECK(state_of(platform) == worker_state::draining);
+    CHECK(platform.workers[first_worker].refuses_work);
+    run(platform, *service, 60);
+    CHECK(platform.workers[first_worker].reboots == 0);
+    platform.listed_leaving.clear();
+    run(platform, *service, 60);
+    CHECK(state_of(platform) == worker_state::serving);
+}
+
+// Guards against a worker that stays out of service because a planner which
+// woke up late drained it.
+TEST_CASE("a late drain call is undone")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    auto service = platform.make_service("a", {});
+    run(platform, *service, 4);
+    platform.workers[first_worker].refuses_work = true;
+    run(platform, *service, 60);
+    CHECK(state_of(platform) == worker_state::serving);
+    CHECK_FALSE(platform.workers[first_worker].refuses_work);
+}
+
+TEST_CASE("an operator's drain lasts until the release")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    auto service = platform.make_service("a", {});
+    run(platform, *service, 4);
+    CHECK_FALSE(service->drain_worker(first_worker).unchanged);
+    CHECK(service->drain_worker(first_worker).unchanged);
+    run(platform, *service, 40);
+    CHECK(state_of(platform) == worker_state::draining);
+    CHECK(platform.workers[first_worker].reboots == 0);
+    service->release_worker(first_worker);
+    run(platform, *service, 10);
+    CHECK(state_of(platform) == worker_state::serving);
+}
+
+// Guards against an operator who breaks a budget without being told.
+TEST_CASE("an operator's drain that would break a budget is refused")
+{
+    net::this_thread_io();
+    auto bundle = small_bundle();
+    bundle.budgets.front().min_workers = 4;
+    fake_platform platform(bundle);
+    auto service = platform.make_service("a", {});
+    run(platform, *service, 4);
+    std::string reason;
+    try
+    {
+        service->drain_worker(first_worker);
+    }
+    catch (const base::error& failure)
+    {
+        CHECK(failure.code() == base::error_code::refused);
+        reason = failure.detail();
+    }
+    CHECK(reason.find("needs 4 workers") != std::string::npos);
+    CHECK_THROWS_AS(service->create_move(first_worker, base::pool_name("p1")),
+                    base::error);
+    CHECK(state_of(platform) == worker_state::serving);
+}
+
+TEST_CASE("a held worker is left out of a wave")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    auto service = platform.make_service("a", {});
+    run(platform, *service, 4);
+    service->hold_worker(first_worker);
+    service->start_wave("wave");
+    run(platform, *service, 12 * 40);
+    CHECK(platform.workers[first_worker].reboots == 0);
+    CHECK(platform.workers[base::worker_id("w1")].reboots == 1);
+}
+
+TEST_CASE("a move drains, changes the pool and admits after probation")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    auto service = platform.make_service("a", {});
+    run(platform, *service, 4);
+    platform.workers[first_worker].slots_used = 1;
+    service->create_move(first_worker, base::pool_name("p1"));
+    run(platform, *service, 10);
+    CHECK(platform.state().workers.at(first_worker).pool.str() == "p0");
+    platform.workers[first_worker].slots_used = 0;
+    run(platform, *service, 10);
+    CHECK(platform.state().workers.at(first_worker).pool.str() == "p1");
+    CHECK(state_of(platform) == worker_state::serving);
+    CHECK(platform.workers[first_worker].reboots == 0);
+}
+
+TEST_CASE("an operator's pause stops a wave until it is resumed")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    auto service = platform.make_service("a", {});
+    run(platform, *service, 4);
+    service->start_wave("wave");
+    service->pause_wave("wave", "heat");
+    CHECK(service->pause_wave("wave", "heat").unchanged);
+    run(platform, *service, 40);
+    CHECK(platform.workers[first_worker].reboots == 0);
+    const auto wave = service->snapshot().at("waves").at(0).as_object();
+    CHECK(wave.at("phase").as_string() == "paused");
+    CHECK(wave.at("pause_reason").as_string() == "heat");
+    service->resume_wave("wave");
+    run(platform, *service, 40);
+    CHECK(platform.workers[first_worker].reboots == 1);
+}
+
+// Guards against a second pass when only the response of the first command was
+// lost and the operator repeats it.
+TEST_CASE("a command whose response was lost may be repeated")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    auto service = platform.make_service("a", {});
+    run(platform, *service, 4);
+    platform.lost_responses = 1;
+    CHECK_THROWS_AS(service->start_wave("wave"), base::error);
+    platform.lost_responses = 0;
+    const auto started = platform.state().waves.at("wave").started;
+    platform.advance(5s);
+    CHECK(service->start_wave("wave").unchanged);
+    CHECK(platform.state().waves.at("wave").started == started);
+}
+
+// Guards against a command that fails because the planner wrote in between.
+TEST_CASE("a command that meets another writer tries again")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    auto service = platform.make_service("a", {});
+    auto other = platform.make_service("b", {});
+    run(platform, *service, 4);
+    platform.before_swap = [&]
+    {
+        other->hold_worker(base::worker_id("w5"));
+    };
+    service->hold_worker(first_worker);
+    const auto state = platform.state();
+    CHECK(state.workers.at(first_worker).hold == capacity::hold_kind::hold);
+    CHECK(state.workers.at(base::worker_id("w5")).hold ==
+          capacity::hold_kind::hold);
+}
+
+// Guards against drains that begin on an old view during a store outage.
+TEST_CASE("with the store down nothing begins and the dump says so")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    auto service = platform.make_service("a", {});
+    run(platform, *service, 4);
+    service->start_wave("wave");
+    platform.store_up = false;
+    run(platform, *service, 10);
+    for (const auto& [id, worker] : platform.workers)
+        CHECK_FALSE(worker.refuses_work);
+    CHECK_FALSE(service->snapshot().at("store_available").as_bool());
+    CHECK(service->snapshot().contains("notice"));
+    platform.store_up = true;
+    run(platform, *service, 20);
+    CHECK(service->snapshot().at("store_available").as_bool());
+    CHECK(platform.workers[first_worker].reboots == 1);
+}
+
+// Guards against a wave that stays halfway when its planner dies.
+TEST_CASE("another planner finishes what the first one began")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    auto first = platform.make_service("a", {});
+    auto second = platform.make_service("b", {});
+    run(platform, *first, 4);
+    first->start_wave("wave");
+    run(platform, *first, 3);
+    CHECK(state_of(platform) != worker_state::serving);
+    run(platform, *second, 60);
+    CHECK(platform.workers[first_worker].reboots == 1);
+    CHECK(state_of(platform) == worker_state::serving);
+}
+
+// Guards against readers that see states out of order or miss the newest one.
+TEST_CASE("the listener sees each written state once, in order")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    std::vector<std::uint64_t> seen;
+    auto service = platform.make_service("a", {},
+                                         [&](const capacity::fleet_state& state)
+                                         { seen.push_back(state.version); });
+    run(platform, *service, 4);
+    service->start_wave("wave");
+    run(platform, *service, 60);
+    REQUIRE_FALSE(seen.empty());
+    for (std::size_t index = 0; index < seen.size(); ++index)
+        CHECK(seen[index] == index + 1);
+    CHECK(seen.back() == platform.state().version);
+}
+
+// Guards against an idle planner that writes in each step and uses up the
+// store's write budget.
+TEST_CASE("a fleet in which nothing changes is not written")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    auto service = platform.make_service("a", {});
+    run(platform, *service, 4);
+    const auto writes = platform.writes;
+    run(platform, *service, 200);
+    CHECK(platform.writes - writes <= 4);
+}
+
+TEST_CASE("the loop runs in a fiber and gives up the lease at the end")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    dispatch::fleet_settings settings;
+    settings.interval = 1ms;
+    auto service = platform.make_service("a", settings);
+    service->start();
+    while (!platform.has_state())
+        boost::this_fiber::sleep_for(1ms);
+    service->stop();
+    auto other = platform.make_service("b", {});
+    other->step();
+    CHECK(other->snapshot().at("role").as_string() == "planner");
+}
