--- a/tools/demo.py
+++ b/tools/demo.py
@@ -24,6 +24,7 @@
     def __init__(self, deployment):
         self.deployment = deployment
         self.requests = 0
+        self.once_only = set()
         self.faults = []
         self.stop = threading.Event()
         self.lock = threading.Lock()
@@ -44,6 +45,8 @@
         )
         with self.lock:
             self.requests += 1
+            if not idempotent:
+                self.once_only.add(marker)
             if result.get("status") != "done":
                 self.faults.append(f"request {key}: {result}")
             elif marker not in result["answer"]:
@@ -87,6 +90,16 @@
         raise Fault(f"a repeated key gave different answers: {answers}")
 
 
+def check_at_most_once(deployment, once_only):
+    """No task of a non-idempotent request or job started more than once."""
+    starts = {}
+    for entry in deployment.execution_log():
+        starts[entry["token"]] = starts.get(entry["token"], 0) + 1
+    for marker in once_only:
+        if starts.get(marker, 0) != 1:
+            raise Fault(f"{marker} started {starts.get(marker, 0)} times")
+
+
 def run(arguments):
     started = time.monotonic()
     deployment = Deployment(arguments.build, arguments.deployment)
@@ -112,7 +125,9 @@
                 thread.join()
         if traffic.faults:
             raise Fault(f"{len(traffic.faults)} faults, first: {traffic.faults[0]}")
-        deployment.check_at_most_once()
+        once_only = traffic.once_only | {"answer-repeat"}
+        once_only |= {f"answer-job-{index}" for index in range(JOBS)}
+        check_at_most_once(deployment, once_only)
         deployment.stop()
     finally:
         deployment.kill()
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -177,7 +177,7 @@
             if self.standin.poll() is not None:
                 raise Fault(f"the test double ended with {self.standin.returncode}")
             try:
-                self.control("GET", "/v1/log")
+                self.control("GET", "/counts")
                 return
             except OSError:
                 time.sleep(0.02)
@@ -281,16 +281,19 @@
         old.stop()
 
     def execution_log(self):
-        return self.control("GET", "/v1/log")["executions"]
-
-    def check_at_most_once(self):
-        """No non-idempotent task has more than one start in the logs."""
-        starts = {}
-        for entry in self.execution_log():
-            starts[entry["marker"]] = starts.get(entry["marker"], 0) + 1
-        doubled = [marker for marker, count in starts.items() if count > 1]
-        if doubled:
-            raise Fault(f"{len(doubled)} tasks ran twice, for example {doubled[0]}")
+        """All starts of tasks on the workers, in order."""
+        entries = []
+        while True:
+            page = self.control("GET", f"/log?from={len(entries)}")
+            entries += page["entries"]
+            if len(entries) >= page["total"]:
+                return entries
+
+    def set_fault(self, kind, **details):
+        return self.control("POST", "/faults", dict(kind=kind, **details))["id"]
+
+    def clear_fault(self, fault):
+        self.control("DELETE", f"/faults/{fault}")
 
     def stop(self):
         for member in self.members:
