Carry grant ids, idle slots and first submissions between members

Cause: the slot service needs the id, the estimated time and the idle slots of other pools at the broker; the request runner needs to know whether a key was submitted before. Change: fields in slot terms, heartbeat, submissions and record queries; the terms of a borrow are those of the lender's pool. Conclusion: the messages carry what the services ask for.

--- a/src/base/work.hpp
+++ b/src/base/work.hpp
@@ -39,6 +39,9 @@
     base::priority urgency = base::priority::batch;
     task_size size;
     bool idempotent = false;
+    /// The caller states that it has never submitted this key before and
+    /// waits for the answer before it does so again.
+    bool first = false;
     /// When the caller created the key, by the caller's clock.
     wall_time issued_at{};
     /// How long the caller waits, from arrival.
--- a/src/entry/submission_codec.cpp
+++ b/src/entry/submission_codec.cpp
@@ -19,9 +19,9 @@
 // Year 2255; larger numbers are not exact as a double.
 constexpr double max_issued_at_ms = 9e12;
 constexpr std::string_view parse_step = "parse submission";
-constexpr std::array<std::string_view, 8> known_fields{
-    "queue", "priority",     "size",        "idempotent",
-    "key",   "issued_at_ms", "deadline_ms", "payload"};
+constexpr std::array<std::string_view, 9> known_fields{
+    "queue",        "priority",    "size",    "idempotent", "key",
+    "issued_at_ms", "deadline_ms", "payload", "first"};
 
 base::error field_error(std::string_view field, std::string_view expected)
 {
@@ -55,6 +55,16 @@
     return number;
 }
 
+bool read_flag(const json::object& body, std::string_view field)
+{
+    const json::value* value = body.if_contains(field);
+    if (value == nullptr)
+        return false;
+    if (!value->is_bool())
+        throw field_error(field, "true or false");
+    return value->get_bool();
+}
+
 base::task_size read_size(const json::object& body)
 {
     constexpr double max_cores = 4096;
@@ -137,10 +147,10 @@
     work.queue = base::queue_name(read_text(fields, "queue", max_key_bytes));
     work.urgency = read_priority(fields);
     work.size = read_size(fields);
-    const json::value* idempotent = fields.if_contains("idempotent");
-    if (idempotent == nullptr || !idempotent->is_bool())
+    if (!fields.contains("idempotent"))
         throw field_error("idempotent", "true or false");
-    work.idempotent = idempotent->get_bool();
+    work.idempotent = read_flag(fields, "idempotent");
+    work.first = read_flag(fields, "first");
     work.identity.key = read_text(fields, "key", max_key_bytes);
     if (work.identity.key.empty())
         throw field_error("key", "a non-empty idempotency key");
--- a/src/entry/submission_codec.hpp
+++ b/src/entry/submission_codec.hpp
@@ -17,8 +17,8 @@
 
 /// Parses the body of `POST /v1/requests` or `POST /v1/jobs`: a JSON object
 /// with `queue`, `priority`, `size`, `idempotent`, `key`, `issued_at_ms`,
-/// `deadline_ms` and `payload`. `size`, `priority` and `deadline_ms` have
-/// defaults. Department and caller are left empty. Throws `base::error` with
+/// `deadline_ms`, `payload` and `first`. `size`, `priority`, `deadline_ms` and
+/// `first` have defaults. Department and caller are left empty. Throws `base::error` with
 /// `invalid` and the name of the field.
 base::submission parse_submission(std::string_view body, base::work_kind kind,
                                   base::wall_time now);
--- a/src/peer/messages.cpp
+++ b/src/peer/messages.cpp
@@ -60,6 +60,20 @@
     return {fields.id<base::worker_id>("worker"), fields.number("incarnation")};
 }
 
+Json::Value pool_idle::to_json() const
+{
+    Json::Value value(Json::objectValue);
+    value["pool"] = text_value(pool.str());
+    value["slots"] = slots;
+    return value;
+}
+
+pool_idle pool_idle::from_json(const Json::Value& source)
+{
+    const message_fields fields(source);
+    return {fields.id<base::pool_name>("pool"), fields.small_number("slots")};
+}
+
 Json::Value heartbeat::to_json() const
 {
     Json::Value value(Json::objectValue);
@@ -69,6 +83,7 @@
     value["fleet"] = fleet.to_json();
     value["known"] = list_value(known);
     value["leaving_workers"] = list_value(leaving_workers);
+    value["idle_slots"] = list_value(idle_slots);
     return value;
 }
 
@@ -83,6 +98,7 @@
     value.known = read_list<member_entry>(fields.array("known"));
     value.leaving_workers =
         read_list<worker_hint>(fields.array("leaving_workers"));
+    value.idle_slots = read_list<pool_idle>(fields.array("idle_slots"));
     return value;
 }
 
--- a/src/peer/messages.hpp
+++ b/src/peer/messages.hpp
@@ -55,6 +55,17 @@
     static worker_hint from_json(const Json::Value& source);
 };
 
+/// Idle slots of a pool whose broker is the sender.
+struct pool_idle
+{
+    base::pool_name pool;
+    std::uint32_t slots = 0;
+
+    bool operator==(const pool_idle&) const = default;
+    [[nodiscard]] Json::Value to_json() const;
+    static pool_idle from_json(const Json::Value& source);
+};
+
 /// Sent every 500 ms to each member; the reply is the receiver's own.
 struct heartbeat
 {
@@ -68,6 +79,7 @@
     document_state fleet;
     std::vector<member_entry> known;
     std::vector<worker_hint> leaving_workers;
+    std::vector<pool_idle> idle_slots;
 
     bool operator==(const heartbeat&) const = default;
     [[nodiscard]] Json::Value to_json() const;
--- a/src/peer/slot_messages.cpp
+++ b/src/peer/slot_messages.cpp
@@ -20,6 +20,9 @@
         list.append(text_value(worker.str()));
     value["excluded"] = std::move(list);
     value["retry"] = retry;
+    value["id"] = text_value(id);
+    value["expected_time_us"] = length_value(expected_time);
+    value["checkpointable"] = checkpointable;
     return value;
 }
 
@@ -41,6 +44,9 @@
         value.excluded.emplace_back(worker.asString());
     }
     value.retry = fields.flag("retry");
+    value.id = fields.text("id");
+    value.expected_time = fields.length("expected_time_us");
+    value.checkpointable = fields.flag("checkpointable");
     return value;
 }
 
@@ -75,20 +81,12 @@
 
 Json::Value borrow_slot::to_json() const
 {
-    Json::Value value(Json::objectValue);
-    value["lender"] = text_value(lender.str());
-    value["terms"] = terms.to_json();
-    value["expected_time_us"] = length_value(expected_time);
-    value["checkpointable"] = checkpointable;
-    return value;
+    return terms.to_json();
 }
 
 borrow_slot borrow_slot::from_json(const Json::Value& source)
 {
-    const message_fields fields(source);
-    return {fields.id<base::pool_name>("lender"),
-            slot_terms::from_json(fields.object("terms")),
-            fields.length("expected_time_us"), fields.flag("checkpointable")};
+    return {slot_terms::from_json(source)};
 }
 
 Json::Value release_reply::to_json() const
--- a/src/peer/slot_messages.hpp
+++ b/src/peer/slot_messages.hpp
@@ -26,6 +26,12 @@
     base::duration time_left{};
     std::vector<base::worker_id> excluded;
     bool retry = false;
+    /// Unique for this acquisition; becomes the id of the grant.
+    std::string id;
+    /// Estimated run time; bounds how long a lender misses the slot.
+    base::duration expected_time{};
+    /// The task can be checkpointed, so that a lent slot returns early.
+    bool checkpointable = false;
 
     bool operator==(const slot_terms&) const = default;
     [[nodiscard]] Json::Value to_json() const;
@@ -67,14 +73,8 @@
     static constexpr const char* method = "borrow_slot";
     using reply_type = slot_answer;
 
-    /// Pool that lends.
-    base::pool_name lender;
-    /// `terms.pool` is the pool that borrows.
+    /// `terms.pool` is the pool that lends.
     slot_terms terms;
-    /// Estimated run time; bounds how long the lender misses the slot.
-    base::duration expected_time{};
-    /// The task can be checkpointed, so that the slot returns early.
-    bool checkpointable = false;
 
     bool operator==(const borrow_slot&) const = default;
     [[nodiscard]] Json::Value to_json() const;
--- a/src/peer/work_messages.cpp
+++ b/src/peer/work_messages.cpp
@@ -95,6 +95,7 @@
     value["priority"] = priority_value(work.urgency);
     value["size"] = size_value(work.size);
     value["idempotent"] = work.idempotent;
+    value["first"] = work.first;
     value["issued_at_ms"] =
         static_cast<Json::Int64>(base::to_millis(work.issued_at));
     value["time_limit_us"] = length_value(work.time_limit);
@@ -112,6 +113,7 @@
     value.work.urgency = read_priority(fields, "priority");
     value.work.size = read_size(fields.object("size"));
     value.work.idempotent = fields.flag("idempotent");
+    value.work.first = fields.flag("first");
     value.work.issued_at =
         base::from_millis(fields.signed_number("issued_at_ms"));
     value.work.time_limit = fields.length("time_limit_us");
@@ -135,12 +137,17 @@
 
 Json::Value read_record::to_json() const
 {
-    return identity_value(identity);
+    Json::Value value = identity_value(identity);
+    value["job"] = text_value(job.str());
+    value["cancel"] = cancel;
+    return value;
 }
 
 read_record read_record::from_json(const Json::Value& source)
 {
-    return {read_identity(source)};
+    const message_fields fields(source);
+    return {read_identity(source), fields.id<base::job_id>("job"),
+            fields.flag("cancel")};
 }
 
 } // namespace pimentograde::peer
--- a/src/peer/work_messages.hpp
+++ b/src/peer/work_messages.hpp
@@ -39,13 +39,16 @@
     static record_reply from_json(const Json::Value& source);
 };
 
-/// Asks for the record of a key.
+/// Asks for the record of a key or, when `job` is not empty, of a job; the key
+/// is empty then. With `cancel`, the job is cancelled first.
 struct read_record
 {
     static constexpr const char* method = "read_record";
     using reply_type = record_reply;
 
     base::work_identity identity;
+    base::job_id job;
+    bool cancel = false;
 
     bool operator==(const read_record&) const = default;
     [[nodiscard]] Json::Value to_json() const;
--- a/tests/peer/messages_test.cpp
+++ b/tests/peer/messages_test.cpp
@@ -77,6 +77,9 @@
     for (int i = 0; i < count; ++i)
         terms.excluded.push_back(any_id<base::worker_id>());
     terms.retry = any_flag();
+    terms.id = any_text();
+    terms.expected_time = any_length();
+    terms.checkpointable = any_flag();
     return terms;
 }
 
@@ -93,6 +96,8 @@
         beat.known.push_back(any_member());
         beat.leaving_workers.push_back(
             {any_id<base::worker_id>(), any_number()});
+        beat.idle_slots.push_back(
+            {any_id<base::pool_name>(), *rc::gen::arbitrary<std::uint32_t>()});
     }
     return beat;
 }
@@ -108,6 +113,7 @@
     message.work.urgency = any_priority();
     message.work.size = any_size();
     message.work.idempotent = any_flag();
+    message.work.first = any_flag();
     message.work.issued_at = any_wall_time();
     message.work.time_limit = any_length();
     message.work.payload = any_text();
@@ -183,9 +189,7 @@
                     []
                     {
                         check_round_trip(peer::acquire_slot{any_terms()});
-                        check_round_trip(peer::borrow_slot{
-                            any_id<base::pool_name>(), any_terms(),
-                            any_length(), any_flag()});
+                        check_round_trip(peer::borrow_slot{any_terms()});
                         check_round_trip(peer::release_slot{
                             any_terms(), any_text(), any_id<base::worker_id>(),
                             any_id<base::pool_name>(), any_text(),
@@ -194,20 +198,23 @@
                             any_flag(), any_text(), any_id<base::worker_id>(),
                             any_id<base::pool_name>(), any_text()});
                     }));
-    CHECK(rc::check("work",
-                    []
-                    {
-                        const auto sent = any_submission();
-                        const auto got = peer::submit_record::from_json(
-                            transmit(sent.to_json()));
-                        RC_ASSERT(got.to_json() == sent.to_json());
-                        RC_ASSERT(got.work.identity == sent.work.identity);
-                        RC_ASSERT(got.work.issued_at == sent.work.issued_at);
-                        RC_ASSERT(got.work.payload == sent.work.payload);
-                        RC_ASSERT(got.work.time_limit == sent.work.time_limit);
-                        RC_ASSERT(got.work.idempotent == sent.work.idempotent);
-                        check_round_trip(peer::read_record{sent.work.identity});
-                    }));
+    CHECK(rc::check(
+        "work",
+        []
+        {
+            const auto sent = any_submission();
+            const auto got =
+                peer::submit_record::from_json(transmit(sent.to_json()));
+            RC_ASSERT(got.to_json() == sent.to_json());
+            RC_ASSERT(got.work.identity == sent.work.identity);
+            RC_ASSERT(got.work.issued_at == sent.work.issued_at);
+            RC_ASSERT(got.work.payload == sent.work.payload);
+            RC_ASSERT(got.work.time_limit == sent.work.time_limit);
+            RC_ASSERT(got.work.idempotent == sent.work.idempotent);
+            RC_ASSERT(got.work.first == sent.work.first);
+            check_round_trip(peer::read_record{
+                sent.work.identity, any_id<base::job_id>(), any_flag()});
+        }));
     CHECK(rc::check("results",
                     []
                     {
