--- a/src/cli/client_commands.cpp
+++ b/src/cli/client_commands.cpp
@@ -171,8 +171,7 @@
 exit_code settle_job(command_input& input)
 {
     remote_call call(input.settings, "endpoint");
-    const json::object body{{"as", input.options["as"]},
-                            {"note", input.options["note"]}};
+    const json::object body{{"as", input.options["as"]}};
     print(input,
           call.send("POST", fill_path("/v1/jobs/{}/settle", input.arguments),
                     json::serialize(body)));
@@ -312,9 +311,8 @@
     all.push_back({"job settle",
                    {"ID"},
                    "State the outcome of an unresolved job (role reviewer)",
-                   "pimentograde job settle 17-4e81 --as done --note checked",
-                   {{"as", "", "done, failed or not_run"},
-                    {"note", "", "What was checked"}},
+                   "pimentograde job settle 17-4e81 --as done",
+                   {{"as", "", "done or failed"}},
                    client_settings(),
                    settle_job});
     all.push_back({"job submit",
--- a/src/entry/caller_listener.cpp
+++ b/src/entry/caller_listener.cpp
@@ -123,7 +123,7 @@
     auto work = parse_submission(request.body, kind, base::wall_now());
     work.identity.department = caller.department;
     work.identity.caller = caller.caller;
-    if (!operations.is_ready())
+    if (!operations.takes_work())
         return to_response({base::work_status::not_run, {}, {}, "not_ready"});
     if (in_progress >= max_in_progress)
     {
--- a/src/entry/caller_listener.hpp
+++ b/src/entry/caller_listener.hpp
@@ -31,8 +31,11 @@
     std::function<std::optional<base::work_result>(const caller_identity&,
                                                    const base::job_id&)>
         cancel_job;
-    /// Whether new work is taken; the load balancer reads it at /readyz.
+    /// What the load balancer reads at /readyz.
     std::function<bool()> is_ready;
+    /// Whether submissions are taken. Stays true at first in a planned stop,
+    /// until the load balancer has noticed.
+    std::function<bool()> takes_work;
 };
 
 /// HTTP listener for callers: requests, jobs and health.
