--- a/src/config/bundle_checker.cpp
+++ b/src/config/bundle_checker.cpp
@@ -65,18 +65,17 @@
 
     template <class Name>
     void reference(const std::set<Name>& known, const Name& name,
-                   std::string path, std::string_view kind)
+                   const std::string& path, std::string_view kind)
     {
         if (!known.contains(name))
-            fault(std::move(path),
-                  "no " + std::string(kind) + " named " + name.str());
+            fault(path, "no " + std::string(kind) + " named " + name.str());
     }
 
     template <class Seen, class Name>
-    void unique(Seen& seen, const Name& name, std::string path)
+    void unique(Seen& seen, const Name& name, const std::string& path)
     {
         if (!seen.insert(name).second)
-            fault(std::move(path), "duplicate");
+            fault(path, "duplicate");
     }
 
     void check_weights();
