--- a/src/capacity/budget_checker.cpp
+++ b/src/capacity/budget_checker.cpp
@@ -63,6 +63,8 @@
 struct worker_slot
 {
     pool_counts* pool = nullptr;
+    std::string_view rack_name;
+    std::string_view zone_name;
     std::uint32_t* rack = nullptr;
     std::uint32_t* zone = nullptr;
     bool serving = false;
@@ -112,14 +114,21 @@
         pool_counts& pool = impl_->pools[found->second.pool];
         // Racks of different zones may share a name.
         const std::string rack = each.zone.str() + "/" + each.rack.str();
-        worker_slot slot{&pool, &pool.racks[rack], &pool.zones[each.zone.str()],
-                         found->second.state == worker_state::serving};
+        const auto rack_at = pool.racks.try_emplace(rack).first;
+        const auto zone_at = pool.zones.try_emplace(each.zone.str()).first;
+        // Map nodes stay where they are, and so do their keys.
+        const worker_slot slot{&pool,
+                               rack_at->first,
+                               zone_at->first,
+                               &rack_at->second,
+                               &zone_at->second,
+                               found->second.state == worker_state::serving};
         ++pool.total;
         ++pool.all_racks[rack];
         ++pool.all_zones[each.zone.str()];
+        const auto at = impl_->workers.emplace(each.id, slot).first;
         if (slot.serving)
-            shift(slot, 1);
-        impl_->workers.emplace(each.id, slot);
+            shift(at->second, 1);
     }
     for (const config::budget& each : bundle.budgets)
         impl_->pools[each.pool].budgets.push_back(&each);
@@ -161,6 +170,26 @@
     return breach;
 }
 
+bool serving_ledger::allows_with(const base::worker_id& worker,
+                                 const base::worker_id& cover)
+{
+    const auto found = impl_->workers.find(worker);
+    const auto helper = impl_->workers.find(cover);
+    if (found == impl_->workers.end() || helper == impl_->workers.end())
+        return false;
+    pool_counts& pool = *found->second.pool;
+    worker_slot placed{&pool,
+                       {},
+                       {},
+                       &pool.racks[std::string(helper->second.rack_name)],
+                       &pool.zones[std::string(helper->second.zone_name)],
+                       true};
+    shift(placed, 1);
+    const bool allowed = !breach_without(worker);
+    shift(placed, -1);
+    return allowed;
+}
+
 std::vector<budget_finding>
 serving_ledger::findings(const base::pool_name& pool) const
 {
--- a/src/capacity/wave_planner.cpp
+++ b/src/capacity/wave_planner.cpp
@@ -129,7 +129,34 @@
     return {};
 }
 
-base::duration scaled_time(const wave_view& view, const serving_ledger& ledger,
+struct spare_worker
+{
+    const base::worker_id* id = nullptr;
+    const base::pool_name* pool = nullptr;
+};
+
+using worker_list = std::vector<spare_worker>;
+
+/// Whether one of `covers` makes room for each worker of `pool`.
+bool can_be_covered(const wave_view& view, const base::pool_name& pool,
+                    serving_ledger& ledger, const worker_list& covers)
+{
+    return std::all_of(view.members.begin(), view.members.end(),
+                       [&](const wave_member& member)
+                       {
+                           return member.status->pool != pool ||
+                                  std::any_of(covers.begin(), covers.end(),
+                                              [&](const spare_worker& cover) {
+                                                  return *cover.pool != pool &&
+                                                         ledger.allows_with(
+                                                             *member.id,
+                                                             *cover.id);
+                                              });
+                       });
+}
+
+base::duration scaled_time(const wave_view& view, serving_ledger& ledger,
+                           const worker_list& covers,
                            base::duration worker_time, bool pending_only,
                            bool& feasible)
 {
@@ -144,7 +171,8 @@
             std::min(view.wave->max_parallel, ledger.room_when_whole(pool));
         if (parallel == 0)
         {
-            feasible = false;
+            feasible = feasible && can_be_covered(view, pool, ledger, covers);
+            total += 2 * worker_time * count;
             continue;
         }
         total += worker_time * ((count + parallel - 1) / parallel);
@@ -152,12 +180,13 @@
     return total;
 }
 
-void estimate_end(wave_view& view, const serving_ledger& ledger,
-                  const wave_settings& settings, base::wall_time now)
+void estimate_end(wave_view& view, serving_ledger& ledger,
+                  const worker_list& covers, const wave_settings& settings,
+                  base::wall_time now)
 {
     bool feasible = view.wave->max_parallel > 0;
-    const base::duration bound =
-        scaled_time(view, ledger, settings.worker_time, false, feasible);
+    const base::duration bound = scaled_time(
+        view, ledger, covers, settings.worker_time, false, feasible);
     if (!feasible)
         return;
     wave_progress& progress = view.progress;
@@ -170,7 +199,7 @@
                                     : view.status->worker_time;
     base::wall_time end =
         now + std::chrono::ceil<std::chrono::milliseconds>(
-                  scaled_time(view, ledger, each, true, feasible));
+                  scaled_time(view, ledger, covers, each, true, feasible));
     for (const wave_member& member : view.members)
         if (is_pending(member))
             end = std::max(
@@ -184,8 +213,14 @@
 public:
     planning(const config::bundle& bundle, const wave_settings& settings,
              const fleet_state& state, base::wall_time now)
-        : settings_(settings), now_(now), ledger_(bundle, state)
+        : settings_(settings), now_(now), state_(state), ledger_(bundle, state)
     {
+        for (const config::pool& each : bundle.pools)
+            if (each.spare)
+                spare_pools_.insert(each.name);
+        for (const auto& [id, status] : state.workers)
+            if (settings.cover_moves && spare_pools_.contains(status.pool))
+                spare_workers_.push_back({&id, &status.pool});
         place_index places;
         for (const config::worker& each : bundle.workers)
             places[each.id] = each.zone.str() + "/" + each.rack.str();
@@ -216,9 +251,11 @@
                          });
         for (wave_view& view : views_)
             plan_one(view);
+        if (blocked_.id && settings_.cover_moves)
+            cover(blocked_);
         for (wave_view& view : views_)
         {
-            estimate_end(view, ledger_, settings_, now_);
+            estimate_end(view, ledger_, spare_workers_, settings_, now_);
             plan_.progress.push_back(std::move(view.progress));
         }
         return std::move(plan_);
@@ -313,6 +350,8 @@
         if (const auto breach = ledger_.breach_without(*member.id))
         {
             view.progress.waits_for = breach->reason();
+            if (!blocked_.id && view.progress.out == 0)
+                blocked_ = member;
             return;
         }
         ledger_.remove(*member.id);
@@ -323,6 +362,62 @@
         change.worker = *member.id;
     }
 
+    /// Moves one worker into the pool of `member`, so that the latter can be
+    /// drained. Waits while a move is under way or the pool itself has a worker
+    /// out of service, since room may come back without a move.
+    void cover(const wave_member& member)
+    {
+        const base::pool_name& pool = member.status->pool;
+        std::set<base::pool_name> busy;
+        for (const auto& [id, status] : state_.workers)
+        {
+            if (!status.target.empty())
+                return;
+            if (status.state != worker_state::serving || drained_.contains(id))
+                busy.insert(status.pool);
+        }
+        if (busy.contains(pool))
+            return;
+        for (const bool from_spare : {true, false})
+            for (const auto& [id, status] : state_.workers)
+            {
+                if (spare_pools_.contains(status.pool) != from_spare ||
+                    status.pool == pool || status.hold != hold_kind::none ||
+                    status.state != worker_state::serving ||
+                    drained_.contains(id) || ledger_.breach_without(id) ||
+                    !ledger_.allows_with(*member.id, id) ||
+                    (!from_spare &&
+                     (busy.contains(status.pool) || uses_room(status.pool))))
+                    continue;
+                fleet_change change;
+                change.kind = change_kind::start_drain;
+                change.worker = id;
+                change.pool = pool;
+                change.reason = "covers a maintenance drain";
+                plan_.changes.push_back(std::move(change));
+                return;
+            }
+    }
+
+    /// Whether a pending worker of `pool` can be drained as things are. The
+    /// pool then keeps its workers.
+    [[nodiscard]] bool uses_room(const base::pool_name& pool)
+    {
+        return std::any_of(
+            views_.begin(), views_.end(),
+            [&](const wave_view& view)
+            {
+                return std::any_of(
+                    view.members.begin(), view.members.end(),
+                    [&](const wave_member& member)
+                    {
+                        return member.status->pool == pool &&
+                               is_pending(member) && member.due <= now_ &&
+                               !ledger_.breach_without(*member.id);
+                    });
+            });
+    }
+
     fleet_change& add_wave_change(change_kind kind, const wave_view& view)
     {
         fleet_change change;
@@ -333,8 +428,13 @@
 
     const wave_settings& settings_;
     base::wall_time now_;
+    const fleet_state& state_;
     serving_ledger ledger_;
+    std::set<base::pool_name> spare_pools_;
+    worker_list spare_workers_;
     std::vector<wave_view> views_;
+    /// The first worker that a budget holds back.
+    wave_member blocked_;
     std::set<base::worker_id> drained_;
     wave_plan plan_;
 };
--- a/src/capacity/wave_planner.hpp
+++ b/src/capacity/wave_planner.hpp
@@ -16,6 +16,9 @@
     /// Longest time that one worker is out of service in a wave: drain, reboot
     /// and probation.
     base::duration worker_time = std::chrono::minutes{10};
+    /// Whether a spare worker moves into a pool whose budgets otherwise leave
+    /// no room for a drain.
+    bool cover_moves = true;
 };
 
 enum class wave_phase
@@ -45,7 +48,8 @@
     /// Why no further worker is drained now; empty when one is, or is not due.
     std::string waits_for;
     /// Workers / allowed parallelism × time for one worker, with all workers
-    /// up. Empty when a budget never allows a drain in one of the pools.
+    /// up; twice the time where a spare worker has to move in first. Empty
+    /// when a budget never allows a drain in one of the pools.
     std::optional<base::duration> bound;
     /// At the measured time for one worker; empty when finished or without a
     /// bound.
@@ -65,6 +69,10 @@
 /// One rack is finished before the next is begun. The workers that are out
 /// then share a failure domain, so that the worst further failure takes fewer
 /// serving workers with it.
+///
+/// A pool without room for a drain is covered by one worker that moves in from
+/// a spare pool, or from a pool with which the wave is done. Several pools thus
+/// share the spare capacity for maintenance.
 class wave_planner
 {
 public:
