dispatch: runners for requests and jobs at most once

Cause: non-idempotent work and jobs have to run at most once across several entry instances without a coordination service. Figures: a request killed, frozen or cut off at each of its first eight hook calls is resolved through another instance with at most one run.

--- /dev/null
+++ b/src/dispatch/attempt_runner.cpp
@@ -0,0 +1,587 @@
+#include "dispatch/attempt_runner.hpp"
+
+#include "base/digest.hpp"
+#include "base/error.hpp"
+#include "dispatch/reasons.hpp"
+#include "dispatch/runner_events.hpp"
+#include "log/event.hpp"
+#include "net/task_group.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pimentograde::dispatch
+{
+
+using platform::lease_state;
+using platform::lease_status;
+using records::commit_outcome;
+using records::record;
+using records::record_state;
+
+namespace
+{
+
+bool is_final(lease_state state)
+{
+    return state == lease_state::done || state == lease_state::failed ||
+           state == lease_state::stopped_unstarted ||
+           state == lease_state::stopped_started;
+}
+
+attempt_result to_result(const lease_status& status)
+{
+    attempt_result out;
+    out.run_time = status.run_time;
+    out.reason = status.reason;
+    switch (status.state)
+    {
+    case lease_state::done:
+        out.end = lease_end::done;
+        out.answer = status.answer;
+        break;
+    case lease_state::failed:
+        out.end = lease_end::failed;
+        break;
+    case lease_state::stopped_started:
+        out.end = lease_end::failed;
+        out.reason = reason::stopped;
+        break;
+    case lease_state::stopped_unstarted:
+        out.end = lease_end::unstarted;
+        break;
+    default:
+        out.end = lease_end::lost;
+        out.reason = reason::outcome_unknown;
+    }
+    return out;
+}
+
+policy::slot_outcome to_slot_outcome(const attempt_result& result)
+{
+    switch (result.end)
+    {
+    case lease_end::done:
+        return policy::slot_outcome::succeeded;
+    case lease_end::failed:
+        return policy::slot_outcome::failed;
+    case lease_end::unstarted:
+        return policy::slot_outcome::unused;
+    case lease_end::lost:
+        break;
+    }
+    return policy::slot_outcome::worker_unreachable;
+}
+
+/// Returns a slot exactly once.
+class held_slot
+{
+public:
+    held_slot(const policy::slot_operations& slots,
+              const policy::slot_request& request, policy::slot_grant grant)
+        : slots_(slots), request_(request), grant_(std::move(grant))
+    {
+    }
+    ~held_slot() { release(policy::slot_outcome::unused, {}); }
+    held_slot(const held_slot&) = delete;
+    held_slot& operator=(const held_slot&) = delete;
+
+    [[nodiscard]] const base::worker_id& worker() const
+    {
+        return grant_.worker;
+    }
+
+    void release(policy::slot_outcome outcome, base::duration run_time)
+    {
+        if (std::exchange(released_, true))
+            return;
+        try
+        {
+            slots_.release(request_, grant_, outcome, run_time);
+        }
+        catch (const base::error&)
+        {
+            // The broker takes back the slots of a lost connection itself.
+        }
+    }
+
+private:
+    const policy::slot_operations& slots_;
+    const policy::slot_request& request_;
+    policy::slot_grant grant_;
+    bool released_ = false;
+};
+
+attempt_report not_started(std::string_view reason, base::worker_id worker = {})
+{
+    return {attempt_step::not_started, std::nullopt, std::string(reason),
+            std::move(worker)};
+}
+
+} // namespace
+
+struct attempt_runner::impl
+{
+    runner_hooks hooks;
+    runner_settings settings;
+    std::shared_ptr<records::record_table> table;
+    std::shared_ptr<base::random_source> random;
+    net::stop_signal halted;
+
+    [[nodiscard]] base::time_point in(base::duration length) const
+    {
+        return hooks.time.steady() + length;
+    }
+
+    std::optional<attempt_report> reserve(held_slot& slot,
+                                          const platform::worker_endpoint& peer,
+                                          const base::task_size& size,
+                                          reservation& reserved);
+    lease_status start(const platform::worker_endpoint& peer,
+                       const reservation& reserved,
+                       const platform::task_spec& task);
+    lease_status ask(const platform::worker_endpoint& peer,
+                     const record& started, bool may_stop);
+    std::optional<attempt_report> check_record(const record& started);
+    attempt_report record_end(const record& started,
+                              const attempt_result& result);
+    attempt_report wait_for_end(const record& started,
+                                base::time_point deadline, bool keep_unstarted,
+                                attempt_result* end);
+    attempt_report run_begun(held_slot& slot, const record& begun,
+                             const platform::worker_endpoint& peer,
+                             const std::string& payload);
+    void stop(const platform::worker_endpoint& peer,
+              const base::lease_id& lease);
+};
+
+std::optional<attempt_report> attempt_runner::impl::reserve(
+    held_slot& slot, const platform::worker_endpoint& peer,
+    const base::task_size& size, reservation& reserved)
+{
+    platform::reserve_result result;
+    try
+    {
+        result = hooks.workers.reserve(peer, size, settings.lease_ttl,
+                                       in(settings.worker_call));
+    }
+    catch (const base::error&)
+    {
+        // A reservation without a response ends by its time to live.
+        slot.release(policy::slot_outcome::worker_unreachable, {});
+        return not_started(reason::worker_unreachable, peer.id);
+    }
+    switch (result.outcome)
+    {
+    case platform::reserve_outcome::granted:
+        reserved = {peer.id, result.incarnation, result.lease};
+        return std::nullopt;
+    case platform::reserve_outcome::full:
+        slot.release(policy::slot_outcome::worker_full, {});
+        return not_started(reason::worker_full, peer.id);
+    case platform::reserve_outcome::leaving:
+        slot.release(policy::slot_outcome::worker_leaving, {});
+        return not_started(reason::worker_leaving, peer.id);
+    case platform::reserve_outcome::too_large:
+        break;
+    }
+    return not_started(reason::too_large, peer.id);
+}
+
+void attempt_runner::impl::stop(const platform::worker_endpoint& peer,
+                                const base::lease_id& lease)
+{
+    try
+    {
+        hooks.workers.stop(peer, lease, in(settings.worker_call));
+    }
+    catch (const base::error&)
+    {
+        // The lease ends by its time to live.
+    }
+}
+
+/// Starts the task and renews its lease until the call returns.
+lease_status attempt_runner::impl::start(const platform::worker_endpoint& peer,
+                                         const reservation& reserved,
+                                         const platform::task_spec& task)
+{
+    net::stop_signal ended;
+    net::task_group renewer;
+    renewer.spawn(
+        [&]
+        {
+            while (!ended.wait_for(settings.lease_ttl / 3))
+            {
+                try
+                {
+                    hooks.workers.renew(peer, reserved.lease,
+                                        settings.lease_ttl,
+                                        in(settings.worker_call));
+                }
+                catch (const base::error&)
+                {
+                    // The next round tries again; the start call tells.
+                }
+            }
+        });
+    lease_status status;
+    try
+    {
+        status = hooks.workers.start(peer, reserved.lease, task,
+                                     in(settings.start_wait));
+    }
+    catch (const base::error& failure)
+    {
+        // Only this fiber starts this lease: a start that was not sent has not
+        // happened and will not.
+        if (!failure.effect_unknown() &&
+            failure.code() == base::error_code::unavailable)
+            status.state = lease_state::stopped_unstarted;
+        else
+            status.state = lease_state::unknown;
+        status.incarnation = 0;
+    }
+    ended.set();
+    renewer.join();
+    return status;
+}
+
+lease_status attempt_runner::impl::ask(const platform::worker_endpoint& peer,
+                                       const record& started, bool may_stop)
+{
+    const auto deadline = in(settings.worker_call);
+    if (started.cancel_requested)
+        return hooks.workers.stop(peer, started.lease, deadline);
+    auto status = hooks.workers.query(peer, started.lease, deadline);
+    if (status.state == lease_state::reserved && may_stop)
+        return hooks.workers.stop(peer, started.lease, deadline);
+    if (status.state == lease_state::running)
+        return hooks.workers.renew(peer, started.lease, settings.lease_ttl,
+                                   deadline);
+    return status;
+}
+
+/// Whether another process has ended this attempt meanwhile.
+std::optional<attempt_report>
+attempt_runner::impl::check_record(const record& started)
+{
+    auto current = table->find(started.identity);
+    if (!current ||
+        (current->state == record_state::started &&
+         current->lease == started.lease) ||
+        current->attempt < started.attempt)
+        return std::nullopt;
+    return attempt_report{attempt_step::superseded, std::move(current), {}, {}};
+}
+
+attempt_report attempt_runner::impl::record_end(const record& started,
+                                                const attempt_result& result)
+{
+    auto written = table->commit(
+        started.identity,
+        end_change(started.lease, result,
+                   {settings.max_failed_workers, settings.max_failures}),
+        base::time_point::max());
+    if (written.outcome == commit_outcome::unavailable ||
+        written.outcome == commit_outcome::unknown)
+        return {attempt_step::open,
+                started,
+                std::string(reason::store_unavailable),
+                {}};
+    if (!written.current)
+        return {attempt_step::superseded, std::nullopt, {}, {}};
+    const bool unchanged = written.current->state == record_state::started &&
+                           written.current->lease == started.lease;
+    if (!unchanged)
+    {
+        if (result.end == lease_end::done &&
+            !written.current->answer_sha256.empty())
+            written.current->answer = result.answer;
+        return {attempt_step::recorded, std::move(written.current), {}, {}};
+    }
+    log::write(event_outcome_unknown, {{"worker", started.worker.str()},
+                                       {"lease", started.lease.str()},
+                                       {"key", started.identity.key}});
+    return {attempt_step::lost,
+            std::move(written.current),
+            std::string(reason::outcome_unknown),
+            {}};
+}
+
+attempt_report attempt_runner::impl::wait_for_end(const record& started,
+                                                  base::time_point deadline,
+                                                  bool keep_unstarted,
+                                                  attempt_result* end)
+{
+    const auto peer = find_worker(*hooks.bundle(), started.worker);
+    const auto stop_after = in(settings.reserved_grace);
+    auto poll = settings.first_poll;
+    std::string reason(reason::time_limit);
+    auto latest = started;
+    while (!halted.is_set())
+    {
+        if (auto moved_on = check_record(started))
+            return *moved_on;
+        if (auto current = table->find(started.identity))
+            latest.cancel_requested = current->cancel_requested;
+        if (!peer)
+            return {attempt_step::lost,
+                    started,
+                    std::string(reason::outcome_unknown),
+                    {}};
+        try
+        {
+            const bool may_stop =
+                end != nullptr || hooks.time.steady() >= stop_after;
+            const auto status = ask(*peer, latest, may_stop);
+            const bool lost = status.state == lease_state::unknown ||
+                              status.incarnation != started.incarnation;
+            if (lost || is_final(status.state))
+            {
+                auto result = to_result(
+                    lost ? lease_status{lease_state::unknown, {}, {}, 0, {}}
+                         : status);
+                if (end != nullptr)
+                    *end = result;
+                if (result.end == lease_end::unstarted && keep_unstarted)
+                    return not_started(reason::stopped, started.worker);
+                return record_end(started, result);
+            }
+            reason = reason::time_limit;
+        }
+        catch (const base::error&)
+        {
+            reason = reason::worker_unreachable;
+        }
+        const auto now = hooks.time.steady();
+        if (now >= deadline)
+            break;
+        halted.wait_for(std::min<base::duration>(poll, deadline - now));
+        poll = std::min(poll * 2, settings.longest_poll);
+    }
+    return {attempt_step::open, started, reason, {}};
+}
+
+attempt_report
+attempt_runner::impl::run_begun(held_slot& slot, const record& begun,
+                                const platform::worker_endpoint& peer,
+                                const std::string& payload)
+{
+    const platform::task_spec task{begun.identity.key, begun.queue.str(),
+                                   begun.size, payload};
+    const reservation reserved{begun.worker, begun.incarnation, begun.lease};
+    const auto status = start(peer, reserved, task);
+    const bool certain =
+        is_final(status.state) &&
+        (status.incarnation == begun.incarnation || status.incarnation == 0);
+    if (certain)
+    {
+        const auto result = to_result(status);
+        slot.release(to_slot_outcome(result), result.run_time);
+        if (result.end == lease_end::unstarted &&
+            begun.kind == base::work_kind::request)
+            return {attempt_step::not_started, begun,
+                    std::string(reason::worker_unreachable), peer.id};
+        return record_end(begun, result);
+    }
+    attempt_result end;
+    auto report = wait_for_end(begun, in(settings.follow_time),
+                               begun.kind == base::work_kind::request, &end);
+    slot.release(to_slot_outcome(end), end.run_time);
+    if (report.step == attempt_step::not_started)
+        report.current = begun;
+    return report;
+}
+
+attempt_runner::attempt_runner(runner_hooks hooks, runner_settings settings,
+                               std::shared_ptr<records::record_table> table,
+                               std::shared_ptr<base::random_source> random)
+    : impl_(std::make_unique<impl>())
+{
+    impl_->hooks = std::move(hooks);
+    impl_->settings = settings;
+    impl_->table = std::move(table);
+    impl_->random = std::move(random);
+}
+
+attempt_runner::~attempt_runner() = default;
+
+attempt_report attempt_runner::attempt(const record& prior,
+                                       const std::string& payload,
+                                       policy::slot_request request)
+{
+    auto& state = *impl_;
+    policy::slot_decision decision;
+    try
+    {
+        decision = state.hooks.slots.acquire(request);
+    }
+    catch (const base::error&)
+    {
+        // Neither the broker nor a worker could be asked.
+        return not_started(reason::no_worker);
+    }
+    if (!decision.grant)
+        return not_started(reason::of(decision.refusal));
+    held_slot slot(state.hooks.slots, request, *std::move(decision.grant));
+    const auto peer = find_worker(*state.hooks.bundle(), slot.worker());
+    if (!peer)
+    {
+        slot.release(policy::slot_outcome::worker_unreachable, {});
+        return not_started(reason::worker_unreachable, slot.worker());
+    }
+    reservation reserved;
+    if (auto refused = state.reserve(slot, *peer, prior.size, reserved))
+        return *refused;
+    const auto begun =
+        state.table->commit(prior.identity, begin_change(prior, reserved),
+                            state.in(state.settings.store_attempt));
+    if (has_begun(begun, reserved) && !state.halted.is_set())
+        return state.run_begun(slot, *begun.current, *peer, payload);
+    // Nothing was sent to start this lease, so it cannot run.
+    state.stop(*peer, reserved.lease);
+    switch (begun.outcome)
+    {
+    case commit_outcome::applied:
+        return {attempt_step::store_failed,
+                std::nullopt,
+                std::string(reason::stopping),
+                {}};
+    case commit_outcome::refused:
+        return {attempt_step::superseded, begun.current, {}, {}};
+    case commit_outcome::full:
+        return not_started(reason::records_full);
+    case commit_outcome::expired:
+        return not_started(reason::key_expired);
+    default:
+        return {attempt_step::store_failed,
+                std::nullopt,
+                std::string(reason::store_unavailable),
+                {}};
+    }
+}
+
+attempt_report attempt_runner::resolve(const record& started,
+                                       base::time_point deadline,
+                                       bool keep_unstarted)
+{
+    auto report =
+        impl_->wait_for_end(started, deadline, keep_unstarted, nullptr);
+    if (report.step == attempt_step::not_started)
+        report.current = started;
+    return report;
+}
+
+base::work_result attempt_runner::read_result(const record& current)
+{
+    auto out = result_of(current);
+    const bool is_elsewhere = current.state == record_state::done &&
+                              current.answer.empty() &&
+                              !current.answer_sha256.empty();
+    if (!is_elsewhere)
+        return out;
+    out.status = base::work_status::unknown;
+    try
+    {
+        auto status = query_lease(current);
+        out.reason = reason::answer_expired;
+        if (status.state != lease_state::done ||
+            base::sha256_hex(status.answer) != current.answer_sha256)
+            return out;
+        out.status = base::work_status::done;
+        out.answer = std::move(status.answer);
+        out.reason = current.reason;
+    }
+    catch (const base::error&)
+    {
+        out.reason = reason::worker_unreachable;
+    }
+    return out;
+}
+
+void attempt_runner::stop_lease(const record& started)
+{
+    if (const auto peer = find_worker(*impl_->hooks.bundle(), started.worker))
+        impl_->stop(*peer, started.lease);
+}
+
+lease_status attempt_runner::query_lease(const record& started)
+{
+    const auto peer = find_worker(*impl_->hooks.bundle(), started.worker);
+    if (!peer)
+        return {};
+    auto status = impl_->hooks.workers.query(
+        *peer, started.lease, impl_->in(impl_->settings.worker_call));
+    if (status.incarnation != started.incarnation)
+        status.state = lease_state::unknown;
+    return status;
+}
+
+const runner_hooks& attempt_runner::hooks() const
+{
+    return impl_->hooks;
+}
+
+const runner_settings& attempt_runner::settings() const
+{
+    return impl_->settings;
+}
+
+records::record_table& attempt_runner::table()
+{
+    return *impl_->table;
+}
+
+base::random_source& attempt_runner::random()
+{
+    return *impl_->random;
+}
+
+void attempt_runner::halt()
+{
+    impl_->halted.set();
+}
+
+bool attempt_runner::is_halted() const
+{
+    return impl_->halted.is_set();
+}
+
+bool attempt_runner::sleep(base::duration length)
+{
+    return impl_->halted.wait_for(std::max(length, base::duration{0}));
+}
+
+base::work_result result_of(const record& current)
+{
+    base::work_result out;
+    out.job = current.job;
+    out.reason = current.reason;
+    switch (current.state)
+    {
+    case record_state::accepted:
+        out.status = base::work_status::accepted;
+        break;
+    case record_state::started:
+        out.status = current.kind == base::work_kind::job
+                         ? base::work_status::accepted
+                         : base::work_status::unknown;
+        if (out.status == base::work_status::unknown && out.reason.empty())
+            out.reason = reason::time_limit;
+        break;
+    case record_state::done:
+        out.status = base::work_status::done;
+        out.answer = current.answer;
+        break;
+    case record_state::not_run:
+        out.status = base::work_status::not_run;
+        break;
+    case record_state::failed:
+        out.status = base::work_status::failed;
+        break;
+    }
+    return out;
+}
+
+} // namespace pimentograde::dispatch
--- /dev/null
+++ b/src/dispatch/flight_table.hpp
@@ -0,0 +1,60 @@
+#ifndef PIMENTOGRADE_DISPATCH_FLIGHT_TABLE_HPP
+#define PIMENTOGRADE_DISPATCH_FLIGHT_TABLE_HPP
+
+#include "base/work.hpp"
+
+#include <boost/fiber/condition_variable.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace pimentograde::dispatch
+{
+
+/// Work that a fiber of this process performs now. Submissions of the same
+/// identity wait for that fiber instead of starting another.
+struct flight
+{
+    std::optional<base::work_result> result;
+    /// Number of submissions that the fiber serves.
+    std::size_t submissions = 0;
+    boost::fibers::condition_variable ended;
+};
+
+/// The flights of one process, at most one for each identity. Shared by the
+/// request runner and the job runner, so that the scan for orphaned work
+/// leaves running requests alone.
+class flight_table
+{
+public:
+    flight_table();
+    ~flight_table();
+    flight_table(const flight_table&) = delete;
+    flight_table& operator=(const flight_table&) = delete;
+
+    [[nodiscard]] bool contains(const base::work_identity& identity) const;
+    [[nodiscard]] std::size_t size() const;
+
+    /// The flight of an identity. When there is none, starts a fiber with
+    /// `body`, whose result ends the flight.
+    std::shared_ptr<flight>
+    join(const base::work_identity& identity,
+         std::function<base::work_result(const flight&)> body);
+
+    /// Waits for the result; nothing when the deadline passes first.
+    std::optional<base::work_result> wait(const std::shared_ptr<flight>& of,
+                                          base::time_point deadline);
+
+    /// Waits until no flight is left.
+    bool drain(base::time_point deadline);
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace pimentograde::dispatch
+
+#endif
--- /dev/null
+++ b/src/dispatch/job_runner.cpp
@@ -0,0 +1,509 @@
+#include "dispatch/job_runner.hpp"
+
+#include "base/error.hpp"
+#include "dispatch/reasons.hpp"
+#include "dispatch/runner_events.hpp"
+#include "log/event.hpp"
+#include "net/task_group.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace pimentograde::dispatch
+{
+
+using base::work_result;
+using base::work_status;
+using records::commit_outcome;
+using records::record;
+using records::record_state;
+
+namespace
+{
+
+// A job whose record keeps changing under this fiber is left to the next scan.
+constexpr int max_steps = 16;
+
+work_result result(work_status status, std::string_view reason)
+{
+    return {status, {}, {}, std::string(reason)};
+}
+
+/// What this process remembers about waiting work; lost with the process.
+struct work_memory
+{
+    base::time_point not_before{};
+    base::duration delay{};
+    /// Workers that found the task too large.
+    std::set<base::worker_id> too_large_on;
+};
+
+/// Urgent before batch, then the oldest first.
+using waiting_key =
+    std::tuple<base::priority, base::wall_time, base::work_identity>;
+
+bool is_of(const record& job, const base::department_name& department,
+           const base::caller_name& caller)
+{
+    return job.identity.department == department &&
+           job.identity.caller == caller;
+}
+
+} // namespace
+
+struct job_runner::impl
+{
+    std::shared_ptr<attempt_runner> attempts;
+    std::shared_ptr<flight_table> flights;
+    bool stopping = false;
+    std::size_t running = 0;
+    std::size_t running_batch = 0;
+    std::set<waiting_key> waiting;
+    std::map<base::work_identity, work_memory> memory;
+    net::stop_signal stop_scan;
+    net::task_group scanner;
+
+    [[nodiscard]] base::time_point now() const
+    {
+        return attempts->hooks().time.steady();
+    }
+    [[nodiscard]] const runner_settings& settings() const
+    {
+        return attempts->settings();
+    }
+    [[nodiscard]] base::time_point store_deadline() const
+    {
+        return now() + settings().store_attempt;
+    }
+
+    void scan();
+    void consider(const record& found);
+    void start_waiting();
+    [[nodiscard]] bool has_room(base::priority urgency) const;
+    work_result run_work(const base::work_identity& identity);
+    bool step(const record& current);
+    attempt_report try_job(const record& job);
+    policy::slot_request slot_request_for(const record& job,
+                                          const config::bundle& bundle,
+                                          const config::queue& queue);
+    attempt_report give_up(const record& job, std::string_view reason);
+    attempt_report after_refusal(const record& job, attempt_report report);
+    void postpone(const base::work_identity& identity, base::duration least);
+    record read_job(const base::job_id& job, base::time_point deadline);
+};
+
+void job_runner::impl::scan()
+{
+    const auto& hooks = attempts->hooks();
+    for (std::size_t shard = 0; shard < records::shard_count; ++shard)
+    {
+        if (stop_scan.is_set())
+            return;
+        if (!hooks.owns_shard(shard))
+            continue;
+        try
+        {
+            attempts->table().refresh(shard, settings().scan_interval,
+                                      store_deadline());
+        }
+        catch (const base::error& failure)
+        {
+            log::write(event_shard_unreadable,
+                       {{"key", records::shard_key(shard)},
+                        {"reason", failure.what()}});
+            continue;
+        }
+        for (const auto& found : attempts->table().shard(shard).unended())
+            consider(found);
+    }
+    std::erase_if(memory,
+                  [&](const auto& entry)
+                  {
+                      const auto current = attempts->table().find(entry.first);
+                      return !current || records::is_ended(current->state);
+                  });
+    start_waiting();
+}
+
+void job_runner::impl::consider(const record& found)
+{
+    if (flights->contains(found.identity))
+        return;
+    const auto known = memory.find(found.identity);
+    if (known != memory.end() && now() < known->second.not_before)
+        return;
+    // A started record is usually being run by the instance that wrote it.
+    const auto age = attempts->hooks().time.wall() - found.changed_at;
+    if (found.state == record_state::started && age < settings().orphan_age)
+        return;
+    waiting.emplace(found.urgency, found.created_at, found.identity);
+}
+
+bool job_runner::impl::has_room(base::priority urgency) const
+{
+    // A quarter is kept for urgent jobs, which would otherwise wait behind
+    // long batch jobs.
+    const auto limit = settings().max_running_jobs;
+    return running < limit && (urgency == base::priority::urgent ||
+                               running_batch < limit - limit / 4);
+}
+
+void job_runner::impl::start_waiting()
+{
+    for (auto next = waiting.begin();
+         next != waiting.end() && !stopping && !attempts->is_halted();)
+    {
+        const auto [urgency, created, identity] = *next;
+        if (!has_room(urgency))
+            return;
+        next = waiting.erase(next);
+        if (flights->contains(identity) ||
+            !attempts->hooks().owns_shard(records::shard_of(identity)))
+            continue;
+        const std::size_t batch = urgency == base::priority::batch ? 1 : 0;
+        ++running;
+        running_batch += batch;
+        flights->join(identity,
+                      [this, identity = identity, batch](const flight&)
+                      {
+                          auto out = run_work(identity);
+                          --running;
+                          running_batch -= batch;
+                          start_waiting();
+                          return out;
+                      });
+    }
+}
+
+void job_runner::impl::postpone(const base::work_identity& identity,
+                                base::duration least)
+{
+    auto& known = memory[identity];
+    known.delay = std::clamp(known.delay * 2, settings().first_retry,
+                             settings().longest_retry);
+    known.not_before = now() + least + attempts->random().jitter(known.delay);
+}
+
+work_result job_runner::impl::run_work(const base::work_identity& identity)
+{
+    for (int steps = 0; steps < max_steps; ++steps)
+    {
+        const auto current = attempts->table().find(identity);
+        if (!current)
+            return result(work_status::unknown, reason::no_record);
+        if (records::is_ended(current->state))
+        {
+            memory.erase(identity);
+            return attempts->read_result(*current);
+        }
+        if (attempts->is_halted() || !step(*current))
+            return result_of(*current);
+    }
+    postpone(identity, {});
+    return result(work_status::unknown, reason::time_limit);
+}
+
+/// One attempt or one look at a recorded one. Returns whether to go on.
+bool job_runner::impl::step(const record& current)
+{
+    if (stopping && current.state == record_state::accepted)
+        return false;
+    auto report =
+        current.state == record_state::started
+            ? attempts->resolve(current, now() + settings().follow_time, false)
+            : try_job(current);
+    switch (report.step)
+    {
+    case attempt_step::recorded:
+        if (!report.current || records::is_ended(report.current->state))
+            return true;
+        break;
+    case attempt_step::superseded:
+        return true;
+    case attempt_step::lost:
+        postpone(current.identity, settings().unknown_interval);
+        return false;
+    case attempt_step::not_started:
+    case attempt_step::store_failed:
+    case attempt_step::open:
+        break;
+    }
+    postpone(current.identity, {});
+    return false;
+}
+
+policy::slot_request job_runner::impl::slot_request_for(
+    const record& job, const config::bundle& bundle, const config::queue& queue)
+{
+    policy::slot_request out;
+    out.queue = job.queue;
+    out.pool = queue.pool;
+    out.department = job.identity.department;
+    out.urgency = job.urgency;
+    out.size = job.size;
+    out.deadline = now() + settings().job_slot_wait;
+    out.retry = job.failures > 0;
+    out.excluded = job.failed_on;
+    for (const auto& worker : memory[job.identity].too_large_on)
+        out.excluded.push_back(worker);
+    const bool all_excluded = std::ranges::none_of(
+        bundle.workers,
+        [&](const config::worker& worker) {
+            return std::ranges::find(out.excluded, worker.id) ==
+                   out.excluded.end();
+        });
+    // Better again on the same worker than never.
+    if (all_excluded)
+        out.excluded.clear();
+    return out;
+}
+
+attempt_report job_runner::impl::give_up(const record& job,
+                                         std::string_view reason)
+{
+    const auto written = attempts->table().commit(
+        job.identity, give_up_change(job.attempt, std::string(reason)),
+        store_deadline());
+    if (written.outcome != commit_outcome::applied &&
+        written.outcome != commit_outcome::refused)
+        return {attempt_step::store_failed, std::nullopt, {}, {}};
+    log::write(event_job_gave_up, {{"job", job.job.str()}, {"reason", reason}});
+    return {attempt_step::superseded, written.current, {}, {}};
+}
+
+attempt_report job_runner::impl::after_refusal(const record& job,
+                                               attempt_report report)
+{
+    if (report.step != attempt_step::not_started ||
+        report.reason != reason::too_large)
+        return report;
+    auto& known = memory[job.identity];
+    if (!report.worker.empty())
+        known.too_large_on.insert(report.worker);
+    const bool enough = known.too_large_on.size() >=
+                        std::min(settings().max_failed_workers,
+                                 attempts->hooks().bundle()->workers.size());
+    // Without a worker, the broker says so for the whole pool.
+    if (report.worker.empty() || enough)
+        return give_up(job, reason::too_large);
+    return report;
+}
+
+attempt_report job_runner::impl::try_job(const record& job)
+{
+    const auto bundle = attempts->hooks().bundle();
+    const auto* queue = find_queue(*bundle, job.queue);
+    if (queue == nullptr)
+    {
+        const auto age = attempts->hooks().time.wall() - job.created_at;
+        if (age > settings().unknown_queue_grace)
+            return give_up(job, reason::unknown_queue);
+        return {attempt_step::not_started,
+                std::nullopt,
+                std::string(reason::unknown_queue),
+                {}};
+    }
+    if (!fits_any_worker(*bundle, job.size))
+        return give_up(job, reason::too_large);
+    return after_refusal(
+        job, attempts->attempt(job, job.payload,
+                               slot_request_for(job, *bundle, *queue)));
+}
+
+record job_runner::impl::read_job(const base::job_id& job,
+                                  base::time_point deadline)
+{
+    auto current = attempts->table().read_job(job, base::duration{0}, deadline);
+    if (!current)
+        throw base::error(base::error_code::not_found, "read job", job.str(),
+                          "no such job");
+    return *std::move(current);
+}
+
+job_runner::job_runner(std::shared_ptr<attempt_runner> attempts,
+                       std::shared_ptr<flight_table> flights)
+    : impl_(std::make_unique<impl>())
+{
+    impl_->attempts = std::move(attempts);
+    impl_->flights = std::move(flights);
+}
+
+job_runner::~job_runner()
+{
+    impl_->stopping = true;
+    impl_->stop_scan.set();
+    impl_->scanner.join();
+    // Job fibers refer to this object.
+    impl_->attempts->halt();
+    impl_->flights->drain(base::time_point::max());
+}
+
+void job_runner::start()
+{
+    impl_->scanner.spawn(
+        [state = impl_.get()]
+        {
+            const auto interval = state->settings().scan_interval;
+            // Jitter keeps the members from scanning at the same moment.
+            while (!state->stop_scan.wait_for(
+                interval / 2 + state->attempts->random().jitter(interval)))
+                state->scan();
+        });
+}
+
+work_result job_runner::submit(const base::submission& work,
+                               submission_origin origin)
+{
+    auto& state = *impl_;
+    const auto refused = origin == submission_origin::first
+                             ? work_status::not_run
+                             : work_status::unknown;
+    if (state.stopping)
+        return result(refused, reason::stopping);
+    if (work.payload.size() > records::max_payload_bytes)
+        return result(work_status::not_run, reason::payload_too_large);
+    const auto bundle = state.attempts->hooks().bundle();
+    std::string_view refusal;
+    if (find_queue(*bundle, work.queue) == nullptr)
+        refusal = reason::unknown_queue;
+    else if (!fits_any_worker(*bundle, work.size))
+        refusal = reason::too_large;
+    auto fresh = new_record(work);
+    const auto shard = records::shard_of(work.identity);
+    fresh.job = records::make_job_id(shard, state.attempts->random());
+    const auto change = refusal.empty()
+                            ? accept_change(fresh)
+                            : refuse_change(fresh, std::string(refusal));
+    auto written = state.attempts->table().commit(work.identity, change,
+                                                  state.store_deadline());
+    if (written.outcome == commit_outcome::full)
+        written = state.attempts->table().commit(
+            work.identity,
+            refuse_change(fresh, std::string(reason::records_full)),
+            state.store_deadline());
+    switch (written.outcome)
+    {
+    case commit_outcome::applied:
+        state.consider(*written.current);
+        state.start_waiting();
+        return state.attempts->read_result(*written.current);
+    case commit_outcome::refused:
+        return state.attempts->read_result(*written.current);
+    case commit_outcome::unavailable:
+        return result(refused, reason::store_unavailable);
+    case commit_outcome::unknown:
+        return result(work_status::unknown, reason::store_unavailable);
+    case commit_outcome::full:
+        return result(refused, reason::records_full);
+    case commit_outcome::expired:
+        break;
+    }
+    const bool too_early =
+        work.issued_at >
+        state.attempts->hooks().time.wall() + records::max_clock_lead;
+    return result(too_early ? work_status::not_run : refused,
+                  reason::key_expired);
+}
+
+work_result job_runner::find(const base::job_id& job,
+                             const base::department_name& department,
+                             const base::caller_name& caller,
+                             base::time_point deadline)
+{
+    const auto current = impl_->read_job(job, deadline);
+    if (!is_of(current, department, caller))
+        return result(work_status::unknown, reason::no_record);
+    if (current.state != record_state::started)
+        return impl_->attempts->read_result(current);
+    auto out = result_of(current);
+    try
+    {
+        const auto status = impl_->attempts->query_lease(current);
+        if (status.state != platform::lease_state::unknown)
+            return out;
+        out.reason = reason::outcome_unknown;
+    }
+    catch (const base::error&)
+    {
+        out.reason = reason::worker_unreachable;
+    }
+    out.status = work_status::unknown;
+    return out;
+}
+
+work_result job_runner::cancel(const base::job_id& job,
+                               const base::department_name& department,
+                               const base::caller_name& caller,
+                               base::time_point deadline)
+{
+    auto& state = *impl_;
+    const auto before = state.read_job(job, deadline);
+    if (!is_of(before, department, caller))
+        return result(work_status::unknown, reason::no_record);
+    const auto written = state.attempts->table().commit(
+        before.identity, cancel_change(job), state.store_deadline());
+    if (!written.current)
+        return {work_status::unknown,
+                {},
+                job,
+                std::string(reason::store_unavailable)};
+    const auto& current = *written.current;
+    if (current.state != record_state::started)
+        return state.attempts->read_result(current);
+    auto report = state.attempts->resolve(current, deadline, false);
+    if (report.current && records::is_ended(report.current->state))
+        return state.attempts->read_result(*report.current);
+    return {work_status::unknown, {}, job, report.reason};
+}
+
+work_result job_runner::settle(const base::job_id& job, bool succeeded,
+                               std::string_view operator_name,
+                               base::time_point deadline)
+{
+    auto& state = *impl_;
+    const auto before = state.read_job(job, deadline);
+    if (before.state != record_state::started)
+        return state.attempts->read_result(before);
+    auto report = state.attempts->resolve(before, state.now(), false);
+    const bool is_lost = report.step == attempt_step::lost ||
+                         (report.step == attempt_step::open &&
+                          report.reason == reason::worker_unreachable);
+    if (!is_lost)
+        return report.current ? state.attempts->read_result(*report.current)
+                              : result_of(before);
+    const auto written = state.attempts->table().commit(
+        before.identity,
+        settle_change(before.lease, succeeded, std::string(reason::settled)),
+        state.store_deadline());
+    if (!written.current)
+        throw base::error(base::error_code::unavailable, "settle job",
+                          job.str(), "the store did not answer");
+    log::write(event_job_settled, {{"job", job.str()},
+                                   {"operator", operator_name},
+                                   {"succeeded", succeeded ? 1 : 0}});
+    return state.attempts->read_result(*written.current);
+}
+
+bool job_runner::drain(base::time_point deadline)
+{
+    impl_->stopping = true;
+    impl_->stop_scan.set();
+    impl_->waiting.clear();
+    impl_->scanner.join_until(deadline);
+    return impl_->flights->drain(deadline);
+}
+
+std::size_t job_runner::running() const
+{
+    return impl_->running;
+}
+
+std::size_t job_runner::waiting() const
+{
+    return impl_->waiting.size();
+}
+
+} // namespace pimentograde::dispatch
--- /dev/null
+++ b/src/dispatch/request_runner.hpp
@@ -0,0 +1,59 @@
+#ifndef PIMENTOGRADE_DISPATCH_REQUEST_RUNNER_HPP
+#define PIMENTOGRADE_DISPATCH_REQUEST_RUNNER_HPP
+
+#include "dispatch/attempt_runner.hpp"
+#include "dispatch/flight_table.hpp"
+
+#include <cstddef>
+#include <memory>
+
+namespace pimentograde::dispatch
+{
+
+/// What is known about earlier submissions of the same key.
+enum class submission_origin
+{
+    /// The caller may have submitted the key before, perhaps through another
+    /// instance. `not_run` is reported only once the record says so.
+    possible_retry,
+    /// The caller states that it has never submitted the key and waits for
+    /// this answer before it submits it again. A refusal needs no record.
+    first
+};
+
+/// Runs requests: idempotent ones without a record, others at most once.
+class request_runner
+{
+public:
+    request_runner(std::shared_ptr<attempt_runner> attempts,
+                   std::shared_ptr<flight_table> flights);
+    /// Waits for the requests in progress.
+    ~request_runner();
+    request_runner(const request_runner&) = delete;
+    request_runner& operator=(const request_runner&) = delete;
+
+    /// Suspends the fiber until the result is known or `work.time_limit`
+    /// passed. Recorded work continues after the limit; a submission with the
+    /// same identity gets its result.
+    base::work_result
+    run(const base::submission& work,
+        submission_origin origin = submission_origin::possible_retry);
+
+    /// What is known about an identity. Throws `base::error` when the store
+    /// does not answer.
+    base::work_result find(const base::work_identity& identity,
+                           base::time_point deadline);
+
+    /// Refuses new work and waits for requests in progress. Returns whether
+    /// all ended before the deadline.
+    bool drain(base::time_point deadline);
+    [[nodiscard]] std::size_t running() const;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace pimentograde::dispatch
+
+#endif
--- a/src/records/record_shard.cpp
+++ b/src/records/record_shard.cpp
@@ -23,16 +23,7 @@
 namespace
 {
 
-constexpr base::duration call_timeout = 500ms;
-// Full jitter between 0 and this bound keeps the shards and members from
-// writing at the same moment when the store is back.
-constexpr base::duration first_backoff = 50ms;
-constexpr base::duration longest_backoff = 2s;
-// New work is refused after 500 ms, so that it needs an attempt within that
-// time; outcomes, which have no deadline, can wait longer.
-constexpr base::duration longest_backoff_for_new_work = 400ms;
 constexpr base::duration new_work_deadline = 1s;
-constexpr base::duration conflict_backoff = 10ms;
 // Conflicts are progress of another member; a commit that loses for this long
 // past its deadline is given up.
 constexpr base::duration conflict_patience = 5s;
@@ -153,11 +144,12 @@
 {
     const auto begin = env.time.steady();
     const auto bound =
-        std::min(longest_backoff, first_backoff * (1 << std::min(failures, 6)));
+        std::min(env.timing.longest_backoff,
+                 env.timing.first_backoff * (1 << std::min(failures, 6)));
     const auto end = begin + env.random->jitter(bound);
     const auto end_for_new_work =
-        begin +
-        env.random->jitter(std::min(bound, longest_backoff_for_new_work));
+        begin + env.random->jitter(
+                    std::min(bound, env.timing.longest_backoff_for_new_work));
     for (auto now = begin; !queue.empty() && !abandoned.is_set();
          now = env.time.steady())
     {
@@ -213,14 +205,14 @@
 {
     std::unique_lock lock(store_mutex);
     if (!valid)
-        load(env.time.steady() + call_timeout);
+        load(env.time.steady() + env.timing.call_timeout);
     std::vector<pending_ptr> batch;
     auto staged = std::make_unique<shard_batch>(state, env.time.wall());
     auto results = stage(*staged, batch);
     if (!staged->has_writes())
     {
         if (settle_refusals(results))
-            load(env.time.steady() + call_timeout);
+            load(env.time.steady() + env.timing.call_timeout);
         return;
     }
     const auto delay = env.budget->take(env.time.steady());
@@ -245,7 +237,7 @@
     try
     {
         written = env.store.compare_and_swap(key, version, value,
-                                             start + call_timeout);
+                                             start + env.timing.call_timeout);
     }
     catch (const base::error& failure)
     {
@@ -265,7 +257,7 @@
         valid = false;
         version = std::max(version, written.version);
         expire(conflict_patience);
-        wait_for(env.random->jitter(conflict_backoff));
+        wait_for(env.random->jitter(env.timing.conflict_backoff));
         return;
     }
     staged.merge_into(state);
--- a/src/records/record_shard.hpp
+++ b/src/records/record_shard.hpp
@@ -52,9 +52,27 @@
     std::function<base::wall_time()> wall = base::wall_now;
 };
 
+/// Waits of a shard. Correctness does not depend on them.
+struct shard_timing
+{
+    /// Bound of one store call.
+    base::duration call_timeout = std::chrono::milliseconds{500};
+    /// After failures a shard waits between 0 and a doubling bound. The full
+    /// jitter keeps shards and members from writing at the same moment when
+    /// the store is back.
+    base::duration first_backoff = std::chrono::milliseconds{50};
+    base::duration longest_backoff = std::chrono::seconds{2};
+    /// New work is refused after 500 ms, so that it needs an attempt within
+    /// that time; outcomes, which have no deadline, can wait longer.
+    base::duration longest_backoff_for_new_work =
+        std::chrono::milliseconds{400};
+    base::duration conflict_backoff = std::chrono::milliseconds{10};
+};
+
 /// What the shards of one table share.
 struct shard_environment
 {
+    shard_timing timing;
     platform::kv_operations store;
     clocks time;
     std::shared_ptr<write_budget> budget;
@@ -115,6 +133,10 @@
 /// An accepted record reserves this much for a reason.
 inline constexpr std::size_t reason_reserve_bytes = 2 * max_reason_bytes + 100;
 
+/// A key from further in the future is refused: its record could outlive the
+/// horizon.
+inline constexpr std::chrono::minutes max_clock_lead{5};
+
 inline constexpr base::duration request_retention = std::chrono::hours{1};
 inline constexpr base::duration job_retention = std::chrono::hours{24};
 /// Ended records are never dropped earlier, also under size pressure.
--- a/src/records/record_table.cpp
+++ b/src/records/record_table.cpp
@@ -81,6 +81,12 @@
     return *this;
 }
 
+record_table::builder& record_table::builder::timing(shard_timing value)
+{
+    environment_.timing = value;
+    return *this;
+}
+
 record_table::builder& record_table::builder::seed(std::uint64_t value)
 {
     environment_.random = std::make_shared<base::random_source>(value);
--- a/src/records/record_table.hpp
+++ b/src/records/record_table.hpp
@@ -39,6 +39,7 @@
         /// Writes a second that this member may send; read at each write.
         builder& writes_per_second(std::function<double()> rate);
         builder& time(clocks source);
+        builder& timing(shard_timing value);
         builder& seed(std::uint64_t value);
         std::unique_ptr<record_table> build();
 
--- a/src/records/shard_state.hpp
+++ b/src/records/shard_state.hpp
@@ -70,10 +70,6 @@
     record_map changed_;
 };
 
-/// A key from further in the future is refused: its record could outlive the
-/// horizon.
-inline constexpr std::chrono::minutes max_clock_lead{5};
-
 } // namespace pimentograde::records
 
 #endif
