--- a/tools/standin/bundle_workers.cpp
+++ b/tools/standin/bundle_workers.cpp
@@ -33,13 +33,15 @@
     if (fields.has("connections"))
         settings.connections =
             static_cast<std::uint32_t>(fields.number("connections"));
-    if (fields.has("cores"))
-        settings.size.cores = fields.real("cores");
-    if (fields.has("memory_mb"))
-        settings.size.memory_mb = fields.number("memory_mb");
-    if (fields.has("accelerators"))
+    const request_reader size =
+        fields.has("size") ? fields.nested("size") : fields;
+    if (size.has("cores"))
+        settings.size.cores = size.real("cores");
+    if (size.has("memory_mb"))
+        settings.size.memory_mb = size.number("memory_mb");
+    if (size.has("accelerators"))
         settings.size.accelerators =
-            static_cast<std::uint32_t>(fields.number("accelerators"));
+            static_cast<std::uint32_t>(size.number("accelerators"));
     return settings;
 }
 
--- a/tools/standin/bundle_workers.hpp
+++ b/tools/standin/bundle_workers.hpp
@@ -10,9 +10,9 @@
 {
 
 /// The workers of a bundle: `workers[]` with `id` and `address` and
-/// optionally `slots`, `connections`, `cores`, `memory_mb`, `accelerators`.
-/// Everything else in the bundle is ignored. Throws `base::error` with code
-/// `invalid`.
+/// optionally `slots`, `connections` and, there or in an object `size`,
+/// `cores`, `memory_mb`, `accelerators`. Everything else in the bundle is
+/// ignored. Throws `base::error` with code `invalid`.
 std::vector<worker_settings> workers_of_bundle(std::string_view text);
 
 } // namespace pimentograde::standin
