--- a/src/peer/json_text.cpp
+++ b/src/peer/json_text.cpp
@@ -24,14 +24,15 @@
             in_string = c != '"';
             continue;
         }
-        if (c == '/') // starts a comment
-            return false;
-        if (c == '"')
-            in_string = true;
-        else if ((c == '{' || c == '[') && ++depth > max_nesting)
-            return false;
-        else if ((c == '}' || c == ']') && depth-- == 0)
+        const bool opens = c == '{' || c == '[';
+        const bool closes = c == '}' || c == ']';
+        // A slash starts a comment.
+        if (c == '/' || (closes && depth == 0) ||
+            (opens && depth == max_nesting))
             return false;
+        in_string = c == '"';
+        depth += opens ? 1 : 0;
+        depth -= closes ? 1 : 0;
     }
     return depth == 0 && !in_string;
 }
