--- a/src/policy/grant_table.cpp
+++ b/src/policy/grant_table.cpp
@@ -8,10 +8,10 @@
 
 void grant_table::add(held_grant held)
 {
-    const bool lent = held.lent;
+    const bool loan = held.loan;
     auto id = held.grant.id;
-    if (grants_.emplace(std::move(id), std::move(held)).second && lent)
-        ++lent_;
+    if (grants_.emplace(std::move(id), std::move(held)).second && loan)
+        ++loans_;
 }
 
 const held_grant* grant_table::find(const std::string& id) const
@@ -25,7 +25,7 @@
     const auto known = grants_.find(id);
     if (known == grants_.end())
         return;
-    lent_ -= known->second.lent ? 1 : 0;
+    loans_ -= known->second.loan ? 1 : 0;
     grants_.erase(known);
 }
 
@@ -60,10 +60,10 @@
 std::vector<held_grant> grant_table::overdue(base::time_point now) const
 {
     std::vector<held_grant> found;
-    if (lent_ == 0)
+    if (loans_ == 0)
         return found;
     for (const auto& [id, held] : grants_)
-        if (held.lent && now >= held.due)
+        if (held.loan && now >= held.due)
             found.push_back(held);
     return found;
 }
--- a/src/policy/grant_table.hpp
+++ b/src/policy/grant_table.hpp
@@ -21,8 +21,8 @@
     base::department_name department;
     /// Slots' worth charged to the department.
     double charge = 1;
-    /// Given to another pool's broker, to be back at `due`.
-    bool lent = false;
+    /// Lent or borrowed, to be back at `due`.
+    bool loan = false;
     base::time_point due{};
 };
 
@@ -35,18 +35,18 @@
     void remove(const std::string& id);
 
     [[nodiscard]] std::size_t size() const { return grants_.size(); }
-    [[nodiscard]] std::uint32_t lent_count() const { return lent_; }
+    [[nodiscard]] std::uint32_t loan_count() const { return loans_; }
     [[nodiscard]] std::uint32_t count_on(const base::worker_id& worker) const;
     [[nodiscard]] std::vector<slot_grant>
     held_by(const base::member_id& holder) const;
     [[nodiscard]] std::vector<slot_grant>
     on_worker(const base::worker_id& worker) const;
-    /// Lent grants that should be back by `now`.
+    /// Loans that should be back by `now`.
     [[nodiscard]] std::vector<held_grant> overdue(base::time_point now) const;
 
 private:
     std::unordered_map<std::string, held_grant> grants_;
-    std::uint32_t lent_ = 0;
+    std::uint32_t loans_ = 0;
 };
 
 } // namespace pimentograde::policy
--- a/src/policy/slot_broker.cpp
+++ b/src/policy/slot_broker.cpp
@@ -1,7 +1,7 @@
 #include "policy/slot_broker.hpp"
 
 #include "policy/grant_table.hpp"
-#include "policy/wait_queue.hpp"
+#include "policy/two_choices.hpp"
 
 #include <algorithm>
 #include <set>
@@ -18,6 +18,9 @@
 constexpr std::uint32_t unlisted_max_waiting = 64;
 constexpr base::duration unlisted_max_wait = std::chrono::seconds{3};
 
+// A borrowed slot is forgotten after this time: its release goes to the pool's
+// new broker when the brokership moved meanwhile.
+constexpr std::chrono::seconds loan_memory{60};
 // A department without quota is served after those with one.
 constexpr double smallest_quota = 0.01;
 
@@ -57,6 +60,7 @@
                     const base::worker_id& worker, double charge, bool lent,
                     base::time_point now);
     void forget(const held_grant& held);
+    void end_loan(const held_grant& held);
     void note_overruns(base::time_point now);
 
     broker_settings settings;
@@ -119,7 +123,7 @@
         return std::nullopt;
     const auto ahead =
         queue.expected_work(request.urgency, request.department) -
-        request.expected_time;
+        entry.estimate.typical_time;
     if (ahead / static_cast<std::int64_t>(slots) > entry.expiry - now)
         return slot_refusal::wait_too_long;
     return std::nullopt;
@@ -215,9 +219,9 @@
             return;
         const auto taken = *queue.remove(entry->ticket);
         count_grant(taken.request.urgency);
-        auto grant = hold(taken.request, taken.holder, *worker, taken.charge,
-                          false, now);
-        departments[taken.request.department].used += taken.charge;
+        auto grant = hold(taken.request, taken.holder, *worker,
+                          taken.estimate.charge, false, now);
+        departments[taken.request.department].used += taken.estimate.charge;
         events.push_back(
             {taken.ticket, {std::move(grant), slot_refusal::no_worker}});
     }
@@ -226,13 +230,21 @@
 void slot_broker::impl::forget(const held_grant& held)
 {
     workers.return_slot(held.grant.worker);
-    if (!held.lent)
+    if (!held.loan)
         departments[held.department].used -= held.charge;
     grants.remove(std::string(held.grant.id));
 }
 
+void slot_broker::impl::end_loan(const held_grant& held)
+{
+    departments[held.department].used -= held.charge;
+    borrowed.remove(held.grant.id);
+}
+
 void slot_broker::impl::note_overruns(base::time_point now)
 {
+    for (const auto& held : borrowed.overdue(now))
+        end_loan(held);
     for (const auto& held : grants.overdue(now))
         if (now > held.due)
             penalties[held.queue] = now + overrun_penalty;
@@ -293,7 +305,8 @@
 }
 
 submit_result slot_broker::submit(const slot_request& request,
-                                  const base::member_id& holder, double charge,
+                                  const base::member_id& holder,
+                                  const request_estimate& estimate,
                                   base::time_point now)
 {
     if (const auto waiting = impl_->queue.ticket_of(request.id); waiting != 0)
@@ -305,20 +318,41 @@
         return {0, refuse(*refusal)};
     const auto expiry =
         std::min(request.deadline, now + impl_->bounds(request.queue).max_wait);
-    return impl_->decide_new({impl_->next_ticket++, request, holder,
-                              std::max(charge, 0.0), expiry, now},
-                             now);
+    return impl_->decide_new(
+        {impl_->next_ticket++, request, holder, estimate, expiry, now}, now);
 }
 
-void slot_broker::cancel(const std::string& request_id, base::time_point now)
+std::uint64_t slot_broker::cancel(const std::string& request_id,
+                                  base::time_point now)
 {
     if (const auto ticket = impl_->queue.ticket_of(request_id); ticket != 0)
     {
         impl_->queue.remove(ticket);
-        return;
+        return ticket;
     }
     if (const auto* held = impl_->grants.find(request_id))
         release(slot_grant(held->grant), slot_outcome::unused, now);
+    return 0;
+}
+
+slot_decision slot_broker::grant_of_two(const slot_request& request,
+                                        const base::member_id& holder,
+                                        base::random_source& random,
+                                        base::time_point now)
+{
+    const auto candidates = impl_->workers.candidates(request, now);
+    std::vector<std::uint32_t> used;
+    used.reserve(candidates.size());
+    for (const auto& candidate : candidates)
+        used.push_back(candidate.used);
+    const auto chosen = choose_of_two(used, random);
+    if (!chosen)
+        return refuse(slot_refusal::no_worker);
+    auto grant =
+        impl_->hold(request, holder, candidates[*chosen].worker, 1, false, now);
+    impl_->departments[request.department].used += 1;
+    grant.broker = {};
+    return {std::move(grant), slot_refusal::no_worker};
 }
 
 void slot_broker::release(const slot_grant& grant, slot_outcome outcome,
@@ -328,10 +362,7 @@
     if (const auto* held = impl_->grants.find(grant.id))
         impl_->forget(*held);
     else if (const auto* loan = impl_->borrowed.find(grant.id))
-    {
-        impl_->departments[loan->department].used -= loan->charge;
-        impl_->borrowed.remove(grant.id);
-    }
+        impl_->end_loan(held_grant(*loan));
     impl_->workers.record_outcome(grant.worker, outcome, now);
 }
 
@@ -364,7 +395,7 @@
     if (penalty != impl_->penalties.end() && now < penalty->second)
         return refuse(slot_refusal::no_worker);
     const lender_load load{impl_->workers.slots(now), impl_->workers.used(now),
-                           impl_->grants.lent_count(),
+                           impl_->grants.loan_count(),
                            impl_->terms.min_workers *
                                impl_->workers.max_slots(),
                            static_cast<std::uint32_t>(impl_->queue.size())};
@@ -401,35 +432,34 @@
     return borrow_need{entry->ticket, entry->request, entry->holder};
 }
 
-bool slot_broker::add_loan(std::uint64_t ticket, const slot_grant& grant)
+bool slot_broker::add_loan(std::uint64_t ticket, const slot_grant& grant,
+                           base::time_point now)
 {
     const auto taken = impl_->queue.remove(ticket);
     if (!taken)
         return false;
     const auto& request = taken->request;
     impl_->count_grant(request.urgency);
-    impl_->departments[request.department].used += taken->charge;
-    impl_->borrowed.add({grant,
-                         taken->holder,
-                         request.queue,
-                         request.department,
-                         taken->charge,
-                         false,
-                         {}});
+    impl_->departments[request.department].used += taken->estimate.charge;
+    impl_->borrowed.add({grant, taken->holder, request.queue,
+                         request.department, taken->estimate.charge, true,
+                         now + loan_memory});
     impl_->events.push_back({ticket, {grant, slot_refusal::no_worker}});
     return true;
 }
 
-std::vector<slot_grant> slot_broker::drop_member(const base::member_id& member,
-                                                 base::time_point now)
+dropped_work slot_broker::drop_member(const base::member_id& member,
+                                      base::time_point now)
 {
-    impl_->queue.take_held_by(member);
-    auto own = impl_->grants.held_by(member);
-    auto loans = impl_->borrowed.held_by(member);
-    own.insert(own.end(), loans.begin(), loans.end());
-    for (const auto& grant : own)
+    dropped_work dropped;
+    for (const auto& entry : impl_->queue.take_held_by(member))
+        dropped.tickets.push_back(entry.ticket);
+    dropped.loans = impl_->borrowed.held_by(member);
+    auto returned = impl_->grants.held_by(member);
+    returned.insert(returned.end(), dropped.loans.begin(), dropped.loans.end());
+    for (const auto& grant : returned)
         release(grant, slot_outcome::unused, now);
-    return loans;
+    return dropped;
 }
 
 std::vector<std::uint64_t> slot_broker::withdraw_waiting()
@@ -451,7 +481,7 @@
         impl_->queue.by_queue(),
         impl_->workers.slots(now),
         impl_->workers.used(now),
-        impl_->grants.lent_count(),
+        impl_->grants.loan_count(),
         static_cast<std::uint32_t>(impl_->borrowed.size()),
         static_cast<std::uint32_t>(impl_->workers.ejector().ejected_count())};
 }
--- a/src/policy/slot_broker.hpp
+++ b/src/policy/slot_broker.hpp
@@ -1,11 +1,13 @@
 #ifndef PIMENTOGRADE_POLICY_SLOT_BROKER_HPP
 #define PIMENTOGRADE_POLICY_SLOT_BROKER_HPP
 
+#include "base/random_source.hpp"
 #include "base/strong_id.hpp"
 #include "base/time.hpp"
 #include "policy/lending_policy.hpp"
 #include "policy/outlier_ejector.hpp"
 #include "policy/slot.hpp"
+#include "policy/wait_queue.hpp"
 #include "policy/worker_table.hpp"
 
 #include <cstdint>
@@ -71,6 +73,15 @@
     base::member_id holder;
 };
 
+/// What a dropped member leaves behind.
+struct dropped_work
+{
+    /// Borrowed slots, which have to be returned to their lenders.
+    std::vector<slot_grant> loans;
+    /// Requests that no longer wait.
+    std::vector<std::uint64_t> tickets;
+};
+
 struct broker_state
 {
     std::map<base::queue_name, std::uint32_t> waiting;
@@ -114,12 +125,19 @@
                        base::time_point now);
 
     /// A repeated request with the id of an earlier one returns its result.
-    /// `charge`: slots' worth charged to the department.
     submit_result submit(const slot_request& request,
-                         const base::member_id& holder, double charge,
+                         const base::member_id& holder,
+                         const request_estimate& estimate,
                          base::time_point now);
-    /// Withdraws a waiting request, or returns its grant unused.
-    void cancel(const std::string& request_id, base::time_point now);
+    /// Withdraws a waiting request and returns its ticket, or returns its
+    /// grant unused and 0.
+    std::uint64_t cancel(const std::string& request_id, base::time_point now);
+    /// Grants a slot without the queue, for use while the pool's broker is
+    /// unreachable: the less used of two random workers, or `no_worker`.
+    slot_decision grant_of_two(const slot_request& request,
+                               const base::member_id& holder,
+                               base::random_source& random,
+                               base::time_point now);
     /// Returns a slot. The outcome of a grant of another broker counts too.
     void release(const slot_grant& grant, slot_outcome outcome,
                  base::time_point now);
@@ -138,12 +156,12 @@
     std::optional<borrow_need> next_borrow(base::time_point now);
     /// Gives a borrowed slot to a waiting request. Returns whether it still
     /// waited; otherwise the slot has to be returned.
-    bool add_loan(std::uint64_t ticket, const slot_grant& grant);
+    bool add_loan(std::uint64_t ticket, const slot_grant& grant,
+                  base::time_point now);
 
-    /// Drops the requests and grants of a member. Returns the slots that it
-    /// had borrowed, which have to be returned to their lenders.
-    std::vector<slot_grant> drop_member(const base::member_id& member,
-                                        base::time_point now);
+    /// Drops the requests and grants of a member.
+    dropped_work drop_member(const base::member_id& member,
+                             base::time_point now);
     /// Removes all waiting requests and returns their tickets.
     std::vector<std::uint64_t> withdraw_waiting();
 
--- a/src/policy/wait_queue.cpp
+++ b/src/policy/wait_queue.cpp
@@ -37,7 +37,7 @@
     expiries_.emplace(entry.expiry, ticket);
     ++by_queue_[request.queue];
     ++sizes_.at(position(request.urgency));
-    target.expected += request.expected_time;
+    target.expected += entry.estimate.typical_time;
     target.entries.emplace(ticket, std::move(entry));
 }
 
@@ -51,7 +51,7 @@
     const auto home = lanes(urgency).find(department);
     auto node = home->second.entries.extract(ticket);
     waiting_request entry = std::move(node.mapped());
-    home->second.expected -= entry.request.expected_time;
+    home->second.expected -= entry.estimate.typical_time;
     if (home->second.entries.empty())
         lanes(urgency).erase(home);
     ids_.erase(entry.request.id);
--- a/src/policy/wait_queue.hpp
+++ b/src/policy/wait_queue.hpp
@@ -19,6 +19,15 @@
 namespace pimentograde::policy
 {
 
+/// What a broker assumes about a task.
+struct request_estimate
+{
+    /// Slots' worth charged to the department.
+    double charge = 1;
+    /// Median run time, to predict waits; 0 unknown.
+    base::duration typical_time{};
+};
+
 /// One request in the queue of a broker.
 struct waiting_request
 {
@@ -26,8 +35,7 @@
     slot_request request;
     /// Member that will use the slot.
     base::member_id holder;
-    /// Slots' worth charged to the department.
-    double charge = 1;
+    request_estimate estimate;
     base::time_point expiry{};
     /// Lenders are asked again from this moment.
     base::time_point borrow_after{};
@@ -66,7 +74,7 @@
     {
         return by_queue_;
     }
-    /// Sum of the expected run times of a department's waiting requests.
+    /// Sum of the typical run times of a department's waiting requests.
     [[nodiscard]] base::duration
     expected_work(base::priority urgency,
                   const base::department_name& department) const;
--- a/src/policy/worker_table.cpp
+++ b/src/policy/worker_table.cpp
@@ -172,6 +172,18 @@
     return best->worker.id;
 }
 
+std::vector<worker_load> worker_table::candidates(const slot_request& request,
+                                                  base::time_point now) const
+{
+    std::vector<worker_load> found;
+    for (const auto& known : entries_)
+        if (free_of(known, now) > 0 &&
+            base::fits(request.size, known.worker.size) &&
+            !is_excluded(request, known.worker.id))
+            found.push_back({known.worker.id, used_of(known, now)});
+    return found;
+}
+
 bool worker_table::has_free(base::time_point now) const
 {
     return std::any_of(entries_.begin(), entries_.end(),
--- a/src/policy/worker_table.hpp
+++ b/src/policy/worker_table.hpp
@@ -25,6 +25,12 @@
     bool accepting = true;
 };
 
+struct worker_load
+{
+    base::worker_id worker;
+    std::uint32_t used = 0;
+};
+
 /// Known slot use of the workers of one pool.
 class worker_table
 {
@@ -57,6 +63,9 @@
     /// The eligible worker with the most free slots.
     [[nodiscard]] std::optional<base::worker_id>
     pick(const slot_request& request, base::time_point now) const;
+    /// All eligible workers with a free slot.
+    [[nodiscard]] std::vector<worker_load>
+    candidates(const slot_request& request, base::time_point now) const;
     [[nodiscard]] bool has_free(base::time_point now) const;
     /// Whether any worker, also one out of service, could hold the task.
     [[nodiscard]] bool fits_any(const base::task_size& size) const;
--- a/tests/policy/simple_brokers.cpp
+++ b/tests/policy/simple_brokers.cpp
@@ -39,7 +39,7 @@
                                  const base::member_id& member,
                                  base::time_point now) override
     {
-        return broker_.submit(request, member, 1, now);
+        return broker_.submit(request, member, {}, now);
     }
     void release(const policy::slot_grant& grant, policy::slot_outcome outcome,
                  base::time_point now) override
--- a/tests/policy/slot_broker_test.cpp
+++ b/tests/policy/slot_broker_test.cpp
@@ -128,7 +128,7 @@
         const auto id = std::to_string(next++);
         auto request =
             make_request(department, base::priority::urgent, id.c_str());
-        const auto result = pool.broker.submit(request, pool.member, 1, now);
+        const auto result = pool.broker.submit(request, pool.member, {}, now);
         if (result.decision && result.decision->grant)
             grant(department, *result.decision->grant);
         else if (!result.decision)
@@ -162,7 +162,8 @@
     one_pool pool(1, 1, 2);
     const auto reason = [&](policy::slot_request request)
     {
-        const auto result = pool.broker.submit(request, pool.member, 1, start);
+        const auto result = pool.broker.submit(
+            request, pool.member, {1, request.expected_time}, start);
         REQUIRE(result.decision);
         REQUIRE_FALSE(result.decision->grant);
         return to_string(result.decision->refusal);
@@ -179,11 +180,12 @@
 
     auto slow = make_request("a", base::priority::batch, "0");
     slow.expected_time = 6s;
-    CHECK(pool.broker.submit(slow, pool.member, 1, start).decision->grant);
+    CHECK(
+        pool.broker.submit(slow, pool.member, {1, 6s}, start).decision->grant);
     slow.id = "1";
-    CHECK_FALSE(pool.broker.submit(slow, pool.member, 1, start).decision);
+    CHECK_FALSE(pool.broker.submit(slow, pool.member, {1, 6s}, start).decision);
     slow.id = "2";
-    CHECK_FALSE(pool.broker.submit(slow, pool.member, 1, start).decision);
+    CHECK_FALSE(pool.broker.submit(slow, pool.member, {1, 6s}, start).decision);
     slow.id = "3";
     CHECK(reason(slow) == "queue_full");
     pool.broker.cancel("2", start);
@@ -197,8 +199,8 @@
 {
     one_pool pool(2, 1, 2);
     const auto request = make_request("a", base::priority::urgent, "x");
-    const auto first = pool.broker.submit(request, pool.member, 1, start);
-    const auto second = pool.broker.submit(request, pool.member, 1, start);
+    const auto first = pool.broker.submit(request, pool.member, {}, start);
+    const auto second = pool.broker.submit(request, pool.member, {}, start);
     REQUIRE(first.decision->grant);
     REQUIRE(second.decision->grant);
     CHECK(first.decision->grant->worker == second.decision->grant->worker);
@@ -214,7 +216,7 @@
     const base::member_id lost("lost");
     for (const char* id : {"1", "2", "3"})
         pool.broker.submit(make_request("a", base::priority::urgent, id), lost,
-                           1, start);
+                           {}, start);
     CHECK(pool.broker.state(start).used == 2);
     CHECK(pool.broker.waiting_count() == 1);
     pool.broker.drop_member(lost, start);
@@ -229,7 +231,7 @@
     one_pool pool(1, 4, 4);
     const base::worker_id worker("w0");
     const auto first = pool.broker.submit(
-        make_request("a", base::priority::urgent, "1"), pool.member, 1, start);
+        make_request("a", base::priority::urgent, "1"), pool.member, {}, start);
     pool.broker.record_report(worker, 1, start);
     CHECK(pool.broker.state(start).used == 1);
     pool.broker.release(*first.decision->grant, policy::slot_outcome::succeeded,
@@ -242,7 +244,7 @@
     CHECK(pool.broker.state(start + 40ms).used == 4);
     const auto full =
         pool.broker.submit(make_request("a", base::priority::urgent, "2"),
-                           pool.member, 1, start + 40ms);
+                           pool.member, {}, start + 40ms);
     CHECK_FALSE(full.decision);
     CHECK(pool.broker.state(start + 10s).used == 0);
 }
