--- a/src/entry/slot_conversion.cpp
+++ b/src/entry/slot_conversion.cpp
@@ -16,16 +16,19 @@
     policy::slot_refusal::queue_full,   policy::slot_refusal::wait_too_long,
     policy::slot_refusal::too_large,    policy::slot_refusal::no_worker,
     policy::slot_refusal::retry_budget, policy::slot_refusal::stopping};
-constexpr std::array all_outcomes{
-    policy::slot_outcome::succeeded,          policy::slot_outcome::failed,
-    policy::slot_outcome::worker_full,        policy::slot_outcome::worker_leaving,
-    policy::slot_outcome::worker_unreachable, policy::slot_outcome::unused};
+constexpr std::array all_outcomes{policy::slot_outcome::succeeded,
+                                  policy::slot_outcome::failed,
+                                  policy::slot_outcome::worker_full,
+                                  policy::slot_outcome::worker_leaving,
+                                  policy::slot_outcome::worker_unreachable,
+                                  policy::slot_outcome::unused};
 
 template <class Enum, std::size_t Count>
 Enum parse_word(std::string_view word, const std::array<Enum, Count>& all)
 {
-    const auto found = std::find_if(all.begin(), all.end(), [&](Enum value)
-                                    { return to_string(value) == word; });
+    const auto found =
+        std::find_if(all.begin(), all.end(),
+                     [&](Enum value) { return to_string(value) == word; });
     if (found == all.end())
         throw base::error(base::error_code::invalid, "read slot message", "",
                           "unknown word '" + std::string(word) + "'");
@@ -90,8 +93,9 @@
 {
     if (!answer.granted)
         return {std::nullopt, parse_word(answer.refusal, all_refusals)};
-    return {policy::slot_grant{answer.grant, answer.worker, answer.pool, broker},
-            {}};
+    return {
+        policy::slot_grant{answer.grant, answer.worker, answer.pool, broker},
+        {}};
 }
 
 peer::release_slot to_release(const policy::slot_request& request,
--- a/src/entry/work_router.cpp
+++ b/src/entry/work_router.cpp
@@ -32,9 +32,7 @@
 
 } // namespace
 
-work_router::work_router(hooks calls) : hooks_(std::move(calls))
-{
-}
+work_router::work_router(hooks calls) : hooks_(std::move(calls)) {}
 
 void work_router::check_queue(const base::submission& work) const
 {
@@ -106,9 +104,9 @@
             query.job, query.identity.department, query.identity.caller,
             deadline);
     else
-        result = hooks_.dispatcher->jobs().find(
-            query.job, query.identity.department, query.identity.caller,
-            deadline);
+        result =
+            hooks_.dispatcher->jobs().find(query.job, query.identity.department,
+                                           query.identity.caller, deadline);
     if (is_missing(result))
         return std::nullopt;
     return result;
--- a/src/entry/worker_watch.cpp
+++ b/src/entry/worker_watch.cpp
@@ -56,10 +56,9 @@
         net::task_group round;
         for (const auto& worker : bundle->workers)
             if (calls.is_mine(worker.id))
-                round.spawn(
-                    [this, peer = platform::worker_endpoint{
-                               worker.id, worker.address}]
-                    { read_report(peer); });
+                round.spawn([this, peer = platform::worker_endpoint{
+                                       worker.id,
+                                       worker.address}] { read_report(peer); });
         round.join();
     }
 }
@@ -72,8 +71,8 @@
         if (instance.state == platform::listed_state::leaving)
             leaving.insert(instance.id);
     for (const auto& worker : leaving)
-        calls.slots->record_leaving(
-            worker, policy::leaving_source::instance_list, 0);
+        calls.slots->record_leaving(worker,
+                                    policy::leaving_source::instance_list, 0);
     for (const auto& worker : listed_leaving)
         if (!leaving.contains(worker))
             calls.slots->clear_leaving(worker,
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,14 @@
+#include "cli/command.hpp"
+#include "cli/serve_command.hpp"
+
+#include <iostream>
+
+int main(int argc, char** argv)
+{
+    using namespace pimentograde;
+    std::vector<cli::command> commands = cli::client_commands();
+    commands.insert(commands.begin(), cli::serve_command());
+    const std::vector<const char*> words(argv + 1, argv + argc);
+    return static_cast<int>(cli::run_command(
+        commands, words, cli::process_environment(), std::cout, std::cerr));
+}
