--- a/src/entry/services.cpp
+++ b/src/entry/services.cpp
@@ -121,6 +121,7 @@
     documents = rollout::document_service::builder{}
                     .store(store->operations())
                     .calls(std::move(calls))
+                    .cancel_watch([this] { store->cancel(); })
                     .document(bundle_document, rollout::bundle_key,
                               rollout::envelope_version)
                     .document(fleet_document, rollout::fleet_key, fleet_version)
--- a/src/platform/kv_client.cpp
+++ b/src/platform/kv_client.cpp
@@ -219,6 +219,11 @@
 
 kv_client::~kv_client() = default;
 
+void kv_client::cancel()
+{
+    impl_->client->cancel();
+}
+
 const kv_call_counts& kv_client::counts() const
 {
     return impl_->counts;
--- a/src/platform/kv_client.hpp
+++ b/src/platform/kv_client.hpp
@@ -56,6 +56,8 @@
     /// The hooks call this client, which has to outlive them.
     kv_operations operations();
     [[nodiscard]] const kv_call_counts& counts() const;
+    /// Ends all calls in progress; they fail with `cut_off`.
+    void cancel();
 
 private:
     struct impl;
--- a/src/rollout/document_service.cpp
+++ b/src/rollout/document_service.cpp
@@ -4,8 +4,6 @@
 #include "rollout/bundle_envelope.hpp"
 #include "rollout/document_service_impl.hpp"
 
-#include <boost/fiber/fiber.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -73,6 +71,13 @@
     return *this;
 }
 
+document_service::builder&
+document_service::builder::cancel_watch(std::function<void()> hook)
+{
+    cancel_watch_ = std::move(hook);
+    return *this;
+}
+
 std::unique_ptr<document_service>
 document_service::builder::build(base::time_point now)
 {
@@ -82,6 +87,7 @@
     auto state = std::make_shared<impl>();
     state->store = store_;
     state->calls = calls_;
+    state->cancel_watch = cancel_watch_;
     for (const entry& added : documents_)
         state->documents.push_back(
             {added.document, added.store_key, added.version, 0, false});
@@ -222,12 +228,14 @@
 {
     impl_->last_observed = base::steady_now();
     impl_->fibers.spawn([self = impl_.get()] { self->tick_loop(); });
-    boost::fibers::fiber([self = impl_] { impl::watch_loop(self); }).detach();
+    impl_->fibers.spawn([self = impl_.get()] { self->watch_loop(); });
 }
 
 void document_service::stop()
 {
     impl_->stopping.set();
+    if (impl_->cancel_watch)
+        impl_->cancel_watch();
     impl_->fibers.join();
     impl_->fetches.join();
 }
--- a/src/rollout/document_service.hpp
+++ b/src/rollout/document_service.hpp
@@ -77,6 +77,8 @@
         builder& document(versioned_document& document, std::string store_key,
                           version_reader version);
         builder& random_seed(std::uint64_t seed);
+        /// Called by `stop` to end the pending watch, for which `stop` waits.
+        builder& cancel_watch(std::function<void()> hook);
         std::unique_ptr<document_service> build(base::time_point now);
 
     private:
@@ -91,6 +93,7 @@
         document_calls calls_;
         std::vector<entry> documents_;
         std::optional<std::uint64_t> seed_;
+        std::function<void()> cancel_watch_;
     };
 
     ~document_service();
--- a/src/rollout/document_service_impl.hpp
+++ b/src/rollout/document_service_impl.hpp
@@ -26,6 +26,7 @@
 
     platform::kv_operations store;
     document_calls calls;
+    std::function<void()> cancel_watch;
     std::vector<entry> documents;
     base::random_source random;
     base::time_point last_observed;
@@ -51,7 +52,7 @@
                      std::uint64_t version);
     bool synchronise(base::time_point deadline);
     void watch_once(base::time_point deadline);
-    static void watch_loop(const std::shared_ptr<impl>& self);
+    void watch_loop();
     void keep_watching();
     void report_watch(bool works, std::string_view reason);
     void tick_loop();
--- a/src/rollout/document_service_loops.cpp
+++ b/src/rollout/document_service_loops.cpp
@@ -171,12 +171,11 @@
 
 // Runs detached, on shared state: a long poll cannot be cut short, and `stop`
 // does not wait for it.
-void document_service::impl::watch_loop(const std::shared_ptr<impl>& self)
+void document_service::impl::watch_loop()
 {
     // Members that start together do not watch in step.
-    if (self->stopping.wait_for(self->random.jitter(watch_start_jitter)))
-        return;
-    self->keep_watching();
+    if (!stopping.wait_for(random.jitter(watch_start_jitter)))
+        keep_watching();
 }
 
 void document_service::impl::keep_watching()
--- a/tests/net/io_scheduler_test.cpp
+++ b/tests/net/io_scheduler_test.cpp
@@ -93,6 +93,37 @@
     CHECK(unknown);
 }
 
+// Guards against a planned stop that waits for the end of a long poll.
+TEST_CASE("cancelling a client ends its calls in progress")
+{
+    auto server = net::http_server::builder{}
+                      .listen_on({"127.0.0.1", 0})
+                      .handle_with(
+                          [](const net::http_request&)
+                          {
+                              boost::this_fiber::sleep_for(500ms);
+                              return net::http_response{};
+                          })
+                      .build();
+    auto client = net::http_client::builder{}.build();
+    net::task_group fibers;
+    base::duration waited{};
+    fibers.spawn(
+        [&]
+        {
+            const auto start = base::steady_now();
+            CHECK_THROWS_AS(client->send(server->local_endpoint(),
+                                         {"GET", "/", {}, {}, {}}, start + 5s,
+                                         "test"),
+                            base::error);
+            waited = base::steady_now() - start;
+        });
+    boost::this_fiber::sleep_for(30ms);
+    client->cancel();
+    fibers.join();
+    CHECK(waited < 300ms);
+}
+
 // Guards against a planned stop that cuts off a request in progress.
 TEST_CASE("a graceful stop finishes the request in progress")
 {
