--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -32,6 +32,10 @@
 {
     if (entry.id == self_.id || entry.id.empty())
         return true;
+    const auto former = former_.find(entry.id);
+    if (former != former_.end() &&
+        former->second.incarnation > entry.incarnation)
+        return true;
     for (const auto& [id, known] : members_)
     {
         const bool same =
@@ -153,6 +157,7 @@
     if (silence > drop_after)
     {
         changes.push_back({change_kind::dropped, known.entry, silence});
+        former_[known.entry.id] = {known.entry.incarnation, now};
         return true;
     }
     if (silence > suspect_after && known.state == member_state::live)
@@ -178,6 +183,8 @@
     for (auto it = members_.begin(); it != members_.end();)
         it = expire(it->second, now, changes) ? members_.erase(it)
                                               : std::next(it);
+    std::erase_if(former_, [&](const auto& item)
+                  { return now - item.second.dropped > former_lifetime; });
     std::erase_if(hints_, [&](const auto& item)
                   { return now - item.second.received > hint_lifetime; });
     return changes;
--- a/src/membership/member_table.hpp
+++ b/src/membership/member_table.hpp
@@ -25,6 +25,9 @@
 /// A member known only by hearsay is forgotten after this time without being
 /// named again.
 inline constexpr std::chrono::seconds contact_lifetime{30};
+/// The incarnation of a dropped member is remembered this long, so that a late
+/// message of an earlier one does not bring that back.
+inline constexpr std::chrono::seconds former_lifetime{60};
 /// A hint about a leaving worker lapses when its source no longer repeats it.
 inline constexpr std::chrono::seconds hint_lifetime{3};
 
@@ -118,6 +121,11 @@
         base::time_point last_heard{};
         base::time_point last_named{};
     };
+    struct former_member
+    {
+        std::uint64_t incarnation = 0;
+        base::time_point dropped{};
+    };
     struct received_hint
     {
         std::uint64_t incarnation = 0;
@@ -132,6 +140,7 @@
     peer::member_entry self_;
     bool leaving_ = false;
     std::map<base::member_id, record> members_;
+    std::map<base::member_id, former_member> former_;
     std::map<base::worker_id, std::uint64_t> own_hints_;
     std::map<base::worker_id, received_hint> hints_;
     base::time_point last_advance_;
--- a/tests/membership/member_table_test.cpp
+++ b/tests/membership/member_table_test.cpp
@@ -186,6 +186,21 @@
     CHECK(table.live().size() == 2);
 }
 
+// Guards against a late message that brings back a former incarnation when
+// nobody is live to compare it with.
+TEST_CASE("a drop does not make room for an earlier incarnation")
+{
+    base::time_point now = start;
+    member_table table(entry_of(0, 1), now);
+    table.heard(beat_of(1, 5), now);
+    run_until(table, now, start + 4s);
+    REQUIRE(table.live().size() == 1);
+    CHECK(table.heard(beat_of(1, 4), now).empty());
+    table.learned(entry_of(1, 4), now);
+    CHECK(table.contacts().empty());
+    CHECK(has_change(table.heard(beat_of(1, 5), now), change_kind::joined));
+}
+
 // Guards against members that exist only in what others say.
 TEST_CASE("hearsay makes a contact, not a live member")
 {
