--- a/src/dispatch/attempt_runner.cpp
+++ b/src/dispatch/attempt_runner.cpp
@@ -409,7 +409,7 @@
 
 attempt_report attempt_runner::attempt(const record& prior,
                                        const std::string& payload,
-                                       policy::slot_request request)
+                                       const policy::slot_request& request)
 {
     auto& state = *impl_;
     policy::slot_decision decision;
--- a/src/dispatch/attempt_runner.hpp
+++ b/src/dispatch/attempt_runner.hpp
@@ -54,7 +54,7 @@
     /// unstarted. Returns after the outcome is recorded.
     attempt_report attempt(const records::record& prior,
                            const std::string& payload,
-                           policy::slot_request request);
+                           const policy::slot_request& request);
 
     /// Resolves a `started` record by its lease: waits for a running task and
     /// renews its lease, stops an unstarted one. An unstarted attempt is
--- a/src/dispatch/request_runner.cpp
+++ b/src/dispatch/request_runner.cpp
@@ -16,7 +16,6 @@
 using base::work_status;
 using records::commit_outcome;
 using records::record;
-using records::record_state;
 
 namespace
 {
@@ -203,7 +202,7 @@
     auto request = slot_request_for(work_, *queue, deadline_);
     request.excluded = excluded_;
     request.retry = tries_ > 0;
-    return take(attempts_.attempt(prior_, work_.payload, std::move(request)));
+    return take(attempts_.attempt(prior_, work_.payload, request));
 }
 
 /// A key outside the kept time is refused before it takes a slot.
--- a/tests/dispatch/fake_workers.hpp
+++ b/tests/dispatch/fake_workers.hpp
@@ -229,10 +229,12 @@
         }
         for (;;)
         {
-            // A reboot breaks the connection of a waiting start.
-            if (workers_.at(peer.id.str()).incarnation != incarnation)
+            // A reboot or a lost network breaks the connection of a start
+            // that waits; `unavailable` would claim that nothing was sent.
+            auto& target = workers_.at(peer.id.str());
+            if (target.incarnation != incarnation || target.unreachable)
                 fail(base::error_code::cut_off);
-            status = status_of(reach(peer), id);
+            status = status_of(target, id);
             if (status.state != lease_state::running)
                 return status;
             if (base::steady_now() >= deadline)
--- a/tests/dispatch/instance.hpp
+++ b/tests/dispatch/instance.hpp
@@ -204,7 +204,6 @@
                     .timing(quick_timing())
                     .seed(seed)
                     .build();
-        dispatch::runner_hooks hooks;
         hooks.workers = gate.wrap(workers.operations());
         hooks.slots = random_slots(bundle, random);
         hooks.bundle = [bundle]
@@ -221,8 +220,11 @@
     }
 
     process_gate gate;
+    dispatch::runner_hooks hooks;
     std::shared_ptr<records::record_table> table;
     std::unique_ptr<dispatch::work_dispatcher> work;
+    /// For designs that go on after their answer; joined first.
+    net::task_group background;
 };
 
 inline base::submission make_work(const std::string& key, base::work_kind kind,
