--- a/tools/standin/control.cpp
+++ b/tools/standin/control.cpp
@@ -85,7 +85,7 @@
     return {{"reads", reads},
             {"writes", writes},
             {"bytes", standin.store().model().total_bytes()},
-            {"operations", std::move(by_operation)}};
+            {"store", std::move(by_operation)}};
 }
 
 json::object to_json(const execution& entry)
--- a/tools/standin/control.hpp
+++ b/tools/standin/control.hpp
@@ -13,7 +13,8 @@
 /// - `POST /faults` with `kind` and optionally `worker`, `probability`,
 ///   `duration_ms`, `delay_ms`, `factor`: sets a fault, returns its `id`.
 /// - `GET /faults`, `DELETE /faults` (all), `DELETE /faults/ID`.
-/// - `GET /counts`: store calls by operation.
+/// - `GET /counts`: `store` with the store calls by operation, their sums
+///   `reads` and `writes`, and `bytes` of all values.
 /// - `GET /log?from=N`: executions from position N, at most `log_page`;
 ///   `next` is the position to continue at, `total` the number of entries.
 /// - `GET /workers`: the workers and their states.
