--- a/src/capacity/budget_checker.cpp
+++ b/src/capacity/budget_checker.cpp
@@ -171,22 +171,27 @@
 }
 
 bool serving_ledger::allows_with(const base::worker_id& worker,
-                                 const base::worker_id& cover)
+                                 std::span<const base::worker_id> covers)
 {
     const auto found = impl_->workers.find(worker);
-    const auto helper = impl_->workers.find(cover);
-    if (found == impl_->workers.end() || helper == impl_->workers.end())
+    if (found == impl_->workers.end())
         return false;
     pool_counts& pool = *found->second.pool;
-    worker_slot placed{&pool,
-                       {},
-                       {},
-                       &pool.racks[std::string(helper->second.rack_name)],
-                       &pool.zones[std::string(helper->second.zone_name)],
-                       true};
-    shift(placed, 1);
+    const auto place = [&](int by)
+    {
+        for (const base::worker_id& each : covers)
+        {
+            const auto& cover = impl_->workers.at(each);
+            worker_slot placed;
+            placed.pool = &pool;
+            placed.rack = &pool.racks[std::string(cover.rack_name)];
+            placed.zone = &pool.zones[std::string(cover.zone_name)];
+            shift(placed, by);
+        }
+    };
+    place(1);
     const bool allowed = !breach_without(worker);
-    shift(placed, -1);
+    place(-1);
     return allowed;
 }
 
--- a/src/capacity/budget_checker.hpp
+++ b/src/capacity/budget_checker.hpp
@@ -52,10 +52,10 @@
     /// The first budget that would break if `worker` were drained as well.
     [[nodiscard]] std::optional<budget_finding>
     breach_without(const base::worker_id& worker);
-    /// Whether `worker` could be drained without breaking a budget if `cover`
-    /// served in its pool as well.
+    /// Whether `worker` could be drained without breaking a budget if each of
+    /// `covers` served in its pool as well.
     [[nodiscard]] bool allows_with(const base::worker_id& worker,
-                                   const base::worker_id& cover);
+                                   std::span<const base::worker_id> covers);
     /// All budgets of `pool`.
     [[nodiscard]] std::vector<budget_finding>
     findings(const base::pool_name& pool) const;
--- a/src/capacity/buffer_planner.cpp
+++ b/src/capacity/buffer_planner.cpp
@@ -237,49 +237,59 @@
     /// Shared spares with which each pool, holding `surviving` workers, can
     /// drain each of its workers in turn. A spare helps only from a zone (or
     /// rack) in which it does not become part of the worst further failure.
-    /// Chooses domains greedily, so the count may exceed the least one.
-    [[nodiscard]] std::uint32_t maintenance_spares() const
+    /// Exact up to two spares, else one in each domain.
+    void add_maintenance_spares(buffer_option& option) const
     {
         // A rack and a zone with the same index have no worker in common.
-        std::uint32_t spares = spares_among(zones_, false);
-        spares += spares_among(racks_, true);
-        return spares;
+        option.shared_zones = spares_among(zones_, false);
+        option.shared_workers = static_cast<std::uint32_t>(
+            option.shared_zones.size() + spares_among(racks_, true).size());
+        option.moves_per_hour = moves_per_hour(option.shared_workers);
     }
 
-    [[nodiscard]] std::uint32_t spares_among(std::uint32_t domains,
-                                             bool racks) const
+    [[nodiscard]] std::vector<std::uint32_t> spares_among(std::uint32_t domains,
+                                                          bool racks) const
     {
-        std::vector<std::pair<std::size_t, std::uint32_t>> open;
+        std::vector<pool_domain> open;
         for (std::size_t pool = 0; pool < pools_.size(); ++pool)
             for (std::uint32_t domain = 0; domain < domains; ++domain)
                 if (uses_racks(pool) == racks && count_in(pool, domain) > 0 &&
-                    !drain_allowed(pool, domain, domains))
+                    !drain_allowed(pool, domain, {}))
                     open.emplace_back(pool, domain);
-        std::uint32_t spares = 0;
-        while (!open.empty())
-        {
-            std::uint32_t best = 0;
-            std::size_t most = 0;
-            const auto helped = [&](std::uint32_t from)
-            {
-                return [this, from](const auto& each)
-                {
-                    return drain_allowed(each.first, each.second, from);
-                };
-            };
-            for (std::uint32_t from = 0; from < domains; ++from)
+        if (open.empty())
+            return {};
+        for (std::uint32_t first = 0; first < domains; ++first)
+            if (all_helped(open, {first}))
+                return {first};
+        for (std::uint32_t first = 0; first < domains; ++first)
+            for (std::uint32_t second = first; second < domains; ++second)
+                if (all_helped(open, {first, second}))
+                    return {first, second};
+        // One in each domain always helps: it replaces the drained worker.
+        std::set<std::uint32_t> needed;
+        for (const auto& [pool, domain] : open)
+            needed.insert(domain);
+        return {needed.begin(), needed.end()};
+    }
+
+    using pool_domain = std::pair<std::size_t, std::uint32_t>;
+
+    /// Whether all of `spares`, or one of them, make room for each drain.
+    [[nodiscard]] bool
+    all_helped(const std::vector<pool_domain>& open,
+               const std::vector<std::uint32_t>& spares) const
+    {
+        return std::all_of(
+            open.begin(), open.end(),
+            [&](const pool_domain& each)
             {
-                const auto count = static_cast<std::size_t>(
-                    std::count_if(open.begin(), open.end(), helped(from)));
-                if (count > most)
-                    std::tie(best, most) = std::pair(from, count);
-            }
-            ++spares;
-            // A spare in the drained worker's own domain always helps, so
-            // each round closes at least one.
-            std::erase_if(open, helped(best));
-        }
-        return spares;
+                return drain_allowed(each.first, each.second, spares) ||
+                       std::any_of(spares.begin(), spares.end(),
+                                   [&](std::uint32_t spare) {
+                                       return drain_allowed(
+                                           each.first, each.second, {spare});
+                                   });
+            });
     }
 
     [[nodiscard]] bool uses_racks(std::size_t pool) const
@@ -304,20 +314,25 @@
         return workers / domains + (position < workers % domains ? 1 : 0);
     }
 
-    /// Whether a worker in `domain` may be drained with one more worker in
-    /// domain `from`; with `from` = number of domains, without one.
-    [[nodiscard]] bool drain_allowed(std::size_t pool, std::uint32_t domain,
-                                     std::uint32_t from) const
+    /// Whether a worker in `domain` may be drained with one more worker in each
+    /// of the domains `spares`.
+    [[nodiscard]] bool
+    drain_allowed(std::size_t pool, std::uint32_t domain,
+                  const std::vector<std::uint32_t>& spares) const
     {
         const pool_need& need = pools_[pool];
         const std::uint32_t domains = domains_of(pool);
         std::uint32_t total = 0;
         std::uint32_t largest = 0;
+        const auto added = [&](std::uint32_t at)
+        {
+            return static_cast<std::uint32_t>(
+                std::count(spares.begin(), spares.end(), at));
+        };
         for (std::uint32_t each = 0; each < domains; ++each)
         {
-            const std::uint32_t count = count_in(pool, each) +
-                                        (each == from ? 1 : 0) -
-                                        (each == domain ? 1 : 0);
+            const std::uint32_t count =
+                count_in(pool, each) + added(each) - (each == domain ? 1 : 0);
             total += count;
             largest = std::max(largest, count);
         }
@@ -343,10 +358,7 @@
         if (strategy == buffer_strategy::shared_spare)
             option.shared_workers = shared_pool(option.pool_workers);
         if (strategy == buffer_strategy::moving && maintained_)
-        {
-            option.shared_workers = maintenance_spares();
-            option.moves_per_hour = moves_per_hour(option.shared_workers);
-        }
+            add_maintenance_spares(option);
         std::uint32_t total = option.shared_workers;
         for (const std::uint32_t each : option.pool_workers)
             total += each;
--- a/src/capacity/buffer_planner.hpp
+++ b/src/capacity/buffer_planner.hpp
@@ -84,6 +84,9 @@
     std::vector<std::uint32_t> pool_workers;
     /// Workers in a spare pool of their own.
     std::uint32_t shared_workers = 0;
+    /// Zones, as indices, in which the first of them have to be; the others
+    /// may be anywhere.
+    std::vector<std::uint32_t> shared_zones;
 };
 
 struct buffer_plan
--- a/src/capacity/wave_planner.cpp
+++ b/src/capacity/wave_planner.cpp
@@ -1,6 +1,9 @@
 #include "capacity/wave_planner.hpp"
 
+#include "capacity/wave_view.hpp"
+
 #include <algorithm>
+#include <array>
 #include <map>
 #include <set>
 #include <utility>
@@ -27,138 +30,48 @@
 namespace
 {
 
-// Share of the period over which due times are spread. The rest is slack for
-// drains that had to wait.
-constexpr double spread_share = 0.9;
-
-struct wave_member
-{
-    const base::worker_id* id = nullptr;
-    const worker_status* status = nullptr;
-    std::string rack;
-    base::wall_time due{};
-    bool done = false;
-};
-
-struct wave_view
+struct cover_worker
 {
-    const config::wave* wave = nullptr;
-    const wave_status* status = nullptr;
-    std::vector<wave_member> members;
-    wave_progress progress;
-    /// Racks with a worker that is done or out.
-    std::set<std::string> begun_racks;
+    base::worker_id id;
+    base::pool_name pool;
 };
 
-using place_index = std::map<base::worker_id, std::string>;
-
-bool is_out_for(const wave_member& member, const config::wave& wave)
-{
-    return member.status->state != worker_state::serving &&
-           member.status->wave == wave.name;
-}
-
-bool is_pending(const wave_member& member)
-{
-    return !member.done && member.status->hold == hold_kind::none;
-}
-
-void set_due_times(wave_view& view)
-{
-    std::sort(view.members.begin(), view.members.end(),
-              [](const wave_member& left, const wave_member& right) {
-                  return std::tie(left.rack, *left.id) <
-                         std::tie(right.rack, *right.id);
-              });
-    const double step =
-        view.status->immediate || view.members.empty()
-            ? 0
-            : spread_share * static_cast<double>(view.wave->period.count()) /
-                  static_cast<double>(view.members.size());
-    for (std::size_t rank = 0; rank < view.members.size(); ++rank)
-        view.members[rank].due =
-            view.status->started +
-            std::chrono::duration_cast<std::chrono::milliseconds>(
-                base::duration{static_cast<base::duration::rep>(
-                    step * static_cast<double>(rank + 1))});
-}
-
-wave_view make_view(const config::wave& wave, const wave_status& status,
-                    const fleet_state& state, const place_index& places)
-{
-    wave_view view;
-    view.wave = &wave;
-    view.status = &status;
-    view.progress.name = wave.name;
-    const std::set<base::pool_name> pools(wave.pools.begin(), wave.pools.end());
-    for (const auto& [id, worker] : state.workers)
-    {
-        const auto place = places.find(id);
-        if (place == places.end() || !pools.contains(worker.pool))
-            continue;
-        wave_member member{&id, &worker, place->second, {}, false};
-        member.done = worker.maintained >= status.started &&
-                      worker.maintained != base::wall_time{};
-        const bool out = is_out_for(member, wave);
-        view.progress.out += out ? 1 : 0;
-        view.progress.done += member.done ? 1 : 0;
-        view.progress.held += !member.done && !is_pending(member) ? 1 : 0;
-        if (out || member.done)
-            view.begun_racks.insert(member.rack);
-        view.members.push_back(std::move(member));
-    }
-    view.progress.workers = static_cast<std::uint32_t>(view.members.size());
-    set_due_times(view);
-    return view;
-}
+using cover_list = std::vector<cover_worker>;
 
-/// The failure that pauses the wave: a worker of its pools is down and one of
-/// their budgets no longer survives a further failure.
-std::string failure_reason(const wave_view& view, const serving_ledger& ledger)
+/// The first worker of `covers` that makes room for `worker`, alone or, in a
+/// pool that is spread evenly over its domains, together with a second one.
+const cover_worker* find_cover(const base::worker_id& worker,
+                               const base::pool_name& pool,
+                               serving_ledger& ledger, const cover_list& covers)
 {
-    const auto down =
-        std::find_if(view.members.begin(), view.members.end(),
-                     [](const wave_member& member)
-                     { return member.status->state == worker_state::down; });
-    if (down == view.members.end())
-        return {};
-    for (const base::pool_name& pool : view.wave->pools)
-        for (const budget_finding& each : ledger.findings(pool))
-            if (!each.holds())
-                return down->id->str() + " is down: " + each.reason();
-    return {};
+    for (const cover_worker& first : covers)
+        if (first.pool != pool &&
+            ledger.allows_with(worker, std::array{first.id}))
+            return &first;
+    for (const cover_worker& first : covers)
+        for (const cover_worker& second : covers)
+            if (first.pool != pool && second.pool != pool &&
+                first.id < second.id &&
+                ledger.allows_with(worker, std::array{first.id, second.id}))
+                return &first;
+    return nullptr;
 }
 
-struct spare_worker
-{
-    const base::worker_id* id = nullptr;
-    const base::pool_name* pool = nullptr;
-};
-
-using worker_list = std::vector<spare_worker>;
-
-/// Whether one of `covers` makes room for each worker of `pool`.
 bool can_be_covered(const wave_view& view, const base::pool_name& pool,
-                    serving_ledger& ledger, const worker_list& covers)
+                    serving_ledger& ledger, const cover_list& covers)
 {
     return std::all_of(view.members.begin(), view.members.end(),
                        [&](const wave_member& member)
                        {
                            return member.status->pool != pool ||
-                                  std::any_of(covers.begin(), covers.end(),
-                                              [&](const spare_worker& cover) {
-                                                  return *cover.pool != pool &&
-                                                         ledger.allows_with(
-                                                             *member.id,
-                                                             *cover.id);
-                                              });
+                                  !ledger.breach_without(*member.id) ||
+                                  find_cover(*member.id, pool, ledger, covers);
                        });
 }
 
 base::duration scaled_time(const wave_view& view, serving_ledger& ledger,
-                           const worker_list& covers,
-                           base::duration worker_time, bool pending_only,
-                           bool& feasible)
+                           const cover_list& covers, base::duration worker_time,
+                           bool pending_only, bool& feasible)
 {
     std::map<base::pool_name, std::uint32_t> counts;
     for (const wave_member& each : view.members)
@@ -172,7 +85,8 @@
         if (parallel == 0)
         {
             feasible = feasible && can_be_covered(view, pool, ledger, covers);
-            total += 2 * worker_time * count;
+            // At worst a move before each drain, or two before the first.
+            total += worker_time * (2 * count + 1);
             continue;
         }
         total += worker_time * ((count + parallel - 1) / parallel);
@@ -181,7 +95,7 @@
 }
 
 void estimate_end(wave_view& view, serving_ledger& ledger,
-                  const worker_list& covers, const wave_settings& settings,
+                  const cover_list& covers, const wave_settings& settings,
                   base::wall_time now)
 {
     bool feasible = view.wave->max_parallel > 0;
@@ -218,9 +132,15 @@
         for (const config::pool& each : bundle.pools)
             if (each.spare)
                 spare_pools_.insert(each.name);
-        for (const auto& [id, status] : state.workers)
-            if (settings.cover_moves && spare_pools_.contains(status.pool))
-                spare_workers_.push_back({&id, &status.pool});
+        for (const config::worker& each : bundle.workers)
+        {
+            const auto found = state.workers.find(each.id);
+            if (found == state.workers.end() || !settings.cover_moves ||
+                (!spare_pools_.contains(each.pool) &&
+                 !spare_pools_.contains(found->second.pool)))
+                continue;
+            spare_workers_.push_back({each.id, found->second.pool});
+        }
         place_index places;
         for (const config::worker& each : bundle.workers)
             places[each.id] = each.zone.str() + "/" + each.rack.str();
@@ -229,7 +149,7 @@
             const auto status = state.waves.find(each.name);
             if (status != state.waves.end())
                 views_.push_back(
-                    make_view(each, status->second, state, places));
+                    make_wave_view(each, status->second, state, places));
         }
     }
 
@@ -251,8 +171,8 @@
                          });
         for (wave_view& view : views_)
             plan_one(view);
-        if (blocked_.id && settings_.cover_moves)
-            cover(blocked_);
+        if (!blocked_.empty() && settings_.cover_moves)
+            cover();
         for (wave_view& view : views_)
         {
             estimate_end(view, ledger_, spare_workers_, settings_, now_);
@@ -350,8 +270,8 @@
         if (const auto breach = ledger_.breach_without(*member.id))
         {
             view.progress.waits_for = breach->reason();
-            if (!blocked_.id && view.progress.out == 0)
-                blocked_ = member;
+            if (view.progress.out == 0)
+                blocked_.push_back(&member);
             return;
         }
         ledger_.remove(*member.id);
@@ -362,41 +282,75 @@
         change.worker = *member.id;
     }
 
-    /// Moves one worker into the pool of `member`, so that the latter can be
-    /// drained. Waits while a move is under way or the pool itself has a worker
-    /// out of service, since room may come back without a move.
-    void cover(const wave_member& member)
+    /// Moves one worker into the pool of a blocked worker, so that the latter
+    /// can be drained, now or after a second such move. Waits while a move is
+    /// under way or a worker of the pool is about to return, since room may
+    /// come back without a move.
+    void cover()
     {
-        const base::pool_name& pool = member.status->pool;
         std::set<base::pool_name> busy;
+        std::set<base::pool_name> covered;
         for (const auto& [id, status] : state_.workers)
         {
             if (!status.target.empty())
                 return;
-            if (status.state != worker_state::serving || drained_.contains(id))
+            const bool returns = status.state != worker_state::serving &&
+                                 status.state != worker_state::down &&
+                                 status.hold != hold_kind::drain &&
+                                 !status.leaving;
+            if (returns || drained_.contains(id))
                 busy.insert(status.pool);
+            if (status.moved != base::wall_time{})
+                covered.insert(status.pool);
         }
-        if (busy.contains(pool))
+        // Finishing a pool that has a cover saves moving it there again.
+        std::stable_partition(blocked_.begin(), blocked_.end(),
+                              [&](const wave_member* each)
+                              { return covered.contains(each->status->pool); });
+        std::set<base::pool_name> tried;
+        for (const wave_member* each : blocked_)
+        {
+            const base::pool_name& pool = each->status->pool;
+            if (busy.contains(pool))
+                return;
+            if (!tried.insert(pool).second)
+                continue;
+            const cover_list willing = willing_covers(pool, busy);
+            const cover_worker* chosen =
+                find_cover(*each->id, pool, ledger_, willing);
+            if (!chosen)
+                continue;
+            fleet_change change;
+            change.kind = change_kind::start_drain;
+            change.worker = chosen->id;
+            change.pool = pool;
+            change.reason = "covers a maintenance drain";
+            plan_.changes.push_back(std::move(change));
             return;
-        for (const bool from_spare : {true, false})
-            for (const auto& [id, status] : state_.workers)
+        }
+    }
+
+    /// Spare workers that may move to `pool`: those in spare pools first, then
+    /// those that cover another pool and are of no use there now.
+    [[nodiscard]] cover_list
+    willing_covers(const base::pool_name& pool,
+                   const std::set<base::pool_name>& busy)
+    {
+        cover_list willing;
+        for (const bool at_home : {true, false})
+            for (const cover_worker& each : spare_workers_)
             {
-                if (spare_pools_.contains(status.pool) != from_spare ||
-                    status.pool == pool || status.hold != hold_kind::none ||
-                    status.state != worker_state::serving ||
-                    drained_.contains(id) || ledger_.breach_without(id) ||
-                    !ledger_.allows_with(*member.id, id) ||
-                    (!from_spare &&
-                     (busy.contains(status.pool) || uses_room(status.pool))))
-                    continue;
-                fleet_change change;
-                change.kind = change_kind::start_drain;
-                change.worker = id;
-                change.pool = pool;
-                change.reason = "covers a maintenance drain";
-                plan_.changes.push_back(std::move(change));
-                return;
+                const worker_status& status = state_.workers.at(each.id);
+                if (spare_pools_.contains(each.pool) == at_home &&
+                    each.pool != pool && status.hold == hold_kind::none &&
+                    status.state == worker_state::serving &&
+                    !drained_.contains(each.id) &&
+                    (at_home ||
+                     (!busy.contains(each.pool) && !uses_room(each.pool))) &&
+                    !ledger_.breach_without(each.id))
+                    willing.push_back(each);
             }
+        return willing;
     }
 
     /// Whether a pending worker of `pool` can be drained as things are. The
@@ -431,10 +385,10 @@
     const fleet_state& state_;
     serving_ledger ledger_;
     std::set<base::pool_name> spare_pools_;
-    worker_list spare_workers_;
+    cover_list spare_workers_;
     std::vector<wave_view> views_;
-    /// The first worker that a budget holds back.
-    wave_member blocked_;
+    /// Workers that a budget holds back, in the order of their turns.
+    std::vector<const wave_member*> blocked_;
     std::set<base::worker_id> drained_;
     wave_plan plan_;
 };
--- a/src/capacity/wave_planner.hpp
+++ b/src/capacity/wave_planner.hpp
@@ -70,9 +70,10 @@
 /// then share a failure domain, so that the worst further failure takes fewer
 /// serving workers with it.
 ///
-/// A pool without room for a drain is covered by one worker that moves in from
-/// a spare pool, or from a pool with which the wave is done. Several pools thus
-/// share the spare capacity for maintenance.
+/// A pool without room for a drain is covered by one or two workers that move
+/// in from a spare pool, or that belong to one and have no use in the pool that
+/// they covered before. The pools thus share the spare capacity for
+/// maintenance.
 class wave_planner
 {
 public:
--- a/src/dispatch/fleet_service.cpp
+++ b/src/dispatch/fleet_service.cpp
@@ -20,7 +20,6 @@
 using capacity::change_kind;
 using capacity::fleet_change;
 using capacity::fleet_state;
-using capacity::worker_state;
 
 namespace
 {
@@ -272,6 +271,7 @@
                 used[found->second.pool] += seen.slots_used;
         }
         std::vector<capacity::pool_load> loads;
+        loads.reserve(used.size());
         for (const auto& [pool, slots] : used)
             loads.push_back({pool, slots});
         return loads;
--- a/tools/load/capacity_benchmark.cpp
+++ b/tools/load/capacity_benchmark.cpp
@@ -129,6 +129,9 @@
     auto state = capacity::initial_state(bundle, now);
     for (auto& [name, status] : state.waves)
         status.immediate = true;
+    // The size that the document has once each worker was maintained.
+    for (auto& [id, status] : state.workers)
+        status.maintained = now - std::chrono::hours{1};
     std::vector<capacity::worker_sighting> round;
     for (const config::worker& each : bundle.workers)
     {
--- a/tools/load/capacity_wave_run.cpp
+++ b/tools/load/capacity_wave_run.cpp
@@ -247,7 +247,11 @@
     {
         const base::pool_name shared("benchmark-shared");
         sized.pools.push_back({shared, true});
-        add_workers(sized, model, shared, option.shared_workers, 0);
+        for (const std::uint32_t zone : option.shared_zones)
+            add_workers(sized, model, shared, 1, zone);
+        const auto placed =
+            static_cast<std::uint32_t>(option.shared_zones.size());
+        add_workers(sized, model, shared, option.shared_workers - placed, 0);
         wave.pools.push_back(shared);
     }
     sized.waves = {wave};
