Read record shards less often; distinct ports for each deployment

Cause: an idle member read each of its shards every second, and a read transfers the whole shard. Two deployments on one machine used the same ports.

--- a/src/dispatch/job_runner.cpp
+++ b/src/dispatch/job_runner.cpp
@@ -106,7 +106,7 @@
             continue;
         try
         {
-            attempts->table().refresh(shard, settings().scan_interval,
+            attempts->table().refresh(shard, settings().refresh_interval,
                                       store_deadline());
         }
         catch (const base::error& failure)
--- a/src/dispatch/runner_hooks.hpp
+++ b/src/dispatch/runner_hooks.hpp
@@ -50,6 +50,10 @@
     base::duration longest_retry = std::chrono::seconds{10};
     /// Period of the scan for accepted and orphaned work.
     base::duration scan_interval = std::chrono::seconds{1};
+    /// Age of a shard's cache after which the scan reads the store. Each read
+    /// transfers the whole shard, and only members that could not reach the
+    /// owner write behind its back, so this is longer than the scan's period.
+    base::duration refresh_interval = std::chrono::seconds{5};
     /// A started record is looked at by the scan only after this time without
     /// a change.
     base::duration orphan_age = std::chrono::seconds{5};
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -14,10 +14,13 @@
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-STORE_PORT = 20001
-LIST_PORT = 20002
-CONTROL_PORT = 20003
-FIRST_MEMBER_PORT = 20100
+# Two deployments at once need different ports.
+FIRST_PORT = int(os.environ.get("PIMENTOGRADE_FIRST_PORT", "20000"))
+STORE_PORT = FIRST_PORT + 1
+LIST_PORT = FIRST_PORT + 2
+CONTROL_PORT = FIRST_PORT + 3
+FIRST_MEMBER_PORT = FIRST_PORT + 100
+FIRST_WORKER_PORT = FIRST_PORT + 1001
 PORTS_PER_MEMBER = 10
 PEER_SECRET = "loopback-peer-secret-0123456789"
 STOP_SECONDS = 20
@@ -140,12 +143,15 @@
     def __init__(self, build, name, members=None):
         self.build = pathlib.Path(build).resolve()
         self.name = name
-        self.bundle_path = ROOT / "examples" / f"{name}.json"
-        self.bundle = json.loads(self.bundle_path.read_text())
-        self.folder = self.build / "run" / name
+        self.folder = self.build / "run" / f"{name}-{FIRST_PORT}"
         self.folder.mkdir(parents=True, exist_ok=True)
         for old in self.folder.glob("*.log"):
             old.unlink()
+        self.bundle = json.loads((ROOT / "examples" / f"{name}.json").read_text())
+        for index, worker in enumerate(self.bundle["workers"]):
+            worker["address"] = f"127.0.0.1:{FIRST_WORKER_PORT + index}"
+        self.bundle_path = self.folder / "bundle.json"
+        self.bundle_path.write_text(json.dumps(self.bundle))
         count = members or MEMBERS[name]
         self.members = [Member(self, f"e{i + 1}", i) for i in range(count)]
         self.next_index = count
