Remove moves without effect

Cause: clang-tidy reported moves of a trivially copyable random source and a constant that kept a result from being moved.

Change: passes the source by value and drops the const.

Conclusion: no behaviour changes.

--- a/src/rollout/draft_store.cpp
+++ b/src/rollout/draft_store.cpp
@@ -136,8 +136,7 @@
 
 draft_store::draft_store(platform::kv_operations store, pacing pace,
                          base::random_source random)
-    : store_(std::move(store)), pace_(std::move(pace)),
-      random_(std::move(random))
+    : store_(std::move(store)), pace_(std::move(pace)), random_(random)
 {
 }
 
@@ -145,12 +144,12 @@
                        std::uint64_t base_version, base::wall_time now,
                        base::time_point deadline)
 {
-    const draft added{random_.hex_id(),
-                      std::string(author),
-                      now,
-                      base_version,
-                      config::to_json(config::load_bundle(bundle)),
-                      {}};
+    draft added{random_.hex_id(),
+                std::string(author),
+                now,
+                base_version,
+                config::to_json(config::load_bundle(bundle)),
+                {}};
     update_value(
         store_, drafts_key,
         [&](std::string_view current) -> std::optional<std::string>
--- a/src/rollout/sign_off_service.cpp
+++ b/src/rollout/sign_off_service.cpp
@@ -110,8 +110,8 @@
 sign_off_service::sign_off_service(platform::kv_operations store, pacing pace,
                                    base::random_source random,
                                    accepted_hook accepted)
-    : impl_(std::make_unique<impl>(std::move(store), std::move(pace),
-                                   std::move(random), std::move(accepted)))
+    : impl_(std::make_unique<impl>(std::move(store), std::move(pace), random,
+                                   std::move(accepted)))
 {
 }
 
