Test the loops of the document service

Cause: the watch and the contact check ran in no test for longer than the 8 s after which an instance without contact refuses work.

Change: a test with a long poll that reports nothing for 9 s.

The new test fails when the contact check is taken out.

Conclusion: a lone instance stays in contact during a pending watch, and its stop does not wait for the watch.

--- a/tests/rollout/document_service_test.cpp
+++ b/tests/rollout/document_service_test.cpp
@@ -319,6 +319,60 @@
 
 } // namespace
 
+// Guards against a lone instance that loses contact while its long poll has
+// nothing to report, and against a stop that waits for the poll.
+TEST_CASE("a pending watch is no loss of contact")
+{
+    net::this_thread_io();
+    simulated_store store(1);
+    auto operations = store.operations();
+    bool release = false;
+    int polls = 0;
+    const auto watch = operations.watch;
+    operations.watch = [&, watch](std::string_view name, std::uint64_t seen,
+                                  base::time_point deadline)
+    {
+        ++polls;
+        while (!release && seen >= store.applied(std::string(name)).size() &&
+               base::steady_now() < deadline)
+            boost::this_fiber::sleep_for(5ms);
+        return watch(name, seen, deadline);
+    };
+    rollout::versioned_document document("bundle");
+    rollout::document_calls calls;
+    calls.members = []
+    {
+        return std::vector<base::member_id>{};
+    };
+    auto service = rollout::document_service::builder{}
+                       .store(operations)
+                       .calls(calls)
+                       .document(document, key, rollout::stored_version)
+                       .random_seed(1)
+                       .build(base::steady_now());
+    service->start();
+    time_until([&] { return polls == 1; }, 3s);
+    operations.compare_and_swap(key, 0, "one", {});
+    CHECK(time_until([&] { return document.version() == 1; }, 1s) < 100ms);
+    bool always_in_contact = true;
+    const auto end = base::steady_now() + 9s;
+    while (base::steady_now() < end)
+    {
+        // `resuming` would only show that the test itself was held up.
+        always_in_contact =
+            always_in_contact &&
+            service->admit(base::steady_now()) != admission::out_of_contact;
+        boost::this_fiber::sleep_for(50ms);
+    }
+    CHECK(always_in_contact);
+    CHECK(polls == 2);
+    const auto start = base::steady_now();
+    service = nullptr;
+    CHECK(base::steady_now() - start < 1s);
+    release = true;
+    boost::this_fiber::sleep_for(50ms);
+}
+
 // Guards against a rollout that depends on the store after the acceptance: the
 // targets are 1 s by push, and 3 s when nothing but heartbeats get through.
 TEST_CASE("nine members have a new version in time without the store")
