--- a/src/peer/messages.hpp
+++ b/src/peer/messages.hpp
@@ -77,6 +77,7 @@
     bool leaving = false;
     document_state bundle;
     document_state fleet;
+    /// Live members as the sender sees them; not in every heartbeat.
     std::vector<member_entry> known;
     std::vector<worker_hint> leaving_workers;
     std::vector<pool_idle> idle_slots;
