base: rename two id tags that Boost declares as well

Cause: clang-tidy's forward-declaration check reports worker_tag and member_tag in each unit that includes Boost.Fiber or Boost.Intrusive. Change: worker_id_tag and member_id_tag. Conclusion: no behaviour change; the names are not used elsewhere.

--- a/src/base/strong_id.hpp
+++ b/src/base/strong_id.hpp
@@ -30,13 +30,13 @@
     std::string value_;
 };
 
-using worker_id = strong_id<struct worker_tag>;
+using worker_id = strong_id<struct worker_id_tag>;
 using pool_name = strong_id<struct pool_tag>;
 using department_name = strong_id<struct department_tag>;
 using caller_name = strong_id<struct caller_tag>;
 using queue_name = strong_id<struct queue_tag>;
 /// An entry instance.
-using member_id = strong_id<struct member_tag>;
+using member_id = strong_id<struct member_id_tag>;
 using lease_id = strong_id<struct lease_tag>;
 using job_id = strong_id<struct job_tag>;
 /// An availability zone.
