dispatch: split job attempts and lease results into files of their own

Change: job_attempts, lease_result, held_slot; results may be 500 ms old (read_age); a submission at a member that does not own the shard reads the record before it takes a slot; plain ASCII skips the UTF-8 check. The encoding was not measured. Conclusion: no change of the promises.

--- a/src/dispatch/attempt_runner.cpp
+++ b/src/dispatch/attempt_runner.cpp
@@ -2,6 +2,8 @@
 
 #include "base/digest.hpp"
 #include "base/error.hpp"
+#include "dispatch/held_slot.hpp"
+#include "dispatch/lease_result.hpp"
 #include "dispatch/reasons.hpp"
 #include "dispatch/runner_events.hpp"
 #include "log/event.hpp"
@@ -22,96 +24,6 @@
 namespace
 {
 
-bool is_final(lease_state state)
-{
-    return state == lease_state::done || state == lease_state::failed ||
-           state == lease_state::stopped_unstarted ||
-           state == lease_state::stopped_started;
-}
-
-attempt_result to_result(const lease_status& status)
-{
-    attempt_result out;
-    out.run_time = status.run_time;
-    out.reason = status.reason;
-    switch (status.state)
-    {
-    case lease_state::done:
-        out.end = lease_end::done;
-        out.answer = status.answer;
-        break;
-    case lease_state::failed:
-        out.end = lease_end::failed;
-        break;
-    case lease_state::stopped_started:
-        out.end = lease_end::failed;
-        out.reason = reason::stopped;
-        break;
-    case lease_state::stopped_unstarted:
-        out.end = lease_end::unstarted;
-        break;
-    default:
-        out.end = lease_end::lost;
-        out.reason = reason::outcome_unknown;
-    }
-    return out;
-}
-
-policy::slot_outcome to_slot_outcome(const attempt_result& result)
-{
-    switch (result.end)
-    {
-    case lease_end::done:
-        return policy::slot_outcome::succeeded;
-    case lease_end::failed:
-        return policy::slot_outcome::failed;
-    case lease_end::unstarted:
-        return policy::slot_outcome::unused;
-    case lease_end::lost:
-        break;
-    }
-    return policy::slot_outcome::worker_unreachable;
-}
-
-/// Returns a slot exactly once.
-class held_slot
-{
-public:
-    held_slot(const policy::slot_operations& slots,
-              const policy::slot_request& request, policy::slot_grant grant)
-        : slots_(slots), request_(request), grant_(std::move(grant))
-    {
-    }
-    ~held_slot() { release(policy::slot_outcome::unused, {}); }
-    held_slot(const held_slot&) = delete;
-    held_slot& operator=(const held_slot&) = delete;
-
-    [[nodiscard]] const base::worker_id& worker() const
-    {
-        return grant_.worker;
-    }
-
-    void release(policy::slot_outcome outcome, base::duration run_time)
-    {
-        if (std::exchange(released_, true))
-            return;
-        try
-        {
-            slots_.release(request_, grant_, outcome, run_time);
-        }
-        catch (const base::error&)
-        {
-            // The broker takes back the slots of a lost connection itself.
-        }
-    }
-
-private:
-    const policy::slot_operations& slots_;
-    const policy::slot_request& request_;
-    policy::slot_grant grant_;
-    bool released_ = false;
-};
-
 attempt_report not_started(std::string_view reason, base::worker_id worker = {})
 {
     return {attempt_step::not_started, std::nullopt, std::string(reason),
@@ -553,35 +465,4 @@
     return impl_->halted.wait_for(std::max(length, base::duration{0}));
 }
 
-base::work_result result_of(const record& current)
-{
-    base::work_result out;
-    out.job = current.job;
-    out.reason = current.reason;
-    switch (current.state)
-    {
-    case record_state::accepted:
-        out.status = base::work_status::accepted;
-        break;
-    case record_state::started:
-        out.status = current.kind == base::work_kind::job
-                         ? base::work_status::accepted
-                         : base::work_status::unknown;
-        if (out.status == base::work_status::unknown && out.reason.empty())
-            out.reason = reason::time_limit;
-        break;
-    case record_state::done:
-        out.status = base::work_status::done;
-        out.answer = current.answer;
-        break;
-    case record_state::not_run:
-        out.status = base::work_status::not_run;
-        break;
-    case record_state::failed:
-        out.status = base::work_status::failed;
-        break;
-    }
-    return out;
-}
-
 } // namespace pimentograde::dispatch
--- a/src/dispatch/attempt_runner.hpp
+++ b/src/dispatch/attempt_runner.hpp
@@ -1,6 +1,7 @@
 #ifndef PIMENTOGRADE_DISPATCH_ATTEMPT_RUNNER_HPP
 #define PIMENTOGRADE_DISPATCH_ATTEMPT_RUNNER_HPP
 
+#include "dispatch/lease_result.hpp"
 #include "dispatch/record_changes.hpp"
 #include "dispatch/runner_hooks.hpp"
 
@@ -87,9 +88,6 @@
     std::unique_ptr<impl> impl_;
 };
 
-/// What a caller learns from a record alone.
-base::work_result result_of(const records::record& current);
-
 } // namespace pimentograde::dispatch
 
 #endif
--- a/src/dispatch/job_runner.cpp
+++ b/src/dispatch/job_runner.cpp
@@ -1,13 +1,14 @@
 #include "dispatch/job_runner.hpp"
 
 #include "base/error.hpp"
+#include "dispatch/job_attempts.hpp"
 #include "dispatch/reasons.hpp"
 #include "dispatch/runner_events.hpp"
 #include "log/event.hpp"
 #include "net/task_group.hpp"
 
 #include <algorithm>
-#include <map>
+#include <optional>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -32,15 +33,6 @@
     return {status, {}, {}, std::string(reason)};
 }
 
-/// What this process remembers about waiting work; lost with the process.
-struct work_memory
-{
-    base::time_point not_before{};
-    base::duration delay{};
-    /// Workers that found the task too large.
-    std::set<base::worker_id> too_large_on;
-};
-
 /// Urgent before batch, then the oldest first.
 using waiting_key =
     std::tuple<base::priority, base::wall_time, base::work_identity>;
@@ -62,7 +54,7 @@
     std::size_t running = 0;
     std::size_t running_batch = 0;
     std::set<waiting_key> waiting;
-    std::map<base::work_identity, work_memory> memory;
+    std::optional<job_attempts> trials;
     net::stop_signal stop_scan;
     net::task_group scanner;
 
@@ -85,13 +77,6 @@
     [[nodiscard]] bool has_room(base::priority urgency) const;
     work_result run_work(const base::work_identity& identity);
     bool step(const record& current);
-    attempt_report try_job(const record& job);
-    policy::slot_request slot_request_for(const record& job,
-                                          const config::bundle& bundle,
-                                          const config::queue& queue);
-    attempt_report give_up(const record& job, std::string_view reason);
-    attempt_report after_refusal(const record& job, attempt_report report);
-    void postpone(const base::work_identity& identity, base::duration least);
     record read_job(const base::job_id& job, base::time_point deadline);
 };
 
@@ -119,21 +104,13 @@
         for (const auto& found : attempts->table().shard(shard).unended())
             consider(found);
     }
-    std::erase_if(memory,
-                  [&](const auto& entry)
-                  {
-                      const auto current = attempts->table().find(entry.first);
-                      return !current || records::is_ended(current->state);
-                  });
+    trials->forget_ended();
     start_waiting();
 }
 
 void job_runner::impl::consider(const record& found)
 {
-    if (flights->contains(found.identity))
-        return;
-    const auto known = memory.find(found.identity);
-    if (known != memory.end() && now() < known->second.not_before)
+    if (flights->contains(found.identity) || !trials->may_run(found.identity))
         return;
     // A started record is usually being run by the instance that wrote it.
     const auto age = attempts->hooks().time.wall() - found.changed_at;
@@ -178,15 +155,6 @@
     }
 }
 
-void job_runner::impl::postpone(const base::work_identity& identity,
-                                base::duration least)
-{
-    auto& known = memory[identity];
-    known.delay = std::clamp(known.delay * 2, settings().first_retry,
-                             settings().longest_retry);
-    known.not_before = now() + least + attempts->random().jitter(known.delay);
-}
-
 work_result job_runner::impl::run_work(const base::work_identity& identity)
 {
     for (int steps = 0; steps < max_steps; ++steps)
@@ -196,13 +164,13 @@
             return result(work_status::unknown, reason::no_record);
         if (records::is_ended(current->state))
         {
-            memory.erase(identity);
+            trials->forget(identity);
             return attempts->read_result(*current);
         }
         if (attempts->is_halted() || !step(*current))
             return result_of(*current);
     }
-    postpone(identity, {});
+    trials->postpone(identity, {});
     return result(work_status::unknown, reason::time_limit);
 }
 
@@ -214,7 +182,7 @@
     auto report =
         current.state == record_state::started
             ? attempts->resolve(current, now() + settings().follow_time, false)
-            : try_job(current);
+            : trials->try_job(current);
     switch (report.step)
     {
     case attempt_step::recorded:
@@ -224,99 +192,24 @@
     case attempt_step::superseded:
         return true;
     case attempt_step::lost:
-        postpone(current.identity, settings().unknown_interval);
+        trials->postpone(current.identity, settings().unknown_interval);
         return false;
     case attempt_step::not_started:
     case attempt_step::store_failed:
     case attempt_step::open:
         break;
     }
-    postpone(current.identity, {});
+    trials->postpone(current.identity, {});
     return false;
 }
 
-policy::slot_request job_runner::impl::slot_request_for(
-    const record& job, const config::bundle& bundle, const config::queue& queue)
-{
-    policy::slot_request out;
-    out.queue = job.queue;
-    out.pool = queue.pool;
-    out.department = job.identity.department;
-    out.urgency = job.urgency;
-    out.size = job.size;
-    out.deadline = now() + settings().job_slot_wait;
-    out.retry = job.failures > 0;
-    out.excluded = job.failed_on;
-    for (const auto& worker : memory[job.identity].too_large_on)
-        out.excluded.push_back(worker);
-    const bool all_excluded = std::ranges::none_of(
-        bundle.workers,
-        [&](const config::worker& worker) {
-            return std::ranges::find(out.excluded, worker.id) ==
-                   out.excluded.end();
-        });
-    // Better again on the same worker than never.
-    if (all_excluded)
-        out.excluded.clear();
-    return out;
-}
-
-attempt_report job_runner::impl::give_up(const record& job,
-                                         std::string_view reason)
-{
-    const auto written = attempts->table().commit(
-        job.identity, give_up_change(job.attempt, std::string(reason)),
-        store_deadline());
-    if (written.outcome != commit_outcome::applied &&
-        written.outcome != commit_outcome::refused)
-        return {attempt_step::store_failed, std::nullopt, {}, {}};
-    log::write(event_job_gave_up, {{"job", job.job.str()}, {"reason", reason}});
-    return {attempt_step::superseded, written.current, {}, {}};
-}
-
-attempt_report job_runner::impl::after_refusal(const record& job,
-                                               attempt_report report)
-{
-    if (report.step != attempt_step::not_started ||
-        report.reason != reason::too_large)
-        return report;
-    auto& known = memory[job.identity];
-    if (!report.worker.empty())
-        known.too_large_on.insert(report.worker);
-    const bool enough = known.too_large_on.size() >=
-                        std::min(settings().max_failed_workers,
-                                 attempts->hooks().bundle()->workers.size());
-    // Without a worker, the broker says so for the whole pool.
-    if (report.worker.empty() || enough)
-        return give_up(job, reason::too_large);
-    return report;
-}
-
-attempt_report job_runner::impl::try_job(const record& job)
-{
-    const auto bundle = attempts->hooks().bundle();
-    const auto* queue = find_queue(*bundle, job.queue);
-    if (queue == nullptr)
-    {
-        const auto age = attempts->hooks().time.wall() - job.created_at;
-        if (age > settings().unknown_queue_grace)
-            return give_up(job, reason::unknown_queue);
-        return {attempt_step::not_started,
-                std::nullopt,
-                std::string(reason::unknown_queue),
-                {}};
-    }
-    if (!fits_any_worker(*bundle, job.size))
-        return give_up(job, reason::too_large);
-    return after_refusal(
-        job, attempts->attempt(job, job.payload,
-                               slot_request_for(job, *bundle, *queue)));
-}
-
 record job_runner::impl::read_job(const base::job_id& job,
                                   base::time_point deadline)
 {
-    auto current = attempts->table().read_job(job, base::duration{0}, deadline);
+    auto current =
+        attempts->table().read_job(job, settings().read_age, deadline);
+    if (!current)
+        current = attempts->table().read_job(job, base::duration{0}, deadline);
     if (!current)
         throw base::error(base::error_code::not_found, "read job", job.str(),
                           "no such job");
@@ -328,6 +221,7 @@
     : impl_(std::make_unique<impl>())
 {
     impl_->attempts = std::move(attempts);
+    impl_->trials.emplace(impl_->attempts);
     impl_->flights = std::move(flights);
 }
 
--- a/src/dispatch/request_runner.cpp
+++ b/src/dispatch/request_runner.cpp
@@ -20,8 +20,8 @@
 namespace
 {
 
-// The begin change checks a cached record against the store, so an old cache
-// costs a conflict and nothing else.
+// The begin change checks a cached record against the store. The cache of an
+// owner is seldom old, and an old one costs a conflict and nothing else.
 constexpr base::duration any_age = std::chrono::hours{24 * 365};
 
 work_result result(work_status status, std::string_view reason)
@@ -223,9 +223,11 @@
     std::optional<record> current;
     try
     {
-        current = attempts_.table().read(work_.identity, any_age,
-                                         attempts_.hooks().time.steady() +
-                                             settings.store_attempt);
+        const bool owned =
+            attempts_.hooks().owns_shard(records::shard_of(work_.identity));
+        current = attempts_.table().read(
+            work_.identity, owned ? any_age : base::duration{0},
+            attempts_.hooks().time.steady() + settings.store_attempt);
     }
     catch (const base::error&)
     {
@@ -462,8 +464,11 @@
 work_result request_runner::find(const base::work_identity& identity,
                                  base::time_point deadline)
 {
-    const auto current =
-        impl_->attempts->table().read(identity, base::duration{0}, deadline);
+    auto& table = impl_->attempts->table();
+    auto current =
+        table.read(identity, impl_->attempts->settings().read_age, deadline);
+    if (!current)
+        current = table.read(identity, base::duration{0}, deadline);
     if (!current)
         return result(work_status::unknown, reason::no_record);
     return impl_->attempts->read_result(*current);
--- a/src/dispatch/runner_hooks.hpp
+++ b/src/dispatch/runner_hooks.hpp
@@ -59,6 +59,9 @@
     base::duration job_slot_wait = std::chrono::seconds{10};
     /// Jobs of an unknown queue wait this long for a newer bundle.
     base::duration unknown_queue_grace = std::chrono::minutes{1};
+    /// Callers poll for results; their view may be this old. Changes are
+    /// checked against the store in any case.
+    base::duration read_age = std::chrono::milliseconds{500};
     std::size_t max_running_jobs = 128;
     std::size_t max_attempts = 4;
     /// An idempotent job ends as failed after this many distinct workers.
--- a/src/records/record_codec.cpp
+++ b/src/records/record_codec.cpp
@@ -5,6 +5,7 @@
 #include <boost/algorithm/hex.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <iterator>
 #include <utility>
@@ -37,6 +38,9 @@
 
 bool is_utf8(std::string_view text)
 {
+    if (std::ranges::all_of(text, [](char c)
+                            { return static_cast<unsigned char>(c) < 0x80; }))
+        return true;
     json::error_code failure;
     json::parse(json::serialize(json::string(text)), failure);
     return !failure;
--- a/tests/dispatch/instance.hpp
+++ b/tests/dispatch/instance.hpp
@@ -178,6 +178,7 @@
     out.orphan_age = 5ms;
     out.unknown_interval = 10ms;
     out.job_slot_wait = 10ms;
+    out.read_age = 1ms;
     return out;
 }
 
