dispatch: bound cancel and settle by their deadline

Cause: histories with cancellations and drains hung: a cancellation through an instance without a store waited for ever to record the outcome that it had seen. Change: only the fiber that ran the task waits for the store without a deadline; it returns its slot before it records. A lease at a worker that is no longer in the bundle counts as lost, so that idempotent jobs go on. Histories also cancel jobs and drain instances; a test covers the outage. Conclusion: the fault could have held a caller's connection for the length of an outage.

--- a/src/dispatch/attempt_runner.cpp
+++ b/src/dispatch/attempt_runner.cpp
@@ -24,6 +24,9 @@
 namespace
 {
 
+/// The end of an attempt that this process started itself.
+using own_result = std::optional<attempt_result>;
+
 attempt_report not_started(std::string_view reason, base::worker_id worker = {})
 {
     return {attempt_step::not_started, std::nullopt, std::string(reason),
@@ -56,10 +59,13 @@
                      const record& started, bool may_stop);
     std::optional<attempt_report> check_record(const record& started);
     attempt_report record_end(const record& started,
-                              const attempt_result& result);
+                              const attempt_result& result,
+                              base::time_point deadline);
     attempt_report wait_for_end(const record& started,
                                 base::time_point deadline, bool keep_unstarted,
-                                attempt_result* end);
+                                own_result* own_end);
+    attempt_report finish_own(const record& begun,
+                              const attempt_result& result);
     attempt_report run_begun(held_slot& slot, const record& begun,
                              const platform::worker_endpoint& peer,
                              const std::string& payload);
@@ -188,13 +194,14 @@
 }
 
 attempt_report attempt_runner::impl::record_end(const record& started,
-                                                const attempt_result& result)
+                                                const attempt_result& result,
+                                                base::time_point deadline)
 {
     auto written = table->commit(
         started.identity,
         end_change(started.lease, result,
                    {settings.max_failed_workers, settings.max_failures}),
-        base::time_point::max());
+        deadline);
     if (written.outcome == commit_outcome::unavailable ||
         written.outcome == commit_outcome::unknown)
         return {attempt_step::open,
@@ -224,8 +231,12 @@
 attempt_report attempt_runner::impl::wait_for_end(const record& started,
                                                   base::time_point deadline,
                                                   bool keep_unstarted,
-                                                  attempt_result* end)
+                                                  own_result* own_end)
 {
+    const auto record_by = [&]
+    {
+        return std::max(deadline, in(settings.store_attempt));
+    };
     const auto peer = find_worker(*hooks.bundle(), started.worker);
     const auto stop_after = in(settings.reserved_grace);
     auto poll = settings.first_poll;
@@ -238,14 +249,11 @@
         if (auto current = table->find(started.identity))
             latest.cancel_requested = current->cancel_requested;
         if (!peer)
-            return {attempt_step::lost,
-                    started,
-                    std::string(reason::outcome_unknown),
-                    {}};
+            return record_end(started, to_result({}), record_by());
         try
         {
             const bool may_stop =
-                end != nullptr || hooks.time.steady() >= stop_after;
+                own_end != nullptr || hooks.time.steady() >= stop_after;
             const auto status = ask(*peer, latest, may_stop);
             const bool lost = status.state == lease_state::unknown ||
                               status.incarnation != started.incarnation;
@@ -254,11 +262,14 @@
                 auto result = to_result(
                     lost ? lease_status{lease_state::unknown, {}, {}, 0, {}}
                          : status);
-                if (end != nullptr)
-                    *end = result;
+                if (own_end != nullptr)
+                {
+                    *own_end = std::move(result);
+                    return {attempt_step::open, started, {}, {}};
+                }
                 if (result.end == lease_end::unstarted && keep_unstarted)
                     return not_started(reason::stopped, started.worker);
-                return record_end(started, result);
+                return record_end(started, result, record_by());
             }
             reason = reason::time_limit;
         }
@@ -275,6 +286,18 @@
     return {attempt_step::open, started, reason, {}};
 }
 
+/// Records the end of an attempt of this fiber, which keeps the outcome until
+/// it is written.
+attempt_report attempt_runner::impl::finish_own(const record& begun,
+                                                const attempt_result& result)
+{
+    if (result.end == lease_end::unstarted &&
+        begun.kind == base::work_kind::request)
+        return {attempt_step::not_started, begun,
+                std::string(reason::worker_unreachable), begun.worker};
+    return record_end(begun, result, base::time_point::max());
+}
+
 attempt_report
 attempt_runner::impl::run_begun(held_slot& slot, const record& begun,
                                 const platform::worker_endpoint& peer,
@@ -291,19 +314,13 @@
     {
         const auto result = to_result(status);
         slot.release(to_slot_outcome(result), result.run_time);
-        if (result.end == lease_end::unstarted &&
-            begun.kind == base::work_kind::request)
-            return {attempt_step::not_started, begun,
-                    std::string(reason::worker_unreachable), peer.id};
-        return record_end(begun, result);
+        return finish_own(begun, result);
     }
-    attempt_result end;
-    auto report = wait_for_end(begun, in(settings.follow_time),
-                               begun.kind == base::work_kind::request, &end);
-    slot.release(to_slot_outcome(end), end.run_time);
-    if (report.step == attempt_step::not_started)
-        report.current = begun;
-    return report;
+    own_result end;
+    auto report = wait_for_end(begun, in(settings.follow_time), false, &end);
+    const auto result = end.value_or(attempt_result{});
+    slot.release(to_slot_outcome(result), result.run_time);
+    return end ? finish_own(begun, result) : report;
 }
 
 attempt_runner::attempt_runner(runner_hooks hooks, runner_settings settings,
--- a/tests/dispatch/history.cpp
+++ b/tests/dispatch/history.cpp
@@ -66,7 +66,6 @@
         end_faults();
         fibers.join();
         late_answers_.join();
-        replace_killed();
         resolve();
         log_.executions = workers_.log;
         live_.clear();
@@ -164,6 +163,25 @@
         return *answer;
     }
 
+    /// Cancels an accepted job through any instance.
+    void cancel(const history_key& key, const base::job_id& job)
+    {
+        auto through = live_[random_.below(live_.size())];
+        try
+        {
+            const auto& identity = key.work.identity;
+            const auto result = through->work->jobs().cancel(
+                job, identity.department, identity.caller,
+                base::steady_now() + 50ms);
+            if (!through->gate.killed)
+                note(identity.key, result);
+        }
+        catch (const base::error&)
+        {
+            // The caller learns nothing.
+        }
+    }
+
     void call(const history_key& key)
     {
         boost::this_fiber::sleep_for(random_.jitter(round_time));
@@ -171,6 +189,9 @@
         for (int attempt = 0; attempt < 5; ++attempt)
         {
             const auto answer = send(key, origin);
+            if (answer && answer->status == work_status::accepted &&
+                random_.below(4) == 0)
+                cancel(key, answer->job);
             if (answer && is_definite(*answer))
                 return;
             origin = dispatch::submission_origin::possible_retry;
@@ -185,6 +206,20 @@
         live_[index] = make_instance(index);
     }
 
+    /// Planned replacement: the old process drains and then ends.
+    void replace_gracefully(std::size_t index)
+    {
+        auto old = live_[index];
+        dead_.push_back(old);
+        live_[index] = make_instance(index);
+        late_answers_.spawn(
+            [old]
+            {
+                old->work->drain(base::steady_now() + 60ms);
+                old->gate.killed = true;
+            });
+    }
+
     void replace_killed()
     {
         for (std::size_t i = 0; i < live_.size(); ++i)
@@ -207,6 +242,8 @@
                 kill(random_.below(instance_count));
                 break;
             case 1:
+                replace_gracefully(random_.below(instance_count));
+                break;
             case 2:
                 store_.down = true;
                 break;
@@ -248,6 +285,8 @@
 
     base::work_result look_up(const history_key& key)
     {
+        // A call that began before the faults ended may still kill.
+        replace_killed();
         const auto& identity = key.work.identity;
         const auto job = log_.accepted.find(identity.key);
         try
@@ -276,14 +315,12 @@
             key.work.time_limit = 500ms;
             auto result = look_up(key);
             const auto give_up = base::steady_now() + settle_time;
-            while (
-                base::steady_now() < give_up &&
-                (result.status == work_status::accepted ||
-                 (result.status == work_status::unknown && !log_.any_reboot)))
+            while (base::steady_now() < give_up &&
+                   (result.status == work_status::accepted ||
+                    (result.status == work_status::unknown &&
+                     result.reason != dispatch::reason::outcome_unknown)))
             {
                 boost::this_fiber::sleep_for(1ms);
-                // A call that began before the faults ended may still kill.
-                replace_killed();
                 if (result.status == work_status::accepted)
                     note(name, result);
                 result = look_up(key);
--- a/tests/dispatch/job_runner_test.cpp
+++ b/tests/dispatch/job_runner_test.cpp
@@ -167,6 +167,51 @@
               .reason == dispatch::reason::no_record);
 }
 
+// Guards against a caller that hangs for the length of a store outage.
+TEST_CASE("a cancellation during a store outage returns by its deadline")
+{
+    job_fixture fixture;
+    fixture.workers.run_time = [](const std::string&)
+    {
+        return 10s;
+    };
+    auto through = fixture.make_instance(1);
+    const auto accepted =
+        through->work->jobs().submit(make_work("a", work_kind::job));
+    boost::this_fiber::sleep_for(10ms);
+    int calls = 0;
+    through->gate.next = [&]
+    {
+        // The mark is written; then the store is down.
+        fixture.store.down = ++calls > 2;
+        return process_fault::none;
+    };
+    const auto begin = base::steady_now();
+    base::work_result result;
+    try
+    {
+        result = through->work->jobs().cancel(
+            accepted.job, base::department_name("field"),
+            base::caller_name("club"), begin + 20ms);
+    }
+    catch (const base::error&)
+    {
+        result.status = work_status::unknown;
+    }
+    CHECK(base::steady_now() - begin < 200ms);
+    CHECK(result.status == work_status::unknown);
+    through->gate.next = []
+    {
+        return process_fault::none;
+    };
+    fixture.store.down = false;
+    boost::this_fiber::sleep_for(40ms);
+    cancel_job(*through, accepted.job);
+    const auto ended = wait_for_end(*through, accepted.job);
+    CHECK(ended.status == work_status::failed);
+    CHECK(ended.reason == dispatch::reason::cancelled);
+}
+
 // Guards against a lost outcome that is hidden, run again or settled as "not
 // run", and against settling what a worker still knows.
 TEST_CASE("only an operator ends a job with a lost outcome")
