--- a/src/records/record_shard.cpp
+++ b/src/records/record_shard.cpp
@@ -332,8 +332,11 @@
 void record_shard::refresh(base::time_point deadline)
 {
     const auto state = impl_;
+    const auto asked_at = state->env.time.steady();
     std::unique_lock lock(state->store_mutex);
-    state->load(deadline);
+    // One read serves all fibers that waited for it.
+    if (!state->valid || state->confirmed_at < asked_at)
+        state->load(deadline);
 }
 
 std::optional<base::time_point> record_shard::confirmed_at() const
--- a/tests/records/record_shard_test.cpp
+++ b/tests/records/record_shard_test.cpp
@@ -173,6 +173,19 @@
     CHECK(shard->find(identity_of("a")));
 }
 
+// Guards against one read of the store for each of many polling callers.
+TEST_CASE("readers that wait together share a read")
+{
+    shard_fixture fixture;
+    fixture.store.latency = 2ms;
+    auto shard = fixture.make_shard(1);
+    net::task_group fibers;
+    for (int i = 0; i < 50; ++i)
+        fibers.spawn([&] { shard->refresh(soon()); });
+    fibers.join();
+    CHECK(fixture.store.reads <= 2);
+}
+
 // Guards against a hanging caller, and against "not written" for a write that
 // may take effect.
 TEST_CASE("an outage ends in unavailable, a lost response in the truth")
