dispatch: follow a long task until its end; no slot during an outage

Cause: a request that ran longer than start_wait and follow_time together (90 s) was reported unknown although its worker answered; recorded work took a slot and a lease for 500 ms each during an outage. Change: each answer of the worker extends the time that the starting fiber follows; a shard whose last store call failed is read before a slot is taken. Tests for both and for a start after a pause longer than the lease. Conclusion: during an outage refused work leaves the slots to idempotent requests.

--- a/src/dispatch/attempt_runner.cpp
+++ b/src/dispatch/attempt_runner.cpp
@@ -272,6 +272,8 @@
                 return record_end(started, result, record_by());
             }
             reason = reason::time_limit;
+            if (own_end != nullptr)
+                deadline = in(settings.follow_time);
         }
         catch (const base::error&)
         {
--- a/src/records/record_shard.cpp
+++ b/src/records/record_shard.cpp
@@ -74,6 +74,8 @@
     /// Whether `state` is the value of `version`.
     bool valid = false;
     std::optional<base::time_point> confirmed_at;
+    /// Whether the last store call succeeded.
+    bool reachable = false;
     std::deque<pending_ptr> queue;
     bool writing = false;
     net::stop_signal abandoned;
@@ -88,6 +90,7 @@
 void record_shard::impl::load(base::time_point deadline)
 {
     const auto start = env.time.steady();
+    reachable = false;
     const auto entry = env.store.get(key, deadline);
     if (entry.version < version)
         throw base::error(base::error_code::unavailable, "read records", key,
@@ -100,6 +103,7 @@
         valid = true;
     }
     confirmed_at = start;
+    reachable = true;
 }
 
 void record_shard::impl::finish(const pending_ptr& commit, commit_result result)
@@ -132,6 +136,7 @@
 
 void record_shard::impl::note_failure(const base::error& failure)
 {
+    reachable = false;
     if (failures++ > 0)
         return;
     log::write(failure.code() == base::error_code::invalid
@@ -339,6 +344,11 @@
         state->load(deadline);
 }
 
+bool record_shard::is_reachable() const
+{
+    return impl_->reachable;
+}
+
 std::optional<base::time_point> record_shard::confirmed_at() const
 {
     return impl_->confirmed_at;
--- a/src/records/record_shard.hpp
+++ b/src/records/record_shard.hpp
@@ -99,6 +99,8 @@
 
     /// Reads the store value into the cache. Throws `base::error`.
     void refresh(base::time_point deadline);
+    /// Whether the last store call of this shard succeeded.
+    [[nodiscard]] bool is_reachable() const;
     /// When the cache was last known to be the store's value.
     [[nodiscard]] std::optional<base::time_point> confirmed_at() const;
 
--- a/src/records/record_table.cpp
+++ b/src/records/record_table.cpp
@@ -131,7 +131,8 @@
 {
     auto& target = *impl_->shards.at(shard);
     const auto confirmed = target.confirmed_at();
-    if (!confirmed || impl_->time.steady() - *confirmed > max_age)
+    if (!confirmed || !target.is_reachable() ||
+        impl_->time.steady() - *confirmed > max_age)
         target.refresh(deadline);
 }
 
--- a/src/records/record_table.hpp
+++ b/src/records/record_table.hpp
@@ -57,7 +57,8 @@
                          record_change change, base::time_point deadline);
 
     /// The record of an identity. Reads the store unless the cache was
-    /// confirmed within `max_age`. Throws `base::error`.
+    /// confirmed within `max_age` and the last call to the store succeeded.
+    /// Throws `base::error`.
     std::optional<record> read(const base::work_identity& identity,
                                base::duration max_age,
                                base::time_point deadline);
--- a/tests/dispatch/fake_workers.hpp
+++ b/tests/dispatch/fake_workers.hpp
@@ -46,6 +46,7 @@
     };
     std::vector<execution> log;
     std::size_t slots = 8;
+    std::size_t reservations = 0;
 
     void reboot(const std::string& worker)
     {
@@ -199,6 +200,7 @@
         }
         if (used >= slots)
             return out;
+        ++reservations;
         out.outcome = reserve_outcome::granted;
         out.lease =
             base::lease_id(peer.id.str() + "-" + std::to_string(++last_lease_));
--- a/tests/dispatch/request_runner_test.cpp
+++ b/tests/dispatch/request_runner_test.cpp
@@ -103,6 +103,69 @@
     CHECK(idempotent.status == work_status::done);
 }
 
+// Guards against refused work that holds workers' slots during an outage,
+// while idempotent requests need them.
+TEST_CASE("recorded work takes no slot once the store is known to be down")
+{
+    request_fixture fixture;
+    auto through = fixture.make_instance(1);
+    through->work->requests().run(make_work("a", work_kind::request));
+    fixture.store.down = true;
+    const auto work = make_work("a", work_kind::request);
+    auto same_shard = work;
+    for (int i = 0; records::shard_of(same_shard.identity) !=
+                        records::shard_of(work.identity) ||
+                    i == 0;
+         ++i)
+        same_shard.identity.key = "b" + std::to_string(i);
+    through->work->requests().run(same_shard);
+    const auto before = fixture.workers.reservations;
+    for (int i = 0; i < 5; ++i)
+        CHECK(through->work->requests().run(same_shard).reason ==
+              dispatch::reason::store_unavailable);
+    CHECK(fixture.workers.reservations == before);
+    fixture.store.down = false;
+    boost::this_fiber::sleep_for(20ms);
+    CHECK(through->work->requests().run(same_shard).status ==
+          work_status::done);
+}
+
+// Guards against a lease that ends under a task that is longer than the
+// lease's time to live and than one start call.
+TEST_CASE("the lease of a long task is renewed until its end")
+{
+    request_fixture fixture;
+    fixture.workers.run_time = [](const std::string&)
+    {
+        return 80ms;
+    };
+    auto through = fixture.make_instance(1);
+    const auto result =
+        through->work->requests().run(make_work("a", work_kind::request));
+    CHECK(result.status == work_status::done);
+    CHECK(fixture.workers.log.size() == 1);
+}
+
+// Guards against a start that takes effect although its lease has ended while
+// the process was paused.
+TEST_CASE("a start after a pause longer than the lease is refused")
+{
+    request_fixture fixture;
+    auto settings = quick_settings();
+    settings.scan_interval = 1h;
+    settings.max_attempts = 1;
+    instance through(
+        fixture.store, fixture.workers, fixture.bundle, 1,
+        [](std::size_t) { return false; }, settings);
+    // Calls: read, reserve, read and write of the record, start.
+    through.gate.freeze_time = 40ms;
+    through.gate.next = fault_at(4, process_fault::freeze_before);
+    const auto result =
+        through.work->requests().run(make_work("a", work_kind::request));
+    CHECK(result.status == work_status::not_run);
+    CHECK(fixture.workers.log.empty());
+}
+
 // Guards against an answer that is lost when the store fails during the run.
 TEST_CASE("an outcome is written after a store outage")
 {
