--- a/src/dispatch/attempt_runner.cpp
+++ b/src/dispatch/attempt_runner.cpp
@@ -2,6 +2,8 @@
 
 #include "base/digest.hpp"
 #include "base/error.hpp"
+#include "dispatch/held_slot.hpp"
+#include "dispatch/lease_result.hpp"
 #include "dispatch/reasons.hpp"
 #include "dispatch/runner_events.hpp"
 #include "log/event.hpp"
@@ -22,95 +24,8 @@
 namespace
 {
 
-bool is_final(lease_state state)
-{
-    return state == lease_state::done || state == lease_state::failed ||
-           state == lease_state::stopped_unstarted ||
-           state == lease_state::stopped_started;
-}
-
-attempt_result to_result(const lease_status& status)
-{
-    attempt_result out;
-    out.run_time = status.run_time;
-    out.reason = status.reason;
-    switch (status.state)
-    {
-    case lease_state::done:
-        out.end = lease_end::done;
-        out.answer = status.answer;
-        break;
-    case lease_state::failed:
-        out.end = lease_end::failed;
-        break;
-    case lease_state::stopped_started:
-        out.end = lease_end::failed;
-        out.reason = reason::stopped;
-        break;
-    case lease_state::stopped_unstarted:
-        out.end = lease_end::unstarted;
-        break;
-    default:
-        out.end = lease_end::lost;
-        out.reason = reason::outcome_unknown;
-    }
-    return out;
-}
-
-policy::slot_outcome to_slot_outcome(const attempt_result& result)
-{
-    switch (result.end)
-    {
-    case lease_end::done:
-        return policy::slot_outcome::succeeded;
-    case lease_end::failed:
-        return policy::slot_outcome::failed;
-    case lease_end::unstarted:
-        return policy::slot_outcome::unused;
-    case lease_end::lost:
-        break;
-    }
-    return policy::slot_outcome::worker_unreachable;
-}
-
-/// Returns a slot exactly once.
-class held_slot
-{
-public:
-    held_slot(const policy::slot_operations& slots,
-              const policy::slot_request& request, policy::slot_grant grant)
-        : slots_(slots), request_(request), grant_(std::move(grant))
-    {
-    }
-    ~held_slot() { release(policy::slot_outcome::unused, {}); }
-    held_slot(const held_slot&) = delete;
-    held_slot& operator=(const held_slot&) = delete;
-
-    [[nodiscard]] const base::worker_id& worker() const
-    {
-        return grant_.worker;
-    }
-
-    void release(policy::slot_outcome outcome, base::duration run_time)
-    {
-        if (std::exchange(released_, true))
-            return;
-        try
-        {
-            slots_.release(request_, grant_, outcome, run_time);
-        }
-        catch (const base::error&)
-        {
-            // The broker takes back the slots of a lost connection itself.
-        }
-    }
-
-private:
-    const policy::slot_operations& slots_;
-    const policy::slot_request& request_;
-    policy::slot_grant grant_;
-    bool released_ = false;
-};
+/// The end of an attempt that this process started itself.
+using own_result = std::optional<attempt_result>;
 
 attempt_report not_started(std::string_view reason, base::worker_id worker = {})
 {
@@ -144,10 +59,13 @@
                      const record& started, bool may_stop);
     std::optional<attempt_report> check_record(const record& started);
     attempt_report record_end(const record& started,
-                              const attempt_result& result);
+                              const attempt_result& result,
+                              base::time_point deadline);
     attempt_report wait_for_end(const record& started,
                                 base::time_point deadline, bool keep_unstarted,
-                                attempt_result* end);
+                                own_result* own_end);
+    attempt_report finish_own(const record& begun,
+                              const attempt_result& result);
     attempt_report run_begun(held_slot& slot, const record& begun,
                              const platform::worker_endpoint& peer,
                              const std::string& payload);
@@ -276,13 +194,14 @@
 }
 
 attempt_report attempt_runner::impl::record_end(const record& started,
-                                                const attempt_result& result)
+                                                const attempt_result& result,
+                                                base::time_point deadline)
 {
     auto written = table->commit(
         started.identity,
         end_change(started.lease, result,
                    {settings.max_failed_workers, settings.max_failures}),
-        base::time_point::max());
+        deadline);
     if (written.outcome == commit_outcome::unavailable ||
         written.outcome == commit_outcome::unknown)
         return {attempt_step::open,
@@ -312,8 +231,12 @@
 attempt_report attempt_runner::impl::wait_for_end(const record& started,
                                                   base::time_point deadline,
                                                   bool keep_unstarted,
-                                                  attempt_result* end)
+                                                  own_result* own_end)
 {
+    const auto record_by = [&]
+    {
+        return std::max(deadline, in(settings.store_attempt));
+    };
     const auto peer = find_worker(*hooks.bundle(), started.worker);
     const auto stop_after = in(settings.reserved_grace);
     auto poll = settings.first_poll;
@@ -326,14 +249,11 @@
         if (auto current = table->find(started.identity))
             latest.cancel_requested = current->cancel_requested;
         if (!peer)
-            return {attempt_step::lost,
-                    started,
-                    std::string(reason::outcome_unknown),
-                    {}};
+            return record_end(started, to_result({}), record_by());
         try
         {
             const bool may_stop =
-                end != nullptr || hooks.time.steady() >= stop_after;
+                own_end != nullptr || hooks.time.steady() >= stop_after;
             const auto status = ask(*peer, latest, may_stop);
             const bool lost = status.state == lease_state::unknown ||
                               status.incarnation != started.incarnation;
@@ -342,13 +262,18 @@
                 auto result = to_result(
                     lost ? lease_status{lease_state::unknown, {}, {}, 0, {}}
                          : status);
-                if (end != nullptr)
-                    *end = result;
+                if (own_end != nullptr)
+                {
+                    *own_end = std::move(result);
+                    return {attempt_step::open, started, {}, {}};
+                }
                 if (result.end == lease_end::unstarted && keep_unstarted)
                     return not_started(reason::stopped, started.worker);
-                return record_end(started, result);
+                return record_end(started, result, record_by());
             }
             reason = reason::time_limit;
+            if (own_end != nullptr)
+                deadline = in(settings.follow_time);
         }
         catch (const base::error&)
         {
@@ -363,6 +288,18 @@
     return {attempt_step::open, started, reason, {}};
 }
 
+/// Records the end of an attempt of this fiber, which keeps the outcome until
+/// it is written.
+attempt_report attempt_runner::impl::finish_own(const record& begun,
+                                                const attempt_result& result)
+{
+    if (result.end == lease_end::unstarted &&
+        begun.kind == base::work_kind::request)
+        return {attempt_step::not_started, begun,
+                std::string(reason::worker_unreachable), begun.worker};
+    return record_end(begun, result, base::time_point::max());
+}
+
 attempt_report
 attempt_runner::impl::run_begun(held_slot& slot, const record& begun,
                                 const platform::worker_endpoint& peer,
@@ -379,19 +316,13 @@
     {
         const auto result = to_result(status);
         slot.release(to_slot_outcome(result), result.run_time);
-        if (result.end == lease_end::unstarted &&
-            begun.kind == base::work_kind::request)
-            return {attempt_step::not_started, begun,
-                    std::string(reason::worker_unreachable), peer.id};
-        return record_end(begun, result);
+        return finish_own(begun, result);
     }
-    attempt_result end;
-    auto report = wait_for_end(begun, in(settings.follow_time),
-                               begun.kind == base::work_kind::request, &end);
-    slot.release(to_slot_outcome(end), end.run_time);
-    if (report.step == attempt_step::not_started)
-        report.current = begun;
-    return report;
+    own_result end;
+    auto report = wait_for_end(begun, in(settings.follow_time), false, &end);
+    const auto result = end.value_or(attempt_result{});
+    slot.release(to_slot_outcome(result), result.run_time);
+    return end ? finish_own(begun, result) : report;
 }
 
 attempt_runner::attempt_runner(runner_hooks hooks, runner_settings settings,
@@ -553,35 +484,4 @@
     return impl_->halted.wait_for(std::max(length, base::duration{0}));
 }
 
-base::work_result result_of(const record& current)
-{
-    base::work_result out;
-    out.job = current.job;
-    out.reason = current.reason;
-    switch (current.state)
-    {
-    case record_state::accepted:
-        out.status = base::work_status::accepted;
-        break;
-    case record_state::started:
-        out.status = current.kind == base::work_kind::job
-                         ? base::work_status::accepted
-                         : base::work_status::unknown;
-        if (out.status == base::work_status::unknown && out.reason.empty())
-            out.reason = reason::time_limit;
-        break;
-    case record_state::done:
-        out.status = base::work_status::done;
-        out.answer = current.answer;
-        break;
-    case record_state::not_run:
-        out.status = base::work_status::not_run;
-        break;
-    case record_state::failed:
-        out.status = base::work_status::failed;
-        break;
-    }
-    return out;
-}
-
 } // namespace pimentograde::dispatch
