--- a/src/cli/client_commands.cpp
+++ b/src/cli/client_commands.cpp
@@ -9,6 +9,7 @@
 #include <boost/fiber/operations.hpp>
 #include <boost/json.hpp>
 
+#include <charconv>
 #include <fstream>
 #include <iterator>
 #include <ostream>
@@ -33,6 +34,17 @@
     return {std::istreambuf_iterator<char>(file), {}};
 }
 
+std::uint64_t parse_number(const std::string& text)
+{
+    std::uint64_t number = 0;
+    const char* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    if (parsed.ec != std::errc{} || parsed.ptr != end)
+        throw base::error(base::error_code::invalid, "read option", "",
+                          "'" + text + "' is not a version");
+    return number;
+}
+
 void print(command_input& input, const json::value& value)
 {
     if (input.json)
@@ -85,21 +97,21 @@
     return exit_code::ok;
 }
 
-// Asks again with the same sign-off id until the instance knows the outcome:
-// a lost answer neither doubles nor loses a sign-off.
-json::value sign_off_until_known(command_input& input, const std::string& id)
+// The instance recognises a repeated sign-off by draft, reviewer and base
+// version, so asking again after a lost answer neither doubles nor loses it.
+exit_code sign_off_bundle(command_input& input)
 {
     remote_call call(input.settings, "endpoint");
     const json::object body{
-        {"base_version", json::parse(input.options["base"])},
-        {"sign_off_id", id}};
+        {"base_version", parse_number(input.options["base"])}};
     const std::string path =
         fill_path("/v1/bundle/drafts/{}/sign-off", input.arguments);
     while (true)
     {
         try
         {
-            return call.send("POST", path, json::serialize(body));
+            print(input, call.send("POST", path, json::serialize(body)));
+            return exit_code::ok;
         }
         catch (const base::error& failure)
         {
@@ -115,21 +127,14 @@
     }
 }
 
-exit_code sign_off_bundle(command_input& input)
+exit_code review_bundle(command_input& input)
 {
-    std::string id = input.options["id"];
-    if (id.empty())
-        id = base::random_source{}.hex_id();
-    try
-    {
-        print(input, sign_off_until_known(input, id));
-    }
-    catch (const base::error& failure)
-    {
-        if (failure.effect_unknown())
-            input.err << "outcome unknown; repeat with --id " << id << '\n';
-        throw;
-    }
+    remote_call call(input.settings, "endpoint");
+    const json::object body{{"comment", input.options["comment"]}};
+    print(input,
+          call.send("POST",
+                    fill_path("/v1/bundle/drafts/{}/review", input.arguments),
+                    json::serialize(body)));
     return exit_code::ok;
 }
 
@@ -171,8 +176,7 @@
 exit_code settle_job(command_input& input)
 {
     remote_call call(input.settings, "endpoint");
-    const json::object body{{"as", input.options["as"]},
-                            {"note", input.options["note"]}};
+    const json::object body{{"as", input.options["as"]}};
     print(input,
           call.send("POST", fill_path("/v1/jobs/{}/settle", input.arguments),
                     json::serialize(body)));
@@ -231,10 +235,16 @@
          {"DRAFT"},
          "Put a draft of somebody else into force (role reviewer)",
          "pimentograde bundle sign-off 3f2a --base 4",
-         {{"base", "0", "Version that the draft replaces (default: 0, none)"},
-          {"id", "", "Sign-off id, to repeat one with unknown outcome"}},
+         {{"base", "0", "Version that the draft replaces (default: 0, none)"}},
          client_settings(),
          sign_off_bundle});
+    all.push_back({"bundle review",
+                   {"DRAFT"},
+                   "Add a comment to a draft (role reviewer)",
+                   "pimentograde bundle review 3f2a --comment 'racks checked'",
+                   {{"comment", "", "Text of the comment"}},
+                   client_settings(),
+                   review_bundle});
     all.push_back(remote("bundle show", {}, "GET", "/v1/bundle",
                          "Print the bundle in force",
                          "pimentograde bundle show -j"));
@@ -312,9 +322,8 @@
     all.push_back({"job settle",
                    {"ID"},
                    "State the outcome of an unresolved job (role reviewer)",
-                   "pimentograde job settle 17-4e81 --as done --note checked",
-                   {{"as", "", "done, failed or not_run"},
-                    {"note", "", "What was checked"}},
+                   "pimentograde job settle 17-4e81 --as done",
+                   {{"as", "", "done or failed"}},
                    client_settings(),
                    settle_job});
     all.push_back({"job submit",
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http.hpp>
 
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -41,6 +42,7 @@
     std::size_t max_idle = 0;
     http_limits limits;
     std::map<endpoint, std::vector<idle_connection>> idle;
+    std::set<beast::tcp_stream*> busy;
 
     std::unique_ptr<beast::tcp_stream> take_idle(const endpoint& where,
                                                  base::time_point now);
@@ -102,6 +104,24 @@
     return message;
 }
 
+// Registers a connection as in use while it exists.
+class busy_guard
+{
+public:
+    busy_guard(std::set<beast::tcp_stream*>& busy, beast::tcp_stream& stream)
+        : busy_(busy), stream_(stream)
+    {
+        busy_.insert(&stream_);
+    }
+    ~busy_guard() { busy_.erase(&stream_); }
+    busy_guard(const busy_guard&) = delete;
+    busy_guard& operator=(const busy_guard&) = delete;
+
+private:
+    std::set<beast::tcp_stream*>& busy_;
+    beast::tcp_stream& stream_;
+};
+
 base::error exchange_error(const boost::system::error_code& failure,
                            const endpoint& where, std::string_view step)
 {
@@ -168,6 +188,12 @@
 
 http_client::~http_client() = default;
 
+void http_client::cancel()
+{
+    for (beast::tcp_stream* stream : impl_->busy)
+        stream->cancel();
+}
+
 http_response http_client::send(const endpoint& where,
                                 const http_request& request,
                                 base::time_point deadline,
@@ -180,6 +206,7 @@
     auto stream = impl_->take_idle(where, now);
     if (!stream)
         stream = connect(where, deadline, step);
+    const busy_guard guard(impl_->busy, *stream);
     stream->expires_at(deadline);
     const auto message = to_message(where, request);
     const auto written =
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -42,6 +42,10 @@
     http_response send(const endpoint& where, const http_request& request,
                        base::time_point deadline, std::string_view step);
 
+    /// Closes the connections of all calls in progress, which then fail with
+    /// `cut_off`. Ends long polls at a planned stop.
+    void cancel();
+
 private:
     struct impl;
     explicit http_client(std::unique_ptr<impl> state);
