--- a/tools/load/load_run.cpp
+++ b/tools/load/load_run.cpp
@@ -21,9 +21,10 @@
 namespace
 {
 
-// A caller without a response asks again with the same key.
-constexpr unsigned max_resent = 3;
-constexpr std::chrono::milliseconds resend_pause{100};
+// A caller that got no response or `unknown` asks again with the same key.
+constexpr unsigned max_resent = 8;
+constexpr std::chrono::milliseconds first_resend{100};
+constexpr std::chrono::milliseconds longest_resend{2000};
 constexpr std::chrono::milliseconds first_poll{50};
 constexpr std::chrono::milliseconds longest_poll{2000};
 // Beyond the deadline in the submission, for the way of the response.
@@ -160,12 +161,15 @@
 {
     const std::string path = target.is_job ? "/v1/jobs" : "/v1/requests";
     const base::duration limit = settings.deadline + response_margin;
+    base::duration pause = first_resend;
     ++submitting;
-    while (!send(target, "POST", path, body, limit) &&
+    while ((!send(target, "POST", path, body, limit) ||
+            target.view.status == base::work_status::unknown) &&
            target.resent < max_resent)
     {
         ++target.resent;
-        boost::this_fiber::sleep_for(resend_pause);
+        boost::this_fiber::sleep_for(pause / 2 + random.jitter(pause));
+        pause = std::min<base::duration>(pause * 2, longest_resend);
     }
     --submitting;
     if (target.view.status == base::work_status::accepted)
