standin: bound the store's reads and writes per second

Cause: the platform's store handles several hundred writes and about 2000 reads a second; the test double had no limit. Change: calls wait for their turn and are refused when the queue is longer than a second; 600 writes and 2000 reads a second by default in the program. Conclusion: measurements see the store's rate.

--- a/tests/platform/kv_client_test.cpp
+++ b/tests/platform/kv_client_test.cpp
@@ -230,3 +230,35 @@
     set_fault(fault_kind::list_down);
     CHECK(code_of([&] { instances.list(in(1s)); }) == error_code::unavailable);
 }
+
+// Guards against measurements with a store that is faster than the platform's.
+TEST_CASE("a store with a rate lets calls wait and refuses a long queue")
+{
+    net::this_thread_io();
+    const auto platform =
+        standin::platform_standin::builder{}.store_bounds({0ms, 0, 20}).build();
+    const auto client = platform::kv_client::builder{}
+                            .store(platform->store_endpoint())
+                            .build();
+    const auto kv = client->operations();
+    const auto start = base::steady_now();
+    net::task_group fibers;
+    int applied = 0;
+    int refused = 0;
+    constexpr int calls = 30;
+    for (int number = 0; number < calls; ++number)
+        fibers.spawn(
+            [&, key = std::to_string(number)]
+            {
+                const auto code =
+                    code_of([&] { kv.compare_and_swap(key, 0, "1", in(5s)); });
+                applied += code ? 0 : 1;
+                refused += code == error_code::refused ? 1 : 0;
+            });
+    fibers.join();
+    CHECK(base::steady_now() - start >= 950ms);
+    CHECK(applied >= 20);
+    CHECK(refused >= 1);
+    CHECK(applied + refused == calls);
+    CHECK(kv.list("", in(1s)).size() == static_cast<std::size_t>(applied));
+}
--- a/tools/standin/fake_store.cpp
+++ b/tools/standin/fake_store.cpp
@@ -25,6 +25,7 @@
 
 // How often a hanging call checks whether the fault is over.
 constexpr std::chrono::milliseconds hang_poll{10};
+constexpr std::chrono::seconds longest_queue{1};
 
 bool is_write(std::string_view target)
 {
@@ -50,7 +51,10 @@
 
 struct fake_store::impl
 {
-    base::duration latency{};
+    store_limits limits;
+    /// When the next call of each kind gets its turn.
+    base::time_point next_read;
+    base::time_point next_write;
     fault_board* faults = nullptr;
     store_model model;
     std::map<std::string, std::uint64_t> counts;
@@ -65,6 +69,7 @@
         return faults->draw(kind, "", base::steady_now());
     }
     bool hang();
+    base::duration queue_up(bool write);
     reply handle(const net::http_request& request);
     json::object act(std::string_view target, const request_reader& request);
     json::object get(const request_reader& request);
@@ -87,13 +92,31 @@
     return !stopping && started_in == generation;
 }
 
+// Returns the time of the call with its wait for a turn.
+base::duration fake_store::impl::queue_up(bool write)
+{
+    const double rate =
+        write ? limits.writes_per_second : limits.reads_per_second;
+    if (rate <= 0)
+        return limits.latency;
+    const auto now = base::steady_now();
+    base::time_point& next = write ? next_write : next_read;
+    const base::time_point turn = std::max(next, now);
+    if (turn - now > longest_queue)
+        throw base::error(base::error_code::refused, "store", "",
+                          "too many calls");
+    next = turn + std::chrono::duration_cast<base::duration>(
+                      std::chrono::duration<double>(1 / rate));
+    return limits.latency + (turn - now);
+}
+
 reply fake_store::impl::handle(const net::http_request& request)
 {
     if (draw(fault_kind::store_down))
         return {{}, delivery::lost};
     if (draw(fault_kind::store_hang) && !hang())
         return {{}, delivery::lost};
-    base::duration delay = latency;
+    base::duration delay = queue_up(is_write(request.target));
     if (const auto slow = draw(fault_kind::store_slow))
         delay += slow->delay;
     if (delay > base::duration{})
@@ -218,11 +241,11 @@
     return {{"name", name}, {"released", released}};
 }
 
-fake_store::fake_store(net::endpoint where, base::duration latency,
+fake_store::fake_store(net::endpoint where, store_limits limits,
                        fault_board& faults)
     : impl_(std::make_unique<impl>())
 {
-    impl_->latency = latency;
+    impl_->limits = limits;
     impl_->faults = &faults;
     impl_->server = lossy_server::builder{}
                         .listen_on(std::move(where))
--- a/tools/standin/fake_store.hpp
+++ b/tools/standin/fake_store.hpp
@@ -14,13 +14,22 @@
 
 class store_model;
 
+struct store_limits
+{
+    /// Time that each call takes.
+    base::duration latency{};
+    /// Calls a second; more of them wait for their turn, and are refused when
+    /// the wait is longer than a second. 0: no limit.
+    double reads_per_second = 0;
+    double writes_per_second = 0;
+};
+
 /// The platform's key-value store over HTTP, with faults.
 class fake_store
 {
 public:
-    /// `faults` has to outlive the store. Each call takes `latency`.
-    fake_store(net::endpoint where, base::duration latency,
-               fault_board& faults);
+    /// `faults` has to outlive the store.
+    fake_store(net::endpoint where, store_limits limits, fault_board& faults);
     ~fake_store();
     fake_store(const fake_store&) = delete;
     fake_store& operator=(const fake_store&) = delete;
--- a/tools/standin/main.cpp
+++ b/tools/standin/main.cpp
@@ -43,6 +43,10 @@
         cxxopts::value<std::uint64_t>()->default_value("1"))(
         "store-latency-ms", "time of each store call",
         cxxopts::value<unsigned>()->default_value("2"))(
+        "store-reads-per-s", "rate of the store's reads, 0: no limit",
+        cxxopts::value<double>()->default_value("2000"))(
+        "store-writes-per-s", "rate of the store's writes, 0: no limit",
+        cxxopts::value<double>()->default_value("600"))(
         "list-lag-ms", "age of the instance list",
         cxxopts::value<unsigned>()->default_value("1000"))(
         "usage-lag-ms", "age of usage samples",
@@ -127,8 +131,10 @@
             .store_port(flags["store-port"].as<std::uint16_t>())
             .list_port(flags["list-port"].as<std::uint16_t>())
             .control_port(flags["control-port"].as<std::uint16_t>())
-            .store_latency(std::chrono::milliseconds{
-                flags["store-latency-ms"].as<unsigned>()})
+            .store_bounds({std::chrono::milliseconds{
+                               flags["store-latency-ms"].as<unsigned>()},
+                           flags["store-reads-per-s"].as<double>(),
+                           flags["store-writes-per-s"].as<double>()})
             .list_lag(
                 std::chrono::milliseconds{flags["list-lag-ms"].as<unsigned>()})
             .workers(make_workers(flags))
--- a/tools/standin/platform_standin.cpp
+++ b/tools/standin/platform_standin.cpp
@@ -167,9 +167,9 @@
 }
 
 platform_standin::builder&
-platform_standin::builder::store_latency(base::duration length)
+platform_standin::builder::store_bounds(store_limits limits)
 {
-    store_latency_ = length;
+    store_limits_ = limits;
     return *this;
 }
 
@@ -194,7 +194,7 @@
     impl* self = state.get();
     self->list_lag = list_lag_;
     self->store = std::make_unique<fake_store>(
-        net::endpoint{loopback, store_port_}, store_latency_, self->faults);
+        net::endpoint{loopback, store_port_}, store_limits_, self->faults);
     for (const worker_settings& settings : workers_)
         self->workers.push_back(std::make_unique<fake_worker>(
             settings, self->log, self->checkpoints, self->faults));
--- a/tools/standin/platform_standin.hpp
+++ b/tools/standin/platform_standin.hpp
@@ -32,8 +32,8 @@
         builder& store_port(std::uint16_t port);
         builder& list_port(std::uint16_t port);
         builder& control_port(std::uint16_t port);
-        /// Time that each store call takes.
-        builder& store_latency(base::duration length);
+        /// Latency and rates of the store; none by default.
+        builder& store_bounds(store_limits limits);
         /// Age of the instance list.
         builder& list_lag(base::duration length);
         builder& workers(std::vector<worker_settings> settings);
@@ -45,7 +45,7 @@
         std::uint16_t store_port_ = 0;
         std::uint16_t list_port_ = 0;
         std::uint16_t control_port_ = 0;
-        base::duration store_latency_{};
+        store_limits store_limits_;
         base::duration list_lag_{};
         std::vector<worker_settings> workers_;
     };
