load: split start waits by kind, explain resends, add capacity command

Cause: urgent jobs, which wait after acceptance, hid the start wait of urgent requests; batch requests ran into the urgent deadline and were sent again. Change: start waits by priority and kind; reasons of resends; a deadline for batch submissions; 'pimentograde_load capacity' runs the benchmark of the capacity package.

--- a/tools/load/call_table.cpp
+++ b/tools/load/call_table.cpp
@@ -3,7 +3,6 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
-#include <array>
 #include <map>
 #include <utility>
 
@@ -54,6 +53,13 @@
     return one.ended ? "unknown" : "pending";
 }
 
+// An accepted job waits for its turn, a request only within its bounds.
+std::string kind_of(const call& one)
+{
+    return std::string(one.urgent ? "urgent_" : "batch_") +
+           (one.is_job ? "jobs" : "requests");
+}
+
 json::object to_json(const std::map<std::string, std::uint64_t>& counts)
 {
     json::object result;
@@ -89,7 +95,7 @@
     std::map<std::string, std::uint64_t> refusals;
     std::map<std::string, std::uint64_t> failures;
     std::map<std::string, std::uint64_t> unresolved;
-    std::array<std::vector<std::int64_t>, 2> waits;
+    std::map<std::string, std::vector<std::int64_t>> waits;
     std::uint64_t resent = 0;
     std::uint64_t wrong = 0;
     for (const call& one : calls_)
@@ -106,8 +112,11 @@
             !standin::answer_belongs_to(one.view.answer, one.view.token))
             ++wrong;
         if (one.start_wait_ms)
-            waits[one.urgent ? 0 : 1].push_back(*one.start_wait_ms);
+            waits[kind_of(one)].push_back(*one.start_wait_ms);
     }
+    json::object start_waits;
+    for (auto& [kind, values] : waits)
+        start_waits[kind] = waits_of(std::move(values));
     return {{"calls", calls_.size()},
             {"status", to_json(statuses)},
             {"refused", to_json(refusals)},
@@ -115,8 +124,7 @@
             {"unknown", to_json(unresolved)},
             {"resent", resent},
             {"wrong_answers", wrong},
-            {"start_wait_urgent_ms", waits_of(std::move(waits[0]))},
-            {"start_wait_batch_ms", waits_of(std::move(waits[1]))}};
+            {"start_wait_ms", std::move(start_waits)}};
 }
 
 std::vector<standin::caller_view> call_table::views() const
--- a/tools/load/call_table.hpp
+++ b/tools/load/call_table.hpp
@@ -42,8 +42,8 @@
     /// The reference stays valid.
     call& add(call added);
     [[nodiscard]] std::size_t size() const { return calls_.size(); }
-    /// Counts by status, start waits in ms and refusals by reason, over all
-    /// calls.
+    /// Counts by status, start waits in ms by priority and kind, and refusals
+    /// by reason, over all calls.
     [[nodiscard]] boost::json::object summary() const;
     [[nodiscard]] std::vector<standin::caller_view> views() const;
 
--- a/tools/load/load_run.cpp
+++ b/tools/load/load_run.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iostream>
+#include <map>
 #include <utility>
 
 namespace pimentograde::load
@@ -103,12 +104,20 @@
     call_table calls;
     base::time_point start;
     std::uint64_t skipped = 0;
+    /// Why callers asked again: the code of the error, or the reason of
+    /// `unknown`.
+    std::map<std::string, std::uint64_t> resend_reasons;
     std::size_t submitting = 0;
     net::stop_signal stop;
     net::task_group callers;
 
     void generate(const queue_traffic& traffic);
     void launch(const queue_traffic& traffic);
+    [[nodiscard]] base::duration deadline_of(const call& target) const
+    {
+        return target.urgent ? settings.urgent_deadline
+                             : settings.batch_deadline;
+    }
     [[nodiscard]] std::string body_of(const call& target,
                                       base::duration work) const;
     void submit(call& target, const std::string& body);
@@ -130,7 +139,7 @@
         {"idempotent", target.view.idempotent},
         {"key", target.view.token},
         {"issued_at_ms", target.issued_at_ms},
-        {"deadline_ms", base::count_millis(settings.deadline)},
+        {"deadline_ms", base::count_millis(deadline_of(target))},
         {"payload", json::serialize(payload)}};
     return json::serialize(body);
 }
@@ -151,8 +160,10 @@
         return note(target, client->send(where, request,
                                          base::steady_now() + limit, "submit"));
     }
-    catch (const base::error&)
+    catch (const base::error& failure)
     {
+        // The status of an earlier response stays; the reason is the latest.
+        target.reason = base::to_string(failure.code());
         return false;
     }
 }
@@ -160,7 +171,7 @@
 void load_run::impl::submit(call& target, const std::string& body)
 {
     const std::string path = target.is_job ? "/v1/jobs" : "/v1/requests";
-    const base::duration limit = settings.deadline + response_margin;
+    const base::duration limit = deadline_of(target) + response_margin;
     base::duration pause = first_resend;
     ++submitting;
     while ((!send(target, "POST", path, body, limit) ||
@@ -168,6 +179,7 @@
            target.resent < max_resent)
     {
         ++target.resent;
+        ++resend_reasons[target.reason];
         boost::this_fiber::sleep_for(pause / 2 + random.jitter(pause));
         pause = std::min<base::duration>(pause * 2, longest_resend);
     }
@@ -247,6 +259,10 @@
         std::round(base::count_seconds(base::steady_now() - start) * 1000) /
         1000;
     line["skipped"] = skipped;
+    json::object reasons;
+    for (const auto& [reason, count] : resend_reasons)
+        reasons[reason] = count;
+    line["resend_reasons"] = std::move(reasons);
     std::cout << json::serialize(line) << std::endl;
 }
 
--- a/tools/load/load_run.hpp
+++ b/tools/load/load_run.hpp
@@ -26,7 +26,8 @@
     /// Longest wait for accepted jobs after the last submission.
     base::duration settle = std::chrono::seconds{30};
     /// How long a caller waits for one submission.
-    base::duration deadline = std::chrono::seconds{10};
+    base::duration urgent_deadline = std::chrono::seconds{10};
+    base::duration batch_deadline = std::chrono::seconds{60};
     double job_share = 0.2;
     double idempotent_share = 0.5;
     /// Bounds of the load.
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -1,5 +1,6 @@
 #include "base/error.hpp"
 #include "config/bundle_parser.hpp"
+#include "load/capacity_benchmark.hpp"
 #include "load/load_run.hpp"
 #include "load/log_fetcher.hpp"
 #include "net/io_scheduler.hpp"
@@ -30,8 +31,13 @@
     cxxopts::Options options(
         "pimentograde_load",
         "Sends requests and jobs in bursts and checks what callers were told.\n"
-        "Prints one JSON object a line; exits with 1 after a violation.");
+        "Prints one JSON object a line; exits with 1 after a violation.\n"
+        "The command `capacity` measures the capacity package instead.");
+    options.positional_help("[run|capacity]");
+    options.parse_positional({"command"});
     options.add_options()("h,help", "print this help")(
+        "command", "run or capacity",
+        cxxopts::value<std::string>()->default_value("run"))(
         "entry", "caller listeners of the entry instances, comma-separated",
         cxxopts::value<std::vector<std::string>>())(
         "bundle", "file with queues, callers and workers",
@@ -52,8 +58,10 @@
         cxxopts::value<double>()->default_value("4"))(
         "time-scale", "factor on the queues' expected time of tasks",
         cxxopts::value<double>()->default_value("1"))(
-        "deadline-ms", "how long a caller waits for one submission",
+        "deadline-ms", "how long a caller waits for one urgent submission",
         cxxopts::value<unsigned>()->default_value("10000"))(
+        "batch-deadline-ms", "how long a caller waits for another submission",
+        cxxopts::value<unsigned>()->default_value("60000"))(
         "job-share", "share of jobs",
         cxxopts::value<double>()->default_value("0.2"))(
         "idempotent-share", "share of idempotent work",
@@ -113,8 +121,10 @@
     settings.token_suffix = flags["token-suffix"].as<std::string>();
     settings.length = seconds_of(flags["seconds"].as<double>());
     settings.settle = seconds_of(flags["settle-seconds"].as<double>());
-    settings.deadline =
+    settings.urgent_deadline =
         std::chrono::milliseconds{flags["deadline-ms"].as<unsigned>()};
+    settings.batch_deadline =
+        std::chrono::milliseconds{flags["batch-deadline-ms"].as<unsigned>()};
     settings.job_share = flags["job-share"].as<double>();
     settings.idempotent_share = flags["idempotent-share"].as<double>();
     settings.max_calls = flags["max-calls"].as<std::size_t>();
@@ -147,8 +157,28 @@
     return found.size();
 }
 
+void require(const cxxopts::ParseResult& flags, const char* name)
+{
+    if (flags.count(name) == 0)
+        throw base::error(base::error_code::invalid, "read flags", "",
+                          "--" + std::string(name) + " is required");
+}
+
 int run(const cxxopts::ParseResult& flags)
 {
+    const std::string command = flags["command"].as<std::string>();
+    require(flags, "bundle");
+    if (command == "capacity")
+    {
+        load::run_capacity_benchmark(
+            std::cout, read_bundle(flags["bundle"].as<std::string>()),
+            flags["seed"].as<std::uint64_t>());
+        return 0;
+    }
+    if (command != "run")
+        throw base::error(base::error_code::invalid, "read flags", "",
+                          "unknown command " + command);
+    require(flags, "entry");
     const std::string control = flags["control"].as<std::string>();
     load::load_run traffic(read_settings(flags));
     traffic.run();
@@ -170,9 +200,6 @@
             std::cout << options.help();
             return 0;
         }
-        if (flags.count("entry") == 0 || flags.count("bundle") == 0)
-            throw base::error(base::error_code::invalid, "read flags", "",
-                              "--entry and --bundle are required");
         net::this_thread_io();
         return run(flags);
     }
