Read the fleet state only when needed

Cause: the planner read the whole document in each step: 80 KB/s at 400 workers, against 11 KB/s per node. Change: while nothing changes, a read is used for 4 s; the compare-and-swap refuses decisions from an old one. Workers are told something only from a state read at most 100 ms before the decision. note_version brings the next read forward. Conclusion: about 10 KB/s at 400 workers for the document.

--- a/src/dispatch/fleet_service.cpp
+++ b/src/dispatch/fleet_service.cpp
@@ -3,6 +3,7 @@
 #include "base/error.hpp"
 #include "capacity/budget_checker.hpp"
 #include "capacity/events.hpp"
+#include "dispatch/fleet_change_log.hpp"
 #include "dispatch/fleet_commands.hpp"
 #include "dispatch/fleet_events.hpp"
 #include "dispatch/fleet_snapshot.hpp"
@@ -10,7 +11,7 @@
 #include "dispatch/worker_round.hpp"
 #include "net/task_group.hpp"
 
-#include <map>
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -28,40 +29,8 @@
 // A command loses its race only against another write, and each writer needs
 // some milliseconds, so a handful of attempts is enough.
 constexpr int command_attempts = 8;
-
-void log_change(const fleet_change& change)
-{
-    switch (change.kind)
-    {
-    case change_kind::pause_wave:
-        log::write(capacity::event_wave_paused,
-                   {{"wave", change.wave}, {"reason", change.reason}});
-        break;
-    case change_kind::resume_wave:
-        log::write(capacity::event_wave_resumed, {{"wave", change.wave}});
-        break;
-    case change_kind::start_wave:
-    case change_kind::begin_pass:
-        log::write(capacity::event_wave_started, {{"wave", change.wave}});
-        break;
-    case change_kind::start_drain:
-        if (!change.pool.empty())
-            log::write(
-                capacity::event_move_started,
-                {{"worker", change.worker.str()}, {"pool", change.pool.str()}});
-        break;
-    case change_kind::mark_down:
-        log::write(capacity::event_worker_down,
-                   {{"worker", change.worker.str()}});
-        break;
-    case change_kind::confirm_healthy:
-        log::write(capacity::event_worker_serving,
-                   {{"worker", change.worker.str()}});
-        break;
-    default:
-        break;
-    }
-}
+// A state read this short ago is not read again before workers are told.
+constexpr std::chrono::milliseconds fresh_enough{100};
 
 } // namespace
 
@@ -81,6 +50,12 @@
     capacity::fleet_observer observer;
     capacity::move_planner moves;
     fleet_state known;
+    /// The last state that this planner has read or written.
+    std::optional<stored_fleet> cached;
+    base::time_point cached_at;
+    /// Set from other fibers; only the fiber of the step touches `cached`.
+    bool stale = false;
+    std::uint64_t noted_version = 0;
     fleet_report report;
     std::shared_ptr<const config::bundle> bundle;
     net::stop_signal stopping;
@@ -144,42 +119,64 @@
         }
     }
 
-    std::optional<stored_fleet> read_as_planner()
+    /// Whether `cached` holds a state no older than `longest_age`.
+    bool refresh(base::duration longest_age)
+    {
+        if (cached && !stale && noted_version <= cached->state.version &&
+            calls.steady_now() - cached_at <= longest_age)
+            return true;
+        cached.reset();
+        stale = false;
+        const base::time_point asked_at = calls.steady_now();
+        cached = store.read(deadline());
+        cached_at = asked_at;
+        // A noted version that the store does not have came from elsewhere.
+        noted_version = std::min(noted_version, cached->state.version);
+        publish(cached->state);
+        return true;
+    }
+
+    bool read_as_planner()
     {
         try
         {
-            const bool held = hold_lease();
-            std::optional<stored_fleet> stored;
-            if (held)
-                stored = store.read(deadline());
+            const bool ready = hold_lease() && refresh(settings.read_interval);
+            if (!ready)
+                cached.reset();
             store_answered();
-            return stored;
+            return ready;
         }
         catch (const base::error& failure)
         {
             store_failed(failure);
-            return std::nullopt;
+            return false;
         }
     }
 
-    bool write(stored_fleet& stored, fleet_state next)
+    bool write(fleet_state next)
     {
-        if (next == stored.state && stored.store_version != 0)
+        if (next == cached->state && cached->store_version != 0)
             return true;
+        const base::time_point asked_at = calls.steady_now();
         try
         {
-            const bool applied = store.swap(stored, std::move(next),
-                                            calls.wall_now(), deadline());
-            report.conflicts += applied ? 0 : 1;
-            return applied;
+            if (store.swap(*cached, std::move(next), calls.wall_now(),
+                           deadline()))
+            {
+                cached_at = asked_at;
+                publish(cached->state);
+                return true;
+            }
+            ++report.conflicts;
         }
         catch (const base::error& failure)
         {
             // The write may have taken effect. The next step reads again and
             // decides from what it finds.
             store_failed(failure);
-            return false;
         }
+        stale = true;
+        return false;
     }
 
     fleet_state plan(const stored_fleet& stored, const worker_round& round,
@@ -193,7 +190,8 @@
         for (const fleet_change& each :
              observer.observe(next, round.sightings, now))
             try_apply(next, each, now, applied);
-        moves.observe(calls.loads ? calls.loads() : used_slots(next, round),
+        moves.observe(calls.loads ? calls.loads()
+                                  : used_slots(*bundle, next, round),
                       *bundle, next, now);
         plan_drains(next, round, now, applied);
         return next;
@@ -258,39 +256,17 @@
         }
     }
 
-    std::vector<capacity::pool_load> used_slots(const fleet_state& next,
-                                                const worker_round& round) const
-    {
-        std::map<base::pool_name, double> used;
-        for (const config::pool& each : bundle->pools)
-            used[each.name] = 0;
-        for (const auto& seen : round.sightings)
-        {
-            const auto found = next.workers.find(seen.worker);
-            if (found != next.workers.end() && seen.reported)
-                used[found->second.pool] += seen.slots_used;
-        }
-        std::vector<capacity::pool_load> loads;
-        loads.reserve(used.size());
-        for (const auto& [pool, slots] : used)
-            loads.push_back({pool, slots});
-        return loads;
-    }
-
     void run_step()
     {
         if (auto fresh = calls.bundle())
             bundle = std::move(fresh);
         if (!bundle)
             return;
-        auto stored = read_as_planner();
-        if (!stored)
+        if (!read_as_planner())
             return;
-        publish(stored->state);
         const worker_calls worker_hooks{calls.workers, calls.instances,
                                         calls.steady_now, settings.call_timeout,
                                         settings.concurrency};
-        base::time_point as_of = calls.steady_now();
         const worker_round round = ask_workers(worker_hooks, *bundle);
         report.workers_answering = round.answered;
         if (round.answered == 0 && !round.sightings.empty())
@@ -300,20 +276,30 @@
             give_up_lease();
         }
         std::vector<fleet_change> applied;
-        fleet_state next = plan(*stored, round, applied);
-        const std::uint64_t before = stored->state.version;
-        if (!write(*stored, std::move(next)))
+        if (!write(plan(*cached, round, applied)))
             return;
-        if (stored->state.version != before)
+        for (const fleet_change& each : applied)
+            log_change(each);
+        act(worker_hooks, round);
+        ++report.steps;
+    }
+
+    void act(const worker_calls& worker_hooks, const worker_round& round)
+    {
+        const base::wall_time now = calls.wall_now();
+        if (!has_actions(*bundle, cached->state, round, now))
+            return;
+        try
         {
-            as_of = calls.steady_now();
-            for (const fleet_change& each : applied)
-                log_change(each);
+            refresh(fresh_enough);
         }
-        publish(stored->state);
-        act_on_workers(worker_hooks, *bundle, stored->state, round,
-                       calls.wall_now(), as_of + settings.longest_action_age);
-        ++report.steps;
+        catch (const base::error& failure)
+        {
+            store_failed(failure);
+            return;
+        }
+        act_on_workers(worker_hooks, *bundle, cached->state, round, now,
+                       cached_at + settings.longest_action_age);
     }
 
     template <class Decide>
@@ -343,6 +329,7 @@
                             deadline()))
                 continue;
             log_change(*change);
+            stale = true;
             publish(stored.state);
             return {stored.state.version, false};
         }
@@ -430,6 +417,11 @@
     impl_->stepping = false;
 }
 
+void fleet_service::note_version(std::uint64_t version)
+{
+    impl_->noted_version = std::max(impl_->noted_version, version);
+}
+
 command_result fleet_service::hold_worker(const base::worker_id& worker)
 {
     return impl_->run_command(
--- a/src/dispatch/fleet_service.hpp
+++ b/src/dispatch/fleet_service.hpp
@@ -28,6 +28,9 @@
     base::duration lease_ttl = std::chrono::seconds{5};
     /// Limit of each call to the store or a worker.
     base::duration call_timeout = std::chrono::milliseconds{500};
+    /// Longest use of one read of the fleet state while nothing changes. Each
+    /// read transfers the whole document: 40 KB at 400 workers.
+    base::duration read_interval = std::chrono::seconds{4};
     /// Calls to workers at the same time.
     std::size_t concurrency = 64;
     /// A worker is told nothing on the strength of a state read longer ago.
@@ -49,7 +52,9 @@
 /// The planner of one entry instance. Each instance runs one; the holder of
 /// the store lease `planner` does the work. The lease only saves work: each
 /// decision takes effect by a compare-and-swap of the state that it was made
-/// from, and each call to a worker may be repeated by any planner.
+/// from, and each call to a worker may be repeated by any planner. While
+/// nothing changes, a step decides from the last state that was read; if that
+/// is out of date, the compare-and-swap refuses, and the next step reads again.
 class fleet_service
 {
 public:
@@ -97,6 +102,10 @@
     /// One round of the loop. Throws nothing for a failed store or worker.
     void step();
 
+    /// Tells that the fleet state has at least this version, for example by a
+    /// heartbeat of another member. The next step then reads a newer one.
+    void note_version(std::uint64_t version);
+
     /// Commands of operators. They need no planner lease. Each throws
     /// `base::error`: `refused` with the reason, for example the budget that
     /// would break; `not_found`; `conflict` after repeated races; or the
--- a/src/dispatch/worker_round.cpp
+++ b/src/dispatch/worker_round.cpp
@@ -5,6 +5,7 @@
 #include "net/task_group.hpp"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace pimentograde::dispatch
@@ -61,33 +62,101 @@
                        });
 }
 
+enum class worker_action
+{
+    none,
+    drain,
+    checkpoint,
+    reboot,
+    undrain
+};
+
+/// Batch tasks are checkpointed when the drain for a wave takes too long.
+bool checkpoint_due(const config::bundle& bundle, const worker_status& status,
+                    base::wall_time now)
+{
+    const auto wave = std::find_if(bundle.waves.begin(), bundle.waves.end(),
+                                   [&](const config::wave& each)
+                                   { return each.name == status.wave; });
+    return wave != bundle.waves.end() &&
+           wave->checkpoint_after != base::duration{} &&
+           now >= status.since + wave->checkpoint_after;
+}
+
+worker_action choose_action(const config::bundle& bundle,
+                            const worker_status& status,
+                            const worker_sighting& seen, base::wall_time now)
+{
+    if (!seen.reported)
+        return worker_action::none;
+    const bool out = status.state == worker_state::draining ||
+                     status.state == worker_state::moving ||
+                     status.state == worker_state::rebooting;
+    if (out && !seen.refuses_work)
+        return worker_action::drain;
+    if (status.state == worker_state::draining && seen.slots_used > 0 &&
+        checkpoint_due(bundle, status, now))
+        return worker_action::checkpoint;
+    if (status.state == worker_state::rebooting && seen.slots_used == 0 &&
+        seen.incarnation == status.incarnation)
+        return worker_action::reboot;
+    if (status.state == worker_state::probation && seen.refuses_work &&
+        !seen.listed_leaving)
+        return worker_action::undrain;
+    return worker_action::none;
+}
+
+struct planned_action
+{
+    std::size_t index = 0;
+    worker_action action = worker_action::none;
+};
+
+std::vector<planned_action> plan_actions(const config::bundle& bundle,
+                                         const capacity::fleet_state& state,
+                                         const worker_round& round,
+                                         base::wall_time now)
+{
+    std::vector<planned_action> planned;
+    for (std::size_t index = 0; index < round.sightings.size(); ++index)
+    {
+        const worker_sighting& seen = round.sightings[index];
+        const auto status = state.workers.find(seen.worker);
+        if (status == state.workers.end())
+            continue;
+        const auto action = choose_action(bundle, status->second, seen, now);
+        if (action != worker_action::none)
+            planned.push_back({index, action});
+    }
+    return planned;
+}
+
 class action_round
 {
 public:
     action_round(const worker_calls& calls, const config::bundle& bundle,
-                 base::wall_time now, base::time_point until)
-        : calls_(calls), bundle_(bundle), now_(now), until_(until)
+                 base::time_point until)
+        : calls_(calls), bundle_(bundle), until_(until)
     {
     }
 
-    void act(const config::worker& worker, const worker_status& status,
-             const worker_sighting& seen,
+    void act(worker_action action, const config::worker& worker,
              const std::vector<platform::task_usage>& usage) const
     {
         const platform::worker_endpoint where{worker.id, worker.address};
-        const bool out = status.state == worker_state::draining ||
-                         status.state == worker_state::moving ||
-                         status.state == worker_state::rebooting;
-        if (out && !seen.refuses_work)
+        switch (action)
+        {
+        case worker_action::drain:
             return tell(where, calls_.workers.drain);
-        if (status.state == worker_state::draining)
-            return checkpoint(where, status, usage);
-        if (status.state == worker_state::rebooting && seen.slots_used == 0 &&
-            seen.incarnation == status.incarnation)
+        case worker_action::reboot:
             return tell(where, calls_.workers.reboot);
-        if (status.state == worker_state::probation && seen.refuses_work &&
-            !seen.listed_leaving)
-            tell(where, calls_.workers.undrain);
+        case worker_action::undrain:
+            return tell(where, calls_.workers.undrain);
+        case worker_action::checkpoint:
+            return checkpoint(where, usage);
+        case worker_action::none:
+            break;
+        }
     }
 
 private:
@@ -117,15 +186,9 @@
     }
 
     void checkpoint(const platform::worker_endpoint& where,
-                    const worker_status& status,
                     const std::vector<platform::task_usage>& usage) const
     {
-        const auto wave = std::find_if(
-            bundle_.waves.begin(), bundle_.waves.end(),
-            [&](const config::wave& each) { return each.name == status.wave; });
-        if (wave == bundle_.waves.end() || !calls_.workers.checkpoint ||
-            wave->checkpoint_after == base::duration{} ||
-            now_ < status.since + wave->checkpoint_after)
+        if (!calls_.workers.checkpoint)
             return;
         for (const platform::task_usage& each : usage)
             if (is_batch_queue(bundle_, each.queue))
@@ -138,7 +201,6 @@
 
     const worker_calls& calls_;
     const config::bundle& bundle_;
-    base::wall_time now_;
     base::time_point until_;
 };
 
@@ -180,26 +242,46 @@
     return round;
 }
 
+std::vector<capacity::pool_load> used_slots(const config::bundle& bundle,
+                                            const capacity::fleet_state& state,
+                                            const worker_round& round)
+{
+    std::map<base::pool_name, double> used;
+    for (const config::pool& each : bundle.pools)
+        used[each.name] = 0;
+    for (const worker_sighting& seen : round.sightings)
+    {
+        const auto found = state.workers.find(seen.worker);
+        if (found != state.workers.end() && seen.reported)
+            used[found->second.pool] += seen.slots_used;
+    }
+    std::vector<capacity::pool_load> loads;
+    loads.reserve(used.size());
+    for (const auto& [pool, slots] : used)
+        loads.push_back({pool, slots});
+    return loads;
+}
+
+bool has_actions(const config::bundle& bundle,
+                 const capacity::fleet_state& state, const worker_round& round,
+                 base::wall_time now)
+{
+    return !plan_actions(bundle, state, round, now).empty();
+}
+
 void act_on_workers(const worker_calls& calls, const config::bundle& bundle,
                     const capacity::fleet_state& state,
                     const worker_round& round, base::wall_time now,
                     base::time_point until)
 {
-    std::vector<std::size_t> reached;
-    for (std::size_t index = 0; index < round.sightings.size(); ++index)
-        if (round.sightings[index].reported)
-            reached.push_back(index);
-    const action_round actions(calls, bundle, now, until);
-    for_each_bounded(reached.size(), calls.concurrency,
+    const auto planned = plan_actions(bundle, state, round, now);
+    const action_round actions(calls, bundle, until);
+    for_each_bounded(planned.size(), calls.concurrency,
                      [&](std::size_t position)
                      {
-                         const std::size_t index = reached[position];
-                         const config::worker& worker = bundle.workers[index];
-                         const auto status = state.workers.find(worker.id);
-                         if (status != state.workers.end())
-                             actions.act(worker, status->second,
-                                         round.sightings[index],
-                                         round.usage[index]);
+                         const auto [index, action] = planned[position];
+                         actions.act(action, bundle.workers[index],
+                                     round.usage[index]);
                      });
 }
 
--- a/src/dispatch/worker_round.hpp
+++ b/src/dispatch/worker_round.hpp
@@ -2,6 +2,7 @@
 #define PIMENTOGRADE_DISPATCH_WORKER_ROUND_HPP
 
 #include "capacity/fleet_observer.hpp"
+#include "capacity/move_planner.hpp"
 #include "config/bundle.hpp"
 #include "platform/worker_operations.hpp"
 
@@ -37,6 +38,16 @@
 worker_round ask_workers(const worker_calls& calls,
                          const config::bundle& bundle);
 
+/// Slots in use per pool, as far as workers answered.
+std::vector<capacity::pool_load> used_slots(const config::bundle& bundle,
+                                            const capacity::fleet_state& state,
+                                            const worker_round& round);
+
+/// Whether `act_on_workers` would tell a worker anything.
+bool has_actions(const config::bundle& bundle,
+                 const capacity::fleet_state& state, const worker_round& round,
+                 base::wall_time now);
+
 /// Tells the workers what their state asks for: drain, checkpoint, reboot or
 /// undrain. Each call may be repeated. Nothing is told after `until`, since
 /// another planner may have changed the state by then.
--- a/tests/fleet/fake_platform.hpp
+++ b/tests/fleet/fake_platform.hpp
@@ -52,6 +52,7 @@
     std::set<std::string> cut_off_members;
     base::duration reboot_time = std::chrono::seconds{5};
     std::size_t writes = 0;
+    std::size_t reads = 0;
     /// Called within each compare-and-swap before it is decided.
     std::function<void()> before_swap;
 
@@ -134,6 +135,7 @@
         hooks.get = [this](std::string_view, base::time_point)
         {
             require_store();
+            ++reads;
             return platform::kv_entry{value_, version_};
         };
         hooks.compare_and_swap =
--- a/tests/fleet/fleet_service_test.cpp
+++ b/tests/fleet/fleet_service_test.cpp
@@ -323,17 +323,59 @@
     CHECK(seen.back() == platform.state().version);
 }
 
-// Guards against an idle planner that writes in each step and uses up the
-// store's write budget.
-TEST_CASE("a fleet in which nothing changes is not written")
+// Guards against an idle planner that uses up the store's write budget and its
+// network share: the document has 40 KB at 400 workers.
+TEST_CASE("a fleet in which nothing changes is seldom read and not written")
 {
     net::this_thread_io();
     fake_platform platform(small_bundle());
     auto service = platform.make_service("a", {});
     run(platform, *service, 4);
     const auto writes = platform.writes;
-    run(platform, *service, 200);
-    CHECK(platform.writes - writes <= 4);
+    const auto reads = platform.reads;
+    run(platform, *service, 200); // 100 s
+    CHECK(platform.writes == writes);
+    CHECK(platform.reads - reads <= 25);
+}
+
+// Guards against a planner that stays on its old view after an operator's
+// command at another instance.
+TEST_CASE("a command at another instance takes effect within 4 s")
+{
+    net::this_thread_io();
+    for (const bool noted : {false, true})
+    {
+        fake_platform platform(small_bundle());
+        auto service = platform.make_service("a", {});
+        auto other = platform.make_service("b", {});
+        run(platform, *service, 4);
+        const auto result = other->drain_worker(first_worker);
+        if (noted)
+            service->note_version(result.version);
+        run(platform, *service, noted ? 1 : 9);
+        CHECK(platform.workers[first_worker].refuses_work);
+    }
+}
+
+// Guards against a planner that decides from its cached view after the lease
+// was with another one.
+TEST_CASE("a planner that lost its lease reads again when it returns")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    auto first = platform.make_service("a", {});
+    auto second = platform.make_service("b", {});
+    run(platform, *first, 4);
+    platform.advance(6s);
+    run(platform, *second, 2);
+    run(platform, *first, 1);
+    CHECK(first->snapshot().at("role").as_string() == "standby");
+    second->drain_worker(first_worker);
+    platform.advance(6s);
+    run(platform, *first, 1);
+    CHECK(first->state().workers.at(first_worker).hold ==
+          capacity::hold_kind::drain);
+    CHECK(platform.workers[first_worker].refuses_work);
 }
 
 TEST_CASE("the loop runs in a fiber and gives up the lease at the end")
