Show wave progress on standbys; measure codec and decisions apart

Cause: only the planner's own dump showed waves, and the benchmark's step time contained encoding that the service does not do in each step. Change: the dump derives progress from the newest known state; note_state takes one over from another member. The benchmark reports encode, decode and decide.

--- a/src/dispatch/fleet_service.cpp
+++ b/src/dispatch/fleet_service.cpp
@@ -218,7 +218,6 @@
             if (try_apply(next, each, now, applied) && drains)
                 cautious.remove(each.worker);
         }
-        report.waves = std::move(waves.progress);
         report_budgets(next);
     }
 
@@ -242,17 +241,16 @@
 
     void report_budgets(const fleet_state& next)
     {
-        const auto broken = std::move(report.broken_budgets);
-        report.broken_budgets.clear();
+        const bool broken_before = std::exchange(report.budget_broken, false);
         for (const auto& each :
              capacity::budget_checker(*bundle).evaluate(next))
         {
             if (!each.broken_now())
                 continue;
-            const std::string reason = each.reason();
-            if (broken.empty())
-                log::write(capacity::event_budget_broken, {{"reason", reason}});
-            report.broken_budgets.push_back(reason);
+            report.budget_broken = true;
+            if (!broken_before)
+                log::write(capacity::event_budget_broken,
+                           {{"reason", each.reason()}});
         }
     }
 
@@ -422,6 +420,13 @@
     impl_->noted_version = std::max(impl_->noted_version, version);
 }
 
+void fleet_service::note_state(const fleet_state& state)
+{
+    note_version(state.version);
+    if (state.version > impl_->known.version)
+        impl_->known = state;
+}
+
 command_result fleet_service::hold_worker(const base::worker_id& worker)
 {
     return impl_->run_command(
@@ -482,7 +487,9 @@
 
 boost::json::object fleet_service::snapshot() const
 {
-    return make_snapshot(impl_->report, impl_->known);
+    const auto in_force = impl_->calls.bundle();
+    return make_snapshot(impl_->report, impl_->known, in_force.get(),
+                         impl_->settings.waves, impl_->calls.wall_now());
 }
 
 } // namespace pimentograde::dispatch
--- a/src/dispatch/fleet_service.hpp
+++ b/src/dispatch/fleet_service.hpp
@@ -105,6 +105,9 @@
     /// Tells that the fleet state has at least this version, for example by a
     /// heartbeat of another member. The next step then reads a newer one.
     void note_version(std::uint64_t version);
+    /// Takes over a fleet state that came from another member, if it is newer,
+    /// for `state` and `snapshot`. Does not call `on_state`.
+    void note_state(const capacity::fleet_state& state);
 
     /// Commands of operators. They need no planner lease. Each throws
     /// `base::error`: `refused` with the reason, for example the budget that
--- a/src/dispatch/fleet_snapshot.cpp
+++ b/src/dispatch/fleet_snapshot.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/fleet_snapshot.hpp"
 
+#include "capacity/budget_checker.hpp"
+
 #include <boost/json/array.hpp>
 
 #include <map>
@@ -65,7 +67,10 @@
 } // namespace
 
 json::object make_snapshot(const fleet_report& report,
-                           const capacity::fleet_state& state)
+                           const capacity::fleet_state& state,
+                           const config::bundle* bundle,
+                           const capacity::wave_settings& settings,
+                           base::wall_time now)
 {
     json::object out;
     out["role"] = report.planner ? "planner" : "standby";
@@ -84,13 +89,20 @@
     for (const auto& [name, count] : counts)
         states[name] = count;
     out["states"] = std::move(states);
+    out["workers_not_serving_or_held"] = exceptional_workers(state);
+    if (!bundle || state.version == 0)
+        return out;
     json::array waves;
-    for (const auto& each : report.waves)
+    const auto plan =
+        capacity::wave_planner(*bundle, settings).plan(state, now);
+    for (const auto& each : plan.progress)
         waves.emplace_back(wave_json(each, state));
     out["waves"] = std::move(waves);
-    out["broken_budgets"] =
-        json::array(report.broken_budgets.begin(), report.broken_budgets.end());
-    out["workers_not_serving_or_held"] = exceptional_workers(state);
+    json::array broken;
+    for (const auto& each : capacity::budget_checker(*bundle).evaluate(state))
+        if (each.broken_now())
+            broken.emplace_back(each.reason());
+    out["broken_budgets"] = std::move(broken);
     return out;
 }
 
--- a/src/dispatch/fleet_snapshot.hpp
+++ b/src/dispatch/fleet_snapshot.hpp
@@ -8,7 +8,6 @@
 
 #include <cstdint>
 #include <string>
-#include <vector>
 
 namespace pimentograde::dispatch
 {
@@ -24,12 +23,16 @@
     /// Writes that lost against another writer.
     std::uint64_t conflicts = 0;
     std::size_t workers_answering = 0;
-    std::vector<capacity::wave_progress> waves;
-    std::vector<std::string> broken_budgets;
+    /// Whether the last plan found a broken budget.
+    bool budget_broken = false;
 };
 
+/// `bundle` may be null; the parts that need it are then left out.
 boost::json::object make_snapshot(const fleet_report& report,
-                                  const capacity::fleet_state& state);
+                                  const capacity::fleet_state& state,
+                                  const config::bundle* bundle,
+                                  const capacity::wave_settings& settings,
+                                  base::wall_time now);
 
 } // namespace pimentograde::dispatch
 
--- a/tests/fleet/fleet_service_test.cpp
+++ b/tests/fleet/fleet_service_test.cpp
@@ -357,6 +357,24 @@
     }
 }
 
+// Guards against a dump that shows wave progress at one instance only.
+TEST_CASE("a standby shows the waves of a state that it was told")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    auto planner = platform.make_service("a", {});
+    auto standby = platform.make_service("b", {});
+    run(platform, *planner, 4);
+    planner->start_wave("wave");
+    run(platform, *planner, 30);
+    standby->note_state(planner->state());
+    const auto dump = standby->snapshot();
+    CHECK(dump.at("role").as_string() == "standby");
+    const auto& wave = dump.at("waves").at(0);
+    CHECK(wave.at("done").to_number<int>() > 0);
+    CHECK(wave.at("done") == planner->snapshot().at("waves").at(0).at("done"));
+}
+
 // Guards against a planner that decides from its cached view after the lease
 // was with another one.
 TEST_CASE("a planner that lost its lease reads again when it returns")
--- a/tools/load/capacity_benchmark.cpp
+++ b/tools/load/capacity_benchmark.cpp
@@ -121,17 +121,9 @@
     return grown;
 }
 
-/// Processor time of the decisions of one planner step, without I/O.
-double step_seconds(const config::bundle& bundle, std::size_t& state_bytes)
+std::vector<capacity::worker_sighting>
+healthy_round(const config::bundle& bundle)
 {
-    constexpr int rounds = 50;
-    base::wall_time now{std::chrono::milliseconds{1796360000000}};
-    auto state = capacity::initial_state(bundle, now);
-    for (auto& [name, status] : state.waves)
-        status.immediate = true;
-    // The size that the document has once each worker was maintained.
-    for (auto& [id, status] : state.workers)
-        status.maintained = now - std::chrono::hours{1};
     std::vector<capacity::worker_sighting> round;
     for (const config::worker& each : bundle.workers)
     {
@@ -141,25 +133,60 @@
         seen.incarnation = 1;
         round.push_back(std::move(seen));
     }
-    capacity::fleet_observer observer;
-    const capacity::wave_planner planner(bundle);
-    state_bytes = 0;
+    return round;
+}
+
+/// Seconds of processor time of one call, as a mean over many.
+template <class Call>
+double cpu_seconds(Call call)
+{
+    constexpr int rounds = 50;
     const std::clock_t before = std::clock();
     for (int index = 0; index < rounds; ++index)
-    {
-        now += std::chrono::milliseconds{500};
-        capacity::fleet_state next = capacity::decode(capacity::encode(state));
-        capacity::reconcile(next, bundle, now);
-        for (const auto& change : observer.observe(next, round, now))
-            capacity::apply_change(next, change, now);
-        const auto plan = planner.plan(next, now);
-        for (const auto& change : plan.changes)
-            capacity::apply_change(next, change, now);
-        state_bytes = capacity::encode(next).size();
-    }
+        call();
     return static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC / rounds;
 }
 
+struct step_cost
+{
+    /// Decisions of one planner step in a running wave, without I/O.
+    double step_seconds = 0;
+    double encode_seconds = 0;
+    double decode_seconds = 0;
+    std::size_t state_bytes = 0;
+};
+
+step_cost measure_step(const config::bundle& bundle)
+{
+    base::wall_time now{std::chrono::milliseconds{1796360000000}};
+    auto state = capacity::initial_state(bundle, now);
+    for (auto& [name, status] : state.waves)
+        status.immediate = true;
+    // The size that the document has once each worker was maintained.
+    for (auto& [id, status] : state.workers)
+        status.maintained = now - std::chrono::hours{1};
+    const auto round = healthy_round(bundle);
+    capacity::fleet_observer observer;
+    const capacity::wave_planner planner(bundle);
+    step_cost cost;
+    cost.step_seconds = cpu_seconds(
+        [&]
+        {
+            now += std::chrono::milliseconds{500};
+            capacity::fleet_state next = state;
+            capacity::reconcile(next, bundle, now);
+            for (const auto& change : observer.observe(next, round, now))
+                capacity::apply_change(next, change, now);
+            for (const auto& change : planner.plan(next, now).changes)
+                capacity::apply_change(next, change, now);
+        });
+    std::string text;
+    cost.encode_seconds = cpu_seconds([&] { text = capacity::encode(state); });
+    cost.decode_seconds = cpu_seconds([&] { state = capacity::decode(text); });
+    cost.state_bytes = text.size();
+    return cost;
+}
+
 void report_slopes(const reporter& report, const config::bundle& bundle)
 {
     constexpr double microseconds = 1e6;
@@ -169,11 +196,15 @@
     {
         const config::bundle grown = grown_bundle(bundle, workers);
         const std::string suffix = "_" + std::to_string(workers) + "_workers";
-        std::size_t bytes = 0;
-        const double seconds = step_seconds(grown, bytes);
-        report.write("planner_step_cpu" + suffix, seconds * microseconds, "us");
-        report.write("fleet_state_size" + suffix, static_cast<double>(bytes),
-                     "bytes");
+        const step_cost cost = measure_step(grown);
+        report.write("planner_step_cpu" + suffix,
+                     cost.step_seconds * microseconds, "us");
+        report.write("fleet_state_encode_cpu" + suffix,
+                     cost.encode_seconds * microseconds, "us");
+        report.write("fleet_state_decode_cpu" + suffix,
+                     cost.decode_seconds * microseconds, "us");
+        report.write("fleet_state_size" + suffix,
+                     static_cast<double>(cost.state_bytes), "bytes");
     }
 }
 
