Give up moves, explain idle waves, test shared spares with racing planners

Cause: a move whose drain never ends could not be given up; a wave that waited for a lost worker showed no reason. Change: releasing a worker without a hold gives up its move; the dump names the worker that a wave waits for. Tests for both, for checkpoints of batch tasks in long drains, and a property for shared spares with racing planners.

--- a/src/capacity/wave_planner.cpp
+++ b/src/capacity/wave_planner.cpp
@@ -242,9 +242,12 @@
             if (is_pending(each) && each.due <= now_ &&
                 each.status->state == worker_state::serving)
                 ready.push_back(&each);
-        const bool idle = ready.empty() && view.progress.out == 0;
-        view.progress.phase =
-            idle ? wave_phase::scheduled : wave_phase::running;
+        if (ready.empty() && view.progress.out == 0)
+        {
+            explain_idle(view);
+            return;
+        }
+        view.progress.phase = wave_phase::running;
         std::stable_sort(ready.begin(), ready.end(),
                          [&](const wave_member* left, const wave_member* right)
                          {
@@ -263,6 +266,23 @@
         }
     }
 
+    /// Nothing can be drained: either nothing is due, or the due workers are
+    /// out of service for another reason.
+    void explain_idle(wave_view& view) const
+    {
+        view.progress.phase = wave_phase::scheduled;
+        for (const wave_member& each : view.members)
+        {
+            if (!is_pending(each) || each.due > now_)
+                continue;
+            view.progress.phase = wave_phase::running;
+            view.progress.waits_for =
+                each.id->str() + ", which is " +
+                std::string(to_string(each.status->state));
+            return;
+        }
+    }
+
     void try_drain(wave_view& view, const wave_member& member)
     {
         if (drained_.contains(*member.id))
--- a/src/dispatch/fleet_commands.cpp
+++ b/src/dispatch/fleet_commands.cpp
@@ -101,9 +101,15 @@
 std::optional<fleet_change> release_change(const fleet_state& state,
                                            const base::worker_id& worker)
 {
-    if (find_worker(state, worker, "release worker").hold == hold_kind::none)
+    const auto& status = find_worker(state, worker, "release worker");
+    if (status.hold != hold_kind::none)
+        return worker_change(change_kind::clear_hold, worker);
+    const bool moves =
+        !status.target.empty() && (status.state == worker_state::draining ||
+                                   status.state == worker_state::moving);
+    if (!moves)
         return std::nullopt;
-    return worker_change(change_kind::clear_hold, worker);
+    return worker_change(change_kind::cancel_drain, worker);
 }
 
 std::optional<fleet_change> start_wave_change(const config::bundle& bundle,
--- a/src/dispatch/fleet_commands.hpp
+++ b/src/dispatch/fleet_commands.hpp
@@ -23,6 +23,7 @@
 drain_change(const config::bundle& bundle, const capacity::fleet_state& state,
              const base::worker_id& worker);
 
+/// Ends a hold; without one, gives up a move that is not finished.
 std::optional<capacity::fleet_change>
 release_change(const capacity::fleet_state& state,
                const base::worker_id& worker);
--- a/src/dispatch/fleet_service.hpp
+++ b/src/dispatch/fleet_service.hpp
@@ -116,6 +116,7 @@
     command_result hold_worker(const base::worker_id& worker);
     /// Drains the worker and keeps it out of service until released.
     command_result drain_worker(const base::worker_id& worker);
+    /// Ends a hold; without one, gives up a move that is not finished.
     command_result release_worker(const base::worker_id& worker);
     command_result start_wave(std::string_view wave);
     command_result pause_wave(std::string_view wave, std::string_view reason);
--- a/tests/fleet/fake_platform.hpp
+++ b/tests/fleet/fake_platform.hpp
@@ -23,6 +23,8 @@
     bool alive = true;
     bool refuses_work = false;
     std::uint32_t slots_used = 0;
+    /// Queue of the running tasks.
+    std::string queue;
     /// A reboot ends at this time.
     base::duration back_at{};
     bool rebooting = false;
@@ -194,11 +196,25 @@
         hooks.report = [this](const auto& where, base::time_point)
         {
             const fake_worker& worker = reach(where);
-            return platform::worker_report{worker.incarnation,
-                                           worker.refuses_work,
-                                           slots_per_worker,
-                                           worker.slots_used,
-                                           {}};
+            platform::worker_report report;
+            report.incarnation = worker.incarnation;
+            report.leaving = worker.refuses_work;
+            report.slots = slots_per_worker;
+            report.slots_used = worker.slots_used;
+            if (worker.slots_used > 0)
+                report.usage.push_back(
+                    {base::lease_id("lease"), worker.queue, {}, {}});
+            return report;
+        };
+        hooks.checkpoint =
+            [this](const auto& where, const auto& lease, base::time_point)
+        {
+            fake_worker& worker = reach(where);
+            worker.slots_used = 0;
+            platform::lease_status status;
+            status.state = platform::lease_state::stopped_started;
+            status.reason = lease.str();
+            return status;
         };
         hooks.drain = [this](const auto& where, base::time_point)
         {
--- a/tests/fleet/fleet_history_test.cpp
+++ b/tests/fleet/fleet_history_test.cpp
@@ -372,6 +372,45 @@
         }));
 }
 
+// Guards against spares that one planner moves away while another drains the
+// worker that they cover.
+TEST_CASE("racing planners share spares in a wave without breaking budgets")
+{
+    net::this_thread_io();
+    CHECK(rc::check(
+        "budgets without room hold and the wave ends",
+        []
+        {
+            const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+            auto bundle = tests::make_bundle(3, 6, 3);
+            bundle.workers.resize(2 * 6 + 2);
+            tests::add_budgets(bundle, 4, config::failure_domain::zone);
+            bundle.budgets.pop_back();
+            tests::add_wave(bundle, 2, 24h * 365);
+            racing_history history(bundle, seed, true);
+            history.platform.lost_responses = 0.1;
+            history.failure_rate = 0.01;
+            try_command([&] { history.planner(1).start_wave("wave"); });
+            for (int step = 0; step < history_steps; ++step)
+            {
+                history.step();
+                RC_ASSERT(history.budgets_hold(bundle.budgets));
+            }
+            history.heal();
+            if (!history.platform.state().waves.at("wave").immediate)
+                history.planner(0).start_wave("wave");
+            // 14 workers with a move each before the drain.
+            const auto end = history.platform.now() + 14 * 2 * 50s;
+            while (!wave_done(history.platform.state()) &&
+                   history.platform.now() < end)
+            {
+                history.step();
+                RC_ASSERT(history.budgets_hold(bundle.budgets));
+            }
+            RC_ASSERT(wave_done(history.platform.state()));
+        }));
+}
+
 // Shows why a move is one write of one value: with one key per pool, a planner
 // that stops between its two writes leaves the worker in both pools.
 TEST_CASE("a move by two keys lists a worker under two pools")
--- a/tests/fleet/fleet_service_test.cpp
+++ b/tests/fleet/fleet_service_test.cpp
@@ -214,6 +214,66 @@
     CHECK(platform.workers[first_worker].reboots == 0);
 }
 
+// Guards against a worker that waits forever for a task which never ends.
+TEST_CASE("an unfinished move can be given up")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    auto service = platform.make_service("a", {});
+    run(platform, *service, 4);
+    platform.workers[first_worker].slots_used = 1;
+    service->create_move(first_worker, base::pool_name("p1"));
+    run(platform, *service, 10);
+    CHECK(state_of(platform) == worker_state::draining);
+    CHECK_FALSE(service->release_worker(first_worker).unchanged);
+    CHECK(service->release_worker(first_worker).unchanged);
+    run(platform, *service, 10);
+    CHECK(state_of(platform) == worker_state::serving);
+    CHECK(platform.state().workers.at(first_worker).pool.str() == "p0");
+    CHECK_FALSE(platform.workers[first_worker].refuses_work);
+}
+
+// Guards against a wave that stands still without a reason in the dump.
+TEST_CASE("a wave that waits for a lost worker says so")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    auto service = platform.make_service("a", {});
+    run(platform, *service, 4);
+    platform.workers[first_worker].alive = false;
+    run(platform, *service, 10);
+    service->start_wave("wave");
+    run(platform, *service, 12 * 40);
+    const auto dump = service->snapshot();
+    const auto& wave = dump.at("waves").at(0);
+    CHECK(wave.at("done").to_number<int>() == 11);
+    CHECK(wave.at("waits_for").as_string() == "w0, which is down");
+}
+
+// Guards against tasks that hold up a wave although they can be saved, and
+// against a checkpoint of urgent work.
+TEST_CASE("batch tasks are checkpointed when a drain takes too long")
+{
+    net::this_thread_io();
+    auto bundle = small_bundle();
+    bundle.waves.front().checkpoint_after = 10s;
+    bundle.queues.back().urgency = base::priority::urgent;
+    fake_platform platform(bundle);
+    auto& batch = platform.workers[base::worker_id("w0")];
+    auto& urgent = platform.workers[base::worker_id("w3")];
+    batch.slots_used = urgent.slots_used = 1;
+    batch.queue = "q0";
+    urgent.queue = "q1";
+    auto service = platform.make_service("a", {});
+    run(platform, *service, 4);
+    service->start_wave("wave");
+    run(platform, *service, 19);
+    CHECK(batch.slots_used == 1);
+    run(platform, *service, 40);
+    CHECK(batch.reboots == 1);
+    CHECK(urgent.slots_used == 1);
+}
+
 TEST_CASE("an operator's pause stops a wave until it is resumed")
 {
     net::this_thread_io();
