Do not decide from a worker's answer that a pause made old

Change: answers older than 2 s count neither as a report nor as a missing one, and the planner asks the worker once more right before a reboot. The check of pools now also runs within the pause, so that it sees each change of pool. Conclusion: a reboot call that is itself delayed is stopped only by the worker, which the platform restarts only when idle; the histories do not delay it.

--- a/src/capacity/fleet_observer.cpp
+++ b/src/capacity/fleet_observer.cpp
@@ -30,9 +30,9 @@
     if (now < last_round_ || now - last_round_ > settings_.longest_gap)
         workers_.clear();
     last_round_ = now;
-    const bool any =
-        std::any_of(round.begin(), round.end(),
-                    [](const worker_sighting& seen) { return seen.reported; });
+    const bool any = std::any_of(round.begin(), round.end(),
+                                 [](const worker_sighting& seen)
+                                 { return seen.reported || seen.outdated; });
     if (!any)
     {
         workers_.clear();
@@ -41,7 +41,7 @@
     for (const worker_sighting& seen : round)
     {
         const auto found = state.workers.find(seen.worker);
-        if (found == state.workers.end())
+        if (found == state.workers.end() || seen.outdated)
             continue;
         const auto [at, first] = workers_.try_emplace(seen.worker);
         memory& of = at->second;
--- a/src/capacity/fleet_observer.hpp
+++ b/src/capacity/fleet_observer.hpp
@@ -17,6 +17,9 @@
     base::worker_id worker;
     /// Whether the worker answered. The next fields count only then.
     bool reported = false;
+    /// The answer is too old to decide from, because the planner was paused
+    /// since. It counts neither as a report nor as a missing one.
+    bool outdated = false;
     /// The worker refuses new work.
     bool refuses_work = false;
     std::uint32_t slots_used = 0;
--- a/src/dispatch/fleet_service.cpp
+++ b/src/dispatch/fleet_service.cpp
@@ -265,7 +265,7 @@
         const worker_calls worker_hooks{calls.workers, calls.instances,
                                         calls.steady_now, settings.call_timeout,
                                         settings.concurrency};
-        const worker_round round = ask_workers(worker_hooks, *bundle);
+        worker_round round = ask_workers(worker_hooks, *bundle);
         report.workers_answering = round.answered;
         if (round.answered == 0 && !round.sightings.empty())
         {
@@ -273,6 +273,7 @@
             // Another member may reach the workers.
             give_up_lease();
         }
+        drop_outdated(round, calls.steady_now() - settings.longest_action_age);
         std::vector<fleet_change> applied;
         if (!write(plan(*cached, round, applied)))
             return;
--- a/src/dispatch/fleet_service.hpp
+++ b/src/dispatch/fleet_service.hpp
@@ -33,7 +33,8 @@
     base::duration read_interval = std::chrono::seconds{4};
     /// Calls to workers at the same time.
     std::size_t concurrency = 64;
-    /// A worker is told nothing on the strength of a state read longer ago.
+    /// Nothing is decided from a worker's answer, and no worker is told
+    /// anything from a state, that is older.
     base::duration longest_action_age = std::chrono::seconds{2};
     capacity::wave_settings waves;
     capacity::move_settings moves;
--- a/src/dispatch/worker_round.cpp
+++ b/src/dispatch/worker_round.cpp
@@ -149,7 +149,7 @@
         case worker_action::drain:
             return tell(where, calls_.workers.drain);
         case worker_action::reboot:
-            return tell(where, calls_.workers.reboot);
+            return reboot(where);
         case worker_action::undrain:
             return tell(where, calls_.workers.undrain);
         case worker_action::checkpoint:
@@ -185,6 +185,20 @@
                 [&](base::time_point deadline) { call(where, deadline); });
     }
 
+    /// Asks once more: since the round, a planner that was paused may have let
+    /// the worker take work.
+    void reboot(const platform::worker_endpoint& where) const
+    {
+        attempt(where,
+                [&](base::time_point deadline)
+                {
+                    const auto report = calls_.workers.report(where, deadline);
+                    if (report.leaving && report.slots_used == 0 &&
+                        calls_.steady_now() <= deadline)
+                        calls_.workers.reboot(where, deadline);
+                });
+    }
+
     void checkpoint(const platform::worker_endpoint& where,
                     const std::vector<platform::task_usage>& usage) const
     {
@@ -213,12 +227,14 @@
     worker_round round;
     round.sightings.resize(bundle.workers.size());
     round.usage.resize(bundle.workers.size());
+    round.asked_at.resize(bundle.workers.size());
     for_each_bounded(bundle.workers.size(), calls.concurrency,
                      [&](std::size_t index)
                      {
                          const config::worker& worker = bundle.workers[index];
                          worker_sighting& seen = round.sightings[index];
                          seen.worker = worker.id;
+                         round.asked_at[index] = calls.steady_now();
                          seen.listed_leaving = leaving.contains(worker.id);
                          try
                          {
@@ -242,6 +258,18 @@
     return round;
 }
 
+void drop_outdated(worker_round& round, base::time_point oldest)
+{
+    for (std::size_t index = 0; index < round.sightings.size(); ++index)
+    {
+        worker_sighting& seen = round.sightings[index];
+        if (round.asked_at[index] >= oldest)
+            continue;
+        seen.reported = false;
+        seen.outdated = true;
+    }
+}
+
 std::vector<capacity::pool_load> used_slots(const config::bundle& bundle,
                                             const capacity::fleet_state& state,
                                             const worker_round& round)
--- a/src/dispatch/worker_round.hpp
+++ b/src/dispatch/worker_round.hpp
@@ -30,9 +30,14 @@
     std::vector<capacity::worker_sighting> sightings;
     /// Per worker, empty for one that did not answer.
     std::vector<std::vector<platform::task_usage>> usage;
+    /// When each worker was asked.
+    std::vector<base::time_point> asked_at;
     std::size_t answered = 0;
 };
 
+/// Marks the answers to questions before `oldest` as outdated.
+void drop_outdated(worker_round& round, base::time_point oldest);
+
 /// Asks the instance list and each worker. Suspends the fiber; throws nothing
 /// for a call that fails.
 worker_round ask_workers(const worker_calls& calls,
--- a/tests/fleet/fake_platform.hpp
+++ b/tests/fleet/fake_platform.hpp
@@ -57,6 +57,12 @@
     std::size_t reads = 0;
     /// Called within each compare-and-swap before it is decided.
     std::function<void()> before_swap;
+    /// Called once, within a call to a worker before it takes effect, when
+    /// `calls_until_pause` more calls have passed. Not within a reboot: the
+    /// platform restarts only an idle worker, and that refusal is the last
+    /// protection against a reboot which arrives late.
+    std::function<void()> during_call;
+    std::size_t calls_until_pause = 0;
 
     void advance(base::duration step)
     {
@@ -182,6 +188,13 @@
     }
 
     fake_worker& reach(const platform::worker_endpoint& where)
+    {
+        if (during_call && calls_until_pause-- == 0)
+            std::exchange(during_call, {})();
+        return answer(where);
+    }
+
+    fake_worker& answer(const platform::worker_endpoint& where)
     {
         fake_worker& worker = workers[where.id];
         if (!worker.alive || worker.rebooting || random_.unit() < lost_calls)
@@ -226,7 +239,7 @@
         };
         hooks.reboot = [this](const auto& where, base::time_point)
         {
-            fake_worker& worker = reach(where);
+            fake_worker& worker = answer(where);
             worker.harmful_reboots += worker.slots_used == 0 ? 0 : 1;
             worker.slots_used = 0;
             worker.rebooting = true;
--- a/tests/fleet/fleet_history_test.cpp
+++ b/tests/fleet/fleet_history_test.cpp
@@ -60,6 +60,9 @@
 
     double failure_rate = 0;
     double store_outage_rate = 0;
+    /// Probability that a planner is paused in the middle of a step, between
+    /// its decision and a call to a worker, while the others go on.
+    double pause_rate = 0;
 
     dispatch::fleet_service& planner(std::size_t index)
     {
@@ -78,11 +81,22 @@
             {
                 planners_[second]->step();
             };
+        if (random_.unit() < pause_rate)
+        {
+            platform.calls_until_pause =
+                random_.below(platform.workers.size() * 2);
+            platform.during_call = [this]
+            {
+                run_others();
+            };
+        }
         for (std::size_t index = 0; index < planners_.size(); ++index)
             if (awake(index))
                 planners_[index]->step();
         platform.before_swap = {};
+        platform.during_call = {};
         check_one_pool();
+        RC_ASSERT(fault_ == "");
     }
 
     /// Ends all faults and waits until the fleet is whole.
@@ -90,6 +104,7 @@
     {
         failure_rate = 0;
         store_outage_rate = 0;
+        pause_rate = 0;
         platform.lost_responses = 0;
         platform.lost_calls = 0;
         platform.store_up = true;
@@ -143,6 +158,22 @@
         return true;
     }
 
+    /// The planner in whose step this is called takes no part.
+    void run_others()
+    {
+        const std::size_t rounds = 1 + random_.below(20);
+        for (std::size_t round = 0; round < rounds; ++round)
+        {
+            platform.advance(500ms);
+            shift_tasks();
+            for (const auto& planner : planners_)
+            {
+                planner->step();
+                check_one_pool();
+            }
+        }
+    }
+
     void disturb()
     {
         if (store_outage_rate > 0)
@@ -192,22 +223,27 @@
     }
 
     /// Each worker once, in each reader's view; and no reboot or change of
-    /// pool under a running task.
+    /// pool under a running task. Also called within a step of a planner,
+    /// where nothing may be thrown.
     void check_one_pool()
     {
         const auto& state = platform.state();
-        RC_ASSERT(state.workers.size() == platform.workers.size());
+        if (state.workers.size() != platform.workers.size())
+            fault_ = "a worker is missing";
         for (const auto& view : seen_)
             for (const auto& [id, status] : view->workers)
-                RC_ASSERT(view->version < state.version ||
-                          status.pool == state.workers.at(id).pool);
+                if (view->version >= state.version &&
+                    status.pool != state.workers.at(id).pool)
+                    fault_ = "a view differs from the store";
         for (const auto& [id, worker] : platform.workers)
         {
-            RC_ASSERT(worker.harmful_reboots == 0);
+            if (worker.harmful_reboots != 0)
+                fault_ = "reboot under a running task";
             const auto& pool = state.workers.at(id).pool;
             auto& last = pools_[id];
-            RC_ASSERT(last.empty() || last == pool || worker.slots_used == 0 ||
-                      !worker.refuses_work);
+            if (!last.empty() && last != pool && worker.slots_used != 0 &&
+                worker.refuses_work)
+                fault_ = "change of pool under a running task";
             last = pool;
         }
     }
@@ -225,6 +261,7 @@
     std::set<base::worker_id> failed_;
     std::map<base::worker_id, base::pool_name> pools_;
     base::wall_time back_at_{};
+    std::string fault_;
 };
 
 bool wave_done(const fleet_state& state)
@@ -269,6 +306,7 @@
         bundle.budgets.clear();
     racing_history history(bundle, seed, zones);
     history.failure_rate = 0.02;
+    history.pause_rate = 0.1;
     history.platform.lost_responses = 0.1;
     try_command([&] { history.planner(1).start_wave("wave"); });
     for (int step = 0; step < history_steps; ++step)
@@ -321,6 +359,7 @@
             history.store_outage_rate = 0.1;
             history.platform.lost_responses = 0.2;
             history.platform.lost_calls = 0.05;
+            history.pause_rate = 0.2;
             const auto workers = history.platform.bundle().workers;
             for (int step = 0; step < history_steps; ++step)
             {
@@ -356,6 +395,7 @@
             history.store_outage_rate = 0.05;
             history.platform.lost_responses = 0.2;
             history.platform.lost_calls = 0.02;
+            history.pause_rate = 0.1;
             try_command([&] { history.planner(1).start_wave("wave"); });
             for (int step = 0; step < history_steps / 2; ++step)
                 history.step();
