dispatch: test that a taken-over attempt cannot start later

Change: a test with a long lease and a process paused before its start. Conclusion: the fence is now guarded by a test of its own.

--- a/tests/dispatch/request_runner_test.cpp
+++ b/tests/dispatch/request_runner_test.cpp
@@ -166,6 +166,33 @@
     CHECK(fixture.workers.log.empty());
 }
 
+// Guards against a take-over that does not stop the lease of a paused process:
+// with a long lease, its start would still be accepted.
+TEST_CASE("a taken-over attempt cannot start later")
+{
+    request_fixture fixture;
+    auto settings = quick_settings();
+    settings.scan_interval = 1h;
+    settings.lease_ttl = 1s;
+    const auto owns = [](std::size_t)
+    {
+        return false;
+    };
+    instance paused(fixture.store, fixture.workers, fixture.bundle, 1, owns,
+                    settings);
+    instance other(fixture.store, fixture.workers, fixture.bundle, 2, owns,
+                   settings);
+    paused.gate.freeze_time = 60ms;
+    paused.gate.next = fault_at(4, process_fault::freeze_before);
+    const auto work = make_work("a", work_kind::request);
+    net::task_group fibers;
+    fibers.spawn([&] { paused.work->requests().run(work); });
+    boost::this_fiber::sleep_for(15ms);
+    CHECK(other.work->requests().run(work).status == work_status::done);
+    fibers.join();
+    CHECK(fixture.workers.log.size() == 1);
+}
+
 // Guards against an answer that is lost when the store fails during the run.
 TEST_CASE("an outcome is written after a store outage")
 {
