Return a borrowed slot whose response was lost

Cause: a member that loses the response of a grant returns it under the id of its request, but a borrowed slot has another id at its lender and at the broker: it leaked until the member was dropped. Change: the broker finds loans by the request's id and the service returns them to the lender.

--- a/src/dispatch/pool_slots.cpp
+++ b/src/dispatch/pool_slots.cpp
@@ -119,12 +119,14 @@
     impl_->changed.notify_all();
 }
 
-void pool_slots::cancel(const std::string& request_id)
+std::optional<policy::slot_grant>
+pool_slots::cancel(const std::string& request_id)
 {
-    const auto ticket = impl_->broker.cancel(request_id, base::steady_now());
-    if (ticket != 0)
-        impl_->resolve(ticket, policy::slot_decision{});
+    const auto cancelled = impl_->broker.cancel(request_id, base::steady_now());
+    if (cancelled.ticket != 0)
+        impl_->resolve(cancelled.ticket, policy::slot_decision{});
     deliver();
+    return cancelled.loan;
 }
 
 std::vector<policy::slot_grant>
--- a/src/dispatch/pool_slots.hpp
+++ b/src/dispatch/pool_slots.hpp
@@ -32,8 +32,9 @@
             const std::function<void()>& on_wait);
     /// Wakes the fibers whose requests were decided.
     void deliver();
-    /// Withdraws a waiting request or returns its grant unused.
-    void cancel(const std::string& request_id);
+    /// Withdraws a waiting request or returns its grant unused. Returns the
+    /// borrowed slot to give back, if any.
+    std::optional<policy::slot_grant> cancel(const std::string& request_id);
     /// Drops a member; returns the borrowed slots to give back.
     std::vector<policy::slot_grant> drop_member(const base::member_id& member);
     /// Makes all waiting requests ask another broker. Returns their number.
--- a/src/dispatch/slot_service.cpp
+++ b/src/dispatch/slot_service.cpp
@@ -138,7 +138,8 @@
 {
     if (outcome == slot_outcome::unused)
         if (auto* pool = impl_->find(grant.pool))
-            pool->cancel(grant.id);
+            if (const auto loan = pool->cancel(grant.id))
+                impl_->give_back(request, *loan);
     impl_->apply_release(request, grant, outcome, run_time);
 }
 
--- a/src/dispatch/slot_service_impl.hpp
+++ b/src/dispatch/slot_service_impl.hpp
@@ -19,11 +19,6 @@
 namespace pimentograde::dispatch
 {
 
-inline policy::slot_decision refuse(policy::slot_refusal reason)
-{
-    return {std::nullopt, reason};
-}
-
 /// State and steps of `slot_service`, shared by its source files.
 struct slot_service::impl
 {
--- a/src/policy/grant_table.cpp
+++ b/src/policy/grant_table.cpp
@@ -20,6 +20,15 @@
     return known == grants_.end() ? nullptr : &known->second;
 }
 
+const held_grant* grant_table::find_request(const std::string& request_id) const
+{
+    const auto known =
+        std::find_if(grants_.begin(), grants_.end(),
+                     [&](const auto& entry)
+                     { return entry.second.request_id == request_id; });
+    return known == grants_.end() ? nullptr : &known->second;
+}
+
 void grant_table::remove(const std::string& id)
 {
     const auto known = grants_.find(id);
--- a/src/policy/grant_table.hpp
+++ b/src/policy/grant_table.hpp
@@ -24,6 +24,9 @@
     /// Lent or borrowed, to be back at `due`.
     bool loan = false;
     base::time_point due{};
+    /// Id of the request that it serves; differs from the grant's when
+    /// borrowed.
+    std::string request_id;
 };
 
 /// Grants that are in use, by id.
@@ -32,6 +35,8 @@
 public:
     void add(held_grant held);
     [[nodiscard]] const held_grant* find(const std::string& id) const;
+    [[nodiscard]] const held_grant*
+    find_request(const std::string& request_id) const;
     void remove(const std::string& id);
 
     [[nodiscard]] std::size_t size() const { return grants_.size(); }
--- a/src/policy/slot.hpp
+++ b/src/policy/slot.hpp
@@ -68,6 +68,11 @@
     slot_refusal refusal = slot_refusal::no_worker;
 };
 
+inline slot_decision refuse(slot_refusal reason)
+{
+    return {std::nullopt, reason};
+}
+
 enum class slot_outcome
 {
     succeeded,
--- a/src/policy/slot_broker.cpp
+++ b/src/policy/slot_broker.cpp
@@ -24,11 +24,6 @@
 // A department without quota is served after those with one.
 constexpr double smallest_quota = 0.01;
 
-slot_decision refuse(slot_refusal reason)
-{
-    return {std::nullopt, reason};
-}
-
 } // namespace
 
 struct slot_broker::impl
@@ -200,7 +195,7 @@
     slot_grant grant{id, worker, settings.pool, settings.self};
     workers.take_slot(worker);
     grants.add({grant, holder, request.queue, request.department, charge, lent,
-                now + lending.settings().bound});
+                now + lending.settings().bound, id});
     return grant;
 }
 
@@ -311,9 +306,12 @@
 {
     if (const auto waiting = impl_->queue.ticket_of(request.id); waiting != 0)
         return {waiting, std::nullopt};
-    for (const auto* known : {&impl_->grants, &impl_->borrowed})
-        if (const auto* held = known->find(request.id))
-            return {0, slot_decision{held->grant, {}}};
+    if (const auto* held = impl_->grants.find(request.id))
+        return {0, slot_decision{held->grant, {}}};
+    if (const auto* loan = request.id.empty()
+                               ? nullptr
+                               : impl_->borrowed.find_request(request.id))
+        return {0, slot_decision{loan->grant, {}}};
     if (const auto refusal = impl_->precheck(request, now))
         return {0, refuse(*refusal)};
     const auto expiry =
@@ -322,17 +320,23 @@
         {impl_->next_ticket++, request, holder, estimate, expiry, now}, now);
 }
 
-std::uint64_t slot_broker::cancel(const std::string& request_id,
-                                  base::time_point now)
+cancelled_request slot_broker::cancel(const std::string& request_id,
+                                      base::time_point now)
 {
     if (const auto ticket = impl_->queue.ticket_of(request_id); ticket != 0)
     {
         impl_->queue.remove(ticket);
-        return ticket;
+        return {ticket, std::nullopt};
     }
     if (const auto* held = impl_->grants.find(request_id))
         release(slot_grant(held->grant), slot_outcome::unused, now);
-    return 0;
+    cancelled_request cancelled;
+    if (const auto* loan = impl_->borrowed.find_request(request_id))
+    {
+        cancelled.loan = loan->grant;
+        impl_->end_loan(held_grant(*loan));
+    }
+    return cancelled;
 }
 
 slot_decision slot_broker::grant_of_two(const slot_request& request,
@@ -443,7 +447,7 @@
     impl_->departments[request.department].used += taken->estimate.charge;
     impl_->borrowed.add({grant, taken->holder, request.queue,
                          request.department, taken->estimate.charge, true,
-                         now + loan_memory});
+                         now + loan_memory, request.id});
     impl_->events.push_back({ticket, {grant, slot_refusal::no_worker}});
     return true;
 }
--- a/src/policy/slot_broker.hpp
+++ b/src/policy/slot_broker.hpp
@@ -82,6 +82,14 @@
     std::vector<std::uint64_t> tickets;
 };
 
+struct cancelled_request
+{
+    /// Ticket of a request that waited; 0 otherwise.
+    std::uint64_t ticket = 0;
+    /// Borrowed slot, which has to be returned to its lender.
+    std::optional<slot_grant> loan;
+};
+
 struct broker_state
 {
     std::map<base::queue_name, std::uint32_t> waiting;
@@ -129,9 +137,9 @@
                          const base::member_id& holder,
                          const request_estimate& estimate,
                          base::time_point now);
-    /// Withdraws a waiting request and returns its ticket, or returns its
-    /// grant unused and 0.
-    std::uint64_t cancel(const std::string& request_id, base::time_point now);
+    /// Withdraws a waiting request or returns its grant unused.
+    cancelled_request cancel(const std::string& request_id,
+                             base::time_point now);
     /// Grants a slot without the queue, for use while the pool's broker is
     /// unreachable: the less used of two random workers, or `no_worker`.
     slot_decision grant_of_two(const slot_request& request,
--- a/tests/slots/slot_cluster.cpp
+++ b/tests/slots/slot_cluster.cpp
@@ -21,6 +21,9 @@
 {
     for (auto& [name, service] : services_)
         service->stop();
+    // Fibers of one member may still return slots to another.
+    closing_ = true;
+    services_.clear();
 }
 
 dispatch::slot_service& slot_cluster::at(const std::string& member)
@@ -31,7 +34,7 @@
 dispatch::slot_service& slot_cluster::reach(const base::member_id& member)
 {
     boost::this_fiber::yield();
-    if (down_.contains(member.str()))
+    if (closing_ || down_.contains(member.str()))
         throw base::error(base::error_code::unavailable, "test", member.str(),
                           "down");
     return at(member.str());
@@ -96,7 +99,7 @@
         down_.erase(member);
 }
 
-std::int64_t slot_cluster::used_slots()
+std::int64_t slot_cluster::used_slots(bool with_borrowed)
 {
     std::int64_t used = 0;
     for (const auto& [name, service] : services_)
@@ -106,7 +109,8 @@
         {
             const auto& state = pool.value().as_object();
             used += state.at("used").to_number<std::int64_t>();
-            used += state.at("borrowed").to_number<std::int64_t>();
+            if (with_borrowed)
+                used += state.at("borrowed").to_number<std::int64_t>();
         }
     }
     return used;
--- a/tests/slots/slot_cluster.hpp
+++ b/tests/slots/slot_cluster.hpp
@@ -31,8 +31,8 @@
     void lose_next_response() { lose_response_ = true; }
     /// Variant without the return of slots whose response was lost.
     void lose_cancellations() { lose_cancellations_ = true; }
-    /// Slots in use or lent at the brokers of all pools.
-    [[nodiscard]] std::int64_t used_slots();
+    /// Used slots at the brokers of all pools, and borrowed ones on request.
+    [[nodiscard]] std::int64_t used_slots(bool with_borrowed = true);
 
 private:
     dispatch::slot_hooks hooks(const std::string& member);
@@ -41,6 +41,7 @@
     std::map<std::string, std::unique_ptr<dispatch::slot_service>> services_;
     std::map<std::string, std::string> brokers_;
     std::set<std::string> down_;
+    bool closing_ = false;
     bool lose_response_ = false;
     bool lose_cancellations_ = false;
 };
--- a/tests/slots/slot_service_test.cpp
+++ b/tests/slots/slot_service_test.cpp
@@ -212,6 +212,29 @@
     CHECK(cluster.used_slots() == 0);
 }
 
+// Guards against a loan that is looked up by the request's id only at its
+// lender, where it has another id.
+TEST_CASE("a borrowed slot whose response was lost returns")
+{
+    two_members members;
+    members.cluster.set_fleet(make_bundle(4, 1));
+    std::vector<policy::slot_grant> own;
+    const auto request = make_request("a", "p", 200ms);
+    for (int index = 0; index < 4; ++index)
+        own.push_back(*members.broker.acquire(request).grant);
+    members.cluster.lose_next_response();
+    const auto decision = members.other.acquire(request);
+    CHECK(members.broker.counters().borrowed == 1);
+    boost::this_fiber::sleep_for(10ms);
+    for (const auto& grant : own)
+        members.broker.release(request, grant, slot_outcome::unused, {});
+    if (decision.grant)
+        members.other.release(request, *decision.grant, slot_outcome::unused,
+                              {});
+    boost::this_fiber::sleep_for(10ms);
+    CHECK(members.cluster.used_slots() == 0);
+}
+
 // Guards against work on a worker that leaves, and against a worker that is
 // never accepted again.
 TEST_CASE("a leaving worker gets nothing until it returns")
