--- a/src/cli/remote_call.cpp
+++ b/src/cli/remote_call.cpp
@@ -1,6 +1,7 @@
 #include "cli/remote_call.hpp"
 
 #include "base/error.hpp"
+#include "net/http_status.hpp"
 
 #include <boost/json.hpp>
 #include <boost/url/encode.hpp>
@@ -32,26 +33,7 @@
 
 base::error_code code_of(unsigned status)
 {
-    switch (status)
-    {
-    case 400:
-        return base::error_code::invalid;
-    case 401:
-    case 403:
-        return base::error_code::unauthorized;
-    case 404:
-        return base::error_code::not_found;
-    case 409:
-        return base::error_code::conflict;
-    case 413:
-        return base::error_code::too_large;
-    case 503:
-        return base::error_code::refused;
-    case 504:
-        return base::error_code::timeout;
-    default:
-        return base::error_code::internal;
-    }
+    return net::error_code_of(status).value_or(base::error_code::internal);
 }
 
 } // namespace
--- a/src/entry/worker_watch.cpp
+++ b/src/entry/worker_watch.cpp
@@ -2,6 +2,7 @@
 
 #include "base/error.hpp"
 #include "net/task_group.hpp"
+#include "policy/events.hpp"
 
 #include <set>
 #include <utility>
@@ -30,8 +31,26 @@
     void run_list();
     void read_report(const platform::worker_endpoint& worker);
     void read_list();
+    void report_overdue();
+    /// Overdue loans that were logged already.
+    std::set<std::string> reported_loans;
 };
 
+void worker_watch::impl::report_overdue()
+{
+    std::set<std::string> overdue;
+    for (const auto& grant : calls.slots->overdue_loans())
+    {
+        overdue.insert(grant.id);
+        if (!reported_loans.contains(grant.id))
+            log::write(policy::event_loan_overdue,
+                       {{"pool", grant.pool.str()},
+                        {"worker", grant.worker.str()},
+                        {"grant", grant.id}});
+    }
+    reported_loans = std::move(overdue);
+}
+
 void worker_watch::impl::read_report(const platform::worker_endpoint& worker)
 {
     try
@@ -61,6 +80,7 @@
                                        worker.id,
                                        worker.address}] { read_report(peer); });
         round.join();
+        report_overdue();
     }
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -3,6 +3,7 @@
 #include "base/error.hpp"
 #include "net/await.hpp"
 #include "net/events.hpp"
+#include "net/http_status.hpp"
 #include "net/io_scheduler.hpp"
 #include "net/task_group.hpp"
 
@@ -39,32 +40,6 @@
     bool idle = true;
 };
 
-unsigned status_of(base::error_code code)
-{
-    switch (code)
-    {
-    case base::error_code::invalid:
-        return 400;
-    case base::error_code::unauthorized:
-        return 403;
-    case base::error_code::not_found:
-        return 404;
-    case base::error_code::conflict:
-        return 409;
-    case base::error_code::too_large:
-        return 413;
-    case base::error_code::refused:
-    case base::error_code::unavailable:
-        return 503;
-    case base::error_code::timeout:
-    case base::error_code::cut_off:
-        return 504;
-    case base::error_code::internal:
-        break;
-    }
-    return 500;
-}
-
 http_response error_response(unsigned status, std::string_view error,
                              std::string_view detail)
 {
--- a/src/platform/json_exchange.cpp
+++ b/src/platform/json_exchange.cpp
@@ -1,6 +1,7 @@
 #include "platform/json_exchange.hpp"
 
 #include "base/error.hpp"
+#include "net/http_status.hpp"
 #include "platform/events.hpp"
 
 #include <boost/json.hpp>
@@ -31,31 +32,6 @@
                       "malformed response: " + std::string(detail));
 }
 
-std::optional<base::error_code> code_of(unsigned status)
-{
-    switch (status)
-    {
-    case 400:
-        return base::error_code::invalid;
-    case 401:
-    case 403:
-        return base::error_code::unauthorized;
-    case 404:
-        return base::error_code::not_found;
-    case 409:
-        return base::error_code::conflict;
-    case 413:
-        return base::error_code::too_large;
-    case 429:
-    case 503:
-        return base::error_code::refused;
-    case 504:
-        return base::error_code::timeout;
-    default:
-        return std::nullopt;
-    }
-}
-
 } // namespace
 
 response_reader::response_reader(json::object fields, std::string step,
@@ -188,7 +164,7 @@
     // "nothing was done" must not be concluded from garbage.
     const std::string detail =
         reader.text("error") + ": " + reader.text("detail");
-    const auto code = code_of(response.status);
+    const auto code = net::error_code_of(response.status);
     if (!code)
         throw base::error(base::error_code::cut_off, step, peer,
                           "status " + std::to_string(response.status) + ": " +
--- a/tools/standin/lossy_server.cpp
+++ b/tools/standin/lossy_server.cpp
@@ -2,6 +2,7 @@
 
 #include "base/error.hpp"
 #include "net/await.hpp"
+#include "net/http_status.hpp"
 #include "net/io_scheduler.hpp"
 #include "net/task_group.hpp"
 
@@ -29,28 +30,6 @@
 
 constexpr std::size_t max_request_bytes = std::size_t{8} * 1024 * 1024;
 
-unsigned status_of(base::error_code code)
-{
-    switch (code)
-    {
-    case base::error_code::invalid:
-        return 400;
-    case base::error_code::unauthorized:
-        return 403;
-    case base::error_code::not_found:
-        return 404;
-    case base::error_code::conflict:
-        return 409;
-    case base::error_code::too_large:
-        return 413;
-    case base::error_code::refused:
-    case base::error_code::unavailable:
-        return 503;
-    default:
-        return 500;
-    }
-}
-
 std::size_t cut(std::size_t size, double share)
 {
     const auto kept =
@@ -208,7 +187,7 @@
     }
     catch (const base::error& failure)
     {
-        return {error_response(status_of(failure.code()),
+        return {error_response(net::status_of(failure.code()),
                                base::to_string(failure.code()),
                                failure.detail())};
     }
