Scale the shard refresh with the other times of the histories

The scan reads a shard again after refresh_interval, which was introduced with 5 s; the histories run at milliseconds (scan_interval 4 ms) and end before. Ruled out: a lost job; the job waits in its shard for the next refresh. Change: the histories set refresh_interval to 4 ms, as the scan did before. Conclusion: in operation, a job that a member accepted for an unreachable owner starts up to 5 s later.

--- a/tests/dispatch/instance.hpp
+++ b/tests/dispatch/instance.hpp
@@ -175,6 +175,7 @@
     out.first_retry = 1ms;
     out.longest_retry = 6ms;
     out.scan_interval = 4ms;
+    out.refresh_interval = 4ms;
     out.orphan_age = 5ms;
     out.unknown_interval = 10ms;
     out.job_slot_wait = 10ms;
