--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	@bash tools/install_packages.sh
 
 build: deps
-	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	@cmake -S . -B $(BUILD) -G Ninja -DPIMENTOGRADE_WERROR=ON >/dev/null
 	@cmake --build $(BUILD) -j $(JOBS)
 
 format:
--- a/src/base/time.hpp
+++ b/src/base/time.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace pimentograde::base
 {
@@ -22,6 +23,16 @@
     return std::chrono::steady_clock::now();
 }
 
+/// Reads the clock that also runs while the machine is suspended. Only for the
+/// age of leases that others count in real time.
+inline time_point suspend_aware_now()
+{
+    timespec value{};
+    clock_gettime(CLOCK_BOOTTIME, &value);
+    return time_point(std::chrono::seconds(value.tv_sec) +
+                      std::chrono::nanoseconds(value.tv_nsec));
+}
+
 /// Reads the system clock. Deciding functions take the result as an argument.
 inline wall_time wall_now()
 {
--- /dev/null
+++ b/src/cli/node_command.cpp
@@ -0,0 +1,77 @@
+#include "cli/node_command.hpp"
+
+#include "base/error.hpp"
+#include "log/event.hpp"
+#include "node/node_instance.hpp"
+
+#include <fstream>
+#include <iterator>
+
+namespace pimentograde::cli
+{
+
+namespace
+{
+
+bool is_path(const std::string& text)
+{
+    return !text.empty();
+}
+
+bool is_log_level(const std::string& text)
+{
+    return text == "debug" || text == "info" || text == "warning" ||
+           text == "error";
+}
+
+const setting node_setting_list[] = {
+    {"settings", "PIMENTOGRADE_NODE_FILE", "",
+     "Settings file of the platform, as JSON", "a path", is_path, false, true},
+    {"log-level", "PIMENTOGRADE_LOG_LEVEL", "info", "Lowest level to log",
+     "debug, info, warning or error", is_log_level, false, false},
+};
+
+std::string read_file(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file)
+        throw base::error(base::error_code::invalid, "read settings", path,
+                          "the file cannot be opened");
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+log::severity severity_of(std::string_view word)
+{
+    for (const auto level : {log::severity::debug, log::severity::info,
+                             log::severity::warning})
+        if (log::to_string(level) == word)
+            return level;
+    return log::severity::error;
+}
+
+exit_code run_node(command_input& input)
+{
+    const auto settings = platform::read_node_settings(
+        read_file(input.settings.find("settings")->second));
+    log::configure(log::format::json,
+                   severity_of(input.settings.find("log-level")->second),
+                   settings.name);
+    node::node_instance instance(settings);
+    instance.run();
+    return exit_code::ok;
+}
+
+} // namespace
+
+command node_command()
+{
+    return {"node",
+            {},
+            "Run an entry instance on the platform until SIGTERM",
+            "PIMENTOGRADE_NODE_FILE=settings.json pimentograde node",
+            {},
+            node_setting_list,
+            run_node};
+}
+
+} // namespace pimentograde::cli
--- a/src/dispatch/attempt_runner.cpp
+++ b/src/dispatch/attempt_runner.cpp
@@ -15,8 +15,8 @@
 namespace pimentograde::dispatch
 {
 
-using platform::lease_state;
-using platform::lease_status;
+using provider::lease_state;
+using provider::lease_status;
 using records::commit_outcome;
 using records::record;
 using records::record_state;
@@ -49,13 +49,13 @@
     }
 
     std::optional<attempt_report> reserve(held_slot& slot,
-                                          const platform::worker_endpoint& peer,
+                                          const provider::worker_endpoint& peer,
                                           const base::task_size& size,
                                           reservation& reserved);
-    lease_status start(const platform::worker_endpoint& peer,
+    lease_status start(const provider::worker_endpoint& peer,
                        const reservation& reserved,
-                       const platform::task_spec& task);
-    lease_status ask(const platform::worker_endpoint& peer,
+                       const provider::task_spec& task);
+    lease_status ask(const provider::worker_endpoint& peer,
                      const record& started, bool may_stop);
     std::optional<attempt_report> check_record(const record& started);
     attempt_report record_end(const record& started,
@@ -67,17 +67,17 @@
     attempt_report finish_own(const record& begun,
                               const attempt_result& result);
     attempt_report run_begun(held_slot& slot, const record& begun,
-                             const platform::worker_endpoint& peer,
+                             const provider::worker_endpoint& peer,
                              const std::string& payload);
-    void stop(const platform::worker_endpoint& peer,
+    void stop(const provider::worker_endpoint& peer,
               const base::lease_id& lease);
 };
 
 std::optional<attempt_report> attempt_runner::impl::reserve(
-    held_slot& slot, const platform::worker_endpoint& peer,
+    held_slot& slot, const provider::worker_endpoint& peer,
     const base::task_size& size, reservation& reserved)
 {
-    platform::reserve_result result;
+    provider::reserve_result result;
     try
     {
         result = hooks.workers.reserve(peer, size, settings.lease_ttl,
@@ -91,22 +91,22 @@
     }
     switch (result.outcome)
     {
-    case platform::reserve_outcome::granted:
+    case provider::reserve_outcome::granted:
         reserved = {peer.id, result.incarnation, result.lease};
         return std::nullopt;
-    case platform::reserve_outcome::full:
+    case provider::reserve_outcome::full:
         slot.release(policy::slot_outcome::worker_full, {});
         return not_started(reason::worker_full, peer.id);
-    case platform::reserve_outcome::leaving:
+    case provider::reserve_outcome::leaving:
         slot.release(policy::slot_outcome::worker_leaving, {});
         return not_started(reason::worker_leaving, peer.id);
-    case platform::reserve_outcome::too_large:
+    case provider::reserve_outcome::too_large:
         break;
     }
     return not_started(reason::too_large, peer.id);
 }
 
-void attempt_runner::impl::stop(const platform::worker_endpoint& peer,
+void attempt_runner::impl::stop(const provider::worker_endpoint& peer,
                                 const base::lease_id& lease)
 {
     try
@@ -120,9 +120,9 @@
 }
 
 /// Starts the task and renews its lease until the call returns.
-lease_status attempt_runner::impl::start(const platform::worker_endpoint& peer,
+lease_status attempt_runner::impl::start(const provider::worker_endpoint& peer,
                                          const reservation& reserved,
-                                         const platform::task_spec& task)
+                                         const provider::task_spec& task)
 {
     net::stop_signal ended;
     net::task_group renewer;
@@ -165,7 +165,7 @@
     return status;
 }
 
-lease_status attempt_runner::impl::ask(const platform::worker_endpoint& peer,
+lease_status attempt_runner::impl::ask(const provider::worker_endpoint& peer,
                                        const record& started, bool may_stop)
 {
     const auto deadline = in(settings.worker_call);
@@ -302,10 +302,10 @@
 
 attempt_report
 attempt_runner::impl::run_begun(held_slot& slot, const record& begun,
-                                const platform::worker_endpoint& peer,
+                                const provider::worker_endpoint& peer,
                                 const std::string& payload)
 {
-    const platform::task_spec task{begun.identity.key, begun.queue.str(),
+    const provider::task_spec task{begun.identity.key, begun.queue.str(),
                                    begun.size, payload};
     const reservation reserved{begun.worker, begun.incarnation, begun.lease};
     const auto status = start(peer, reserved, task);
--- a/src/dispatch/attempt_runner.hpp
+++ b/src/dispatch/attempt_runner.hpp
@@ -70,7 +70,7 @@
     /// Asks the worker to end the lease of a record. Ignores failures.
     void stop_lease(const records::record& started);
     /// State of a record's lease. Throws `base::error`.
-    platform::lease_status query_lease(const records::record& started);
+    provider::lease_status query_lease(const records::record& started);
 
     [[nodiscard]] const runner_hooks& hooks() const;
     [[nodiscard]] const runner_settings& settings() const;
--- a/src/dispatch/fleet_service.hpp
+++ b/src/dispatch/fleet_service.hpp
@@ -8,8 +8,8 @@
 #include "capacity/move_planner.hpp"
 #include "capacity/wave_planner.hpp"
 #include "config/bundle.hpp"
-#include "platform/kv_operations.hpp"
-#include "platform/worker_operations.hpp"
+#include "provider/kv_operations.hpp"
+#include "provider/worker_operations.hpp"
 
 #include <boost/json/object.hpp>
 
@@ -61,9 +61,9 @@
 public:
     struct hooks
     {
-        platform::kv_operations store;
-        platform::worker_operations workers;
-        platform::instance_list_operations instances;
+        provider::kv_operations store;
+        provider::worker_operations workers;
+        provider::instance_list_operations instances;
         /// Bundle in force; null while there is none.
         std::function<std::shared_ptr<const config::bundle>()> bundle;
         /// Slots wanted per pool, including waiting work. Optional: without
--- a/src/dispatch/fleet_store.cpp
+++ b/src/dispatch/fleet_store.cpp
@@ -14,14 +14,14 @@
 
 } // namespace
 
-fleet_store::fleet_store(platform::kv_operations store, base::member_id self)
+fleet_store::fleet_store(provider::kv_operations store, base::member_id self)
     : store_(std::move(store)), self_(std::move(self))
 {
 }
 
 stored_fleet fleet_store::read(base::time_point deadline) const
 {
-    const platform::kv_entry entry = store_.get(state_key, deadline);
+    const provider::kv_entry entry = store_.get(state_key, deadline);
     stored_fleet stored;
     stored.store_version = entry.version;
     if (entry.version != 0)
@@ -35,9 +35,9 @@
     next.version = stored.state.version + 1;
     next.written = now;
     next.writer = self_.str();
-    const platform::swap_result result = store_.compare_and_swap(
+    const provider::swap_result result = store_.compare_and_swap(
         state_key, stored.store_version, capacity::encode(next), deadline);
-    if (result.outcome != platform::swap_outcome::applied)
+    if (result.outcome != provider::swap_outcome::applied)
         return false;
     stored = {std::move(next), result.version};
     return true;
--- a/src/dispatch/fleet_store.hpp
+++ b/src/dispatch/fleet_store.hpp
@@ -3,7 +3,7 @@
 
 #include "base/strong_id.hpp"
 #include "capacity/fleet_state.hpp"
-#include "platform/kv_operations.hpp"
+#include "provider/kv_operations.hpp"
 
 #include <cstdint>
 
@@ -22,7 +22,7 @@
 class fleet_store
 {
 public:
-    fleet_store(platform::kv_operations store, base::member_id self);
+    fleet_store(provider::kv_operations store, base::member_id self);
 
     /// Throws `base::error`: that of the store, or `invalid` when the value is
     /// not a fleet state.
@@ -34,7 +34,7 @@
               base::wall_time now, base::time_point deadline) const;
 
 private:
-    platform::kv_operations store_;
+    provider::kv_operations store_;
     base::member_id self_;
 };
 
--- a/src/dispatch/job_runner.cpp
+++ b/src/dispatch/job_runner.cpp
@@ -316,7 +316,7 @@
     try
     {
         const auto status = impl_->attempts->query_lease(current);
-        if (status.state != platform::lease_state::unknown)
+        if (status.state != provider::lease_state::unknown)
             return out;
         out.reason = reason::outcome_unknown;
     }
--- a/src/dispatch/lease_result.cpp
+++ b/src/dispatch/lease_result.cpp
@@ -5,8 +5,8 @@
 namespace pimentograde::dispatch
 {
 
-using platform::lease_state;
-using platform::lease_status;
+using provider::lease_state;
+using provider::lease_status;
 using records::record;
 using records::record_state;
 
--- a/src/dispatch/record_changes.hpp
+++ b/src/dispatch/record_changes.hpp
@@ -2,7 +2,7 @@
 #define PIMENTOGRADE_DISPATCH_RECORD_CHANGES_HPP
 
 #include "base/work.hpp"
-#include "platform/worker_operations.hpp"
+#include "provider/worker_operations.hpp"
 #include "records/record_shard.hpp"
 
 #include <cstddef>
--- a/src/dispatch/request_runner.cpp
+++ b/src/dispatch/request_runner.cpp
@@ -281,49 +281,49 @@
     bool failed = false;
 };
 
-idempotent_try after_refusal(platform::reserve_outcome outcome)
+idempotent_try after_refusal(provider::reserve_outcome outcome)
 {
     idempotent_try out;
     out.reason =
-        outcome == platform::reserve_outcome::full      ? reason::worker_full
-        : outcome == platform::reserve_outcome::leaving ? reason::worker_leaving
+        outcome == provider::reserve_outcome::full      ? reason::worker_full
+        : outcome == provider::reserve_outcome::leaving ? reason::worker_leaving
                                                         : reason::too_large;
     return out;
 }
 
-policy::slot_outcome slot_outcome_of(const platform::run_result& ran)
+policy::slot_outcome slot_outcome_of(const provider::run_result& ran)
 {
     switch (ran.outcome)
     {
-    case platform::reserve_outcome::full:
+    case provider::reserve_outcome::full:
         return policy::slot_outcome::worker_full;
-    case platform::reserve_outcome::leaving:
+    case provider::reserve_outcome::leaving:
         return policy::slot_outcome::worker_leaving;
-    case platform::reserve_outcome::too_large:
+    case provider::reserve_outcome::too_large:
         return policy::slot_outcome::unused;
-    case platform::reserve_outcome::granted:
+    case provider::reserve_outcome::granted:
         break;
     }
-    return ran.status.state == platform::lease_state::done
+    return ran.status.state == provider::lease_state::done
                ? policy::slot_outcome::succeeded
                : policy::slot_outcome::failed;
 }
 
-idempotent_try after_run(const platform::run_result& ran)
+idempotent_try after_run(const provider::run_result& ran)
 {
-    if (ran.outcome != platform::reserve_outcome::granted)
+    if (ran.outcome != provider::reserve_outcome::granted)
         return after_refusal(ran.outcome);
     idempotent_try out;
-    if (ran.status.state == platform::lease_state::done)
+    if (ran.status.state == provider::lease_state::done)
     {
         out.final_result = {work_status::done, ran.status.answer, {}, {}};
         return out;
     }
     out.may_have_run =
-        ran.status.state != platform::lease_state::stopped_unstarted;
-    const bool failed = ran.status.state == platform::lease_state::failed;
+        ran.status.state != provider::lease_state::stopped_unstarted;
+    const bool failed = ran.status.state == provider::lease_state::failed;
     out.failed =
-        failed || ran.status.state == platform::lease_state::stopped_started;
+        failed || ran.status.state == provider::lease_state::stopped_started;
     out.reason =
         failed && !ran.status.reason.empty()
             ? ran.status.reason
--- a/src/dispatch/runner_hooks.hpp
+++ b/src/dispatch/runner_hooks.hpp
@@ -2,7 +2,7 @@
 #define PIMENTOGRADE_DISPATCH_RUNNER_HOOKS_HPP
 
 #include "config/bundle.hpp"
-#include "platform/worker_operations.hpp"
+#include "provider/worker_operations.hpp"
 #include "policy/slot.hpp"
 #include "records/record_table.hpp"
 
@@ -17,7 +17,7 @@
 /// What the runners depend on.
 struct runner_hooks
 {
-    platform::worker_operations workers;
+    provider::worker_operations workers;
     policy::slot_operations slots;
     /// The bundle in force.
     std::function<std::shared_ptr<const config::bundle>()> bundle;
@@ -85,12 +85,12 @@
 }
 
 /// The address of a worker, or nothing when the bundle does not list it.
-inline std::optional<platform::worker_endpoint>
+inline std::optional<provider::worker_endpoint>
 find_worker(const config::bundle& bundle, const base::worker_id& id)
 {
     for (const auto& worker : bundle.workers)
         if (worker.id == id)
-            return platform::worker_endpoint{worker.id, worker.address};
+            return provider::worker_endpoint{worker.id, worker.address};
     return std::nullopt;
 }
 
--- a/src/dispatch/slot_service.cpp
+++ b/src/dispatch/slot_service.cpp
@@ -194,7 +194,7 @@
 }
 
 void slot_service::record_report(const base::worker_id& worker,
-                                 const platform::worker_report& report)
+                                 const provider::worker_report& report)
 {
     const auto now = base::steady_now();
     auto& leaving = impl_->fleet.leaving();
--- a/src/dispatch/slot_service.hpp
+++ b/src/dispatch/slot_service.hpp
@@ -4,7 +4,7 @@
 #include "base/strong_id.hpp"
 #include "base/time.hpp"
 #include "config/bundle.hpp"
-#include "platform/worker_operations.hpp"
+#include "provider/worker_operations.hpp"
 #include "policy/leaving_registry.hpp"
 #include "policy/lending_policy.hpp"
 #include "policy/outlier_ejector.hpp"
@@ -114,7 +114,7 @@
     void clear_leaving(const base::worker_id& worker,
                        policy::leaving_source source);
     void record_report(const base::worker_id& worker,
-                       const platform::worker_report& report);
+                       const provider::worker_report& report);
     /// Idle slots of another member's pool, to choose a lender.
     void set_idle_slots(const base::pool_name& pool, std::uint32_t idle_slots);
 
--- a/src/dispatch/worker_round.cpp
+++ b/src/dispatch/worker_round.cpp
@@ -42,7 +42,7 @@
     {
         for (const auto& each :
              calls.instances.list(calls.steady_now() + calls.timeout))
-            if (each.state == platform::listed_state::leaving)
+            if (each.state == provider::listed_state::leaving)
                 leaving.insert(each.id);
     }
     catch (const base::error& failure)
@@ -142,9 +142,9 @@
     }
 
     void act(worker_action action, const config::worker& worker,
-             const std::vector<platform::task_usage>& usage) const
+             const std::vector<provider::task_usage>& usage) const
     {
-        const platform::worker_endpoint where{worker.id, worker.address};
+        const provider::worker_endpoint where{worker.id, worker.address};
         switch (action)
         {
         case worker_action::drain:
@@ -162,7 +162,7 @@
 
 private:
     template <class Call>
-    void attempt(const platform::worker_endpoint& where, Call call) const
+    void attempt(const provider::worker_endpoint& where, Call call) const
     {
         const base::time_point now = calls_.steady_now();
         if (now > until_)
@@ -178,8 +178,8 @@
         }
     }
 
-    void tell(const platform::worker_endpoint& where,
-              const std::function<void(const platform::worker_endpoint&,
+    void tell(const provider::worker_endpoint& where,
+              const std::function<void(const provider::worker_endpoint&,
                                        base::time_point)>& call) const
     {
         attempt(where,
@@ -188,7 +188,7 @@
 
     /// Asks once more: since the round, a planner that was paused may have let
     /// the worker take work.
-    void reboot(const platform::worker_endpoint& where) const
+    void reboot(const provider::worker_endpoint& where) const
     {
         attempt(where,
                 [&](base::time_point deadline)
@@ -200,12 +200,12 @@
                 });
     }
 
-    void checkpoint(const platform::worker_endpoint& where,
-                    const std::vector<platform::task_usage>& usage) const
+    void checkpoint(const provider::worker_endpoint& where,
+                    const std::vector<provider::task_usage>& usage) const
     {
         if (!calls_.workers.checkpoint)
             return;
-        for (const platform::task_usage& each : usage)
+        for (const provider::task_usage& each : usage)
             if (is_batch_queue(bundle_, each.queue))
                 attempt(where,
                         [&](base::time_point deadline) {
@@ -239,7 +239,7 @@
                          seen.listed_leaving = leaving.contains(worker.id);
                          try
                          {
-                             platform::worker_report report =
+                             provider::worker_report report =
                                  calls.workers.report(
                                      {worker.id, worker.address},
                                      calls.steady_now() + calls.timeout);
--- a/src/dispatch/worker_round.hpp
+++ b/src/dispatch/worker_round.hpp
@@ -4,7 +4,7 @@
 #include "capacity/fleet_observer.hpp"
 #include "capacity/move_planner.hpp"
 #include "config/bundle.hpp"
-#include "platform/worker_operations.hpp"
+#include "provider/worker_operations.hpp"
 
 #include <cstddef>
 #include <functional>
@@ -15,8 +15,8 @@
 
 struct worker_calls
 {
-    const platform::worker_operations& workers;
-    const platform::instance_list_operations& instances;
+    const provider::worker_operations& workers;
+    const provider::instance_list_operations& instances;
     const std::function<base::time_point()>& steady_now;
     /// Limit of each call.
     base::duration timeout;
@@ -29,7 +29,7 @@
 {
     std::vector<capacity::worker_sighting> sightings;
     /// Per worker, empty for one that did not answer.
-    std::vector<std::vector<platform::task_usage>> usage;
+    std::vector<std::vector<provider::task_usage>> usage;
     /// When each worker was asked.
     std::vector<base::time_point> asked_at;
     std::size_t answered = 0;
--- a/src/entry/services.cpp
+++ b/src/entry/services.cpp
@@ -26,7 +26,7 @@
     return empty;
 }
 
-std::uint64_t fleet_version(const platform::kv_entry& entry)
+std::uint64_t fleet_version(const provider::kv_entry& entry)
 {
     return entry.value.empty() ? 0 : capacity::decode(entry.value).version;
 }
@@ -48,11 +48,11 @@
       incarnation(membership::new_incarnation(base::wall_now(),
                                               base::random_source{}.bits())),
       access(settings.bootstrap_operators),
-      store(platform::kv_client::builder{}.store(settings.store).build()),
-      instances(platform::instance_list_client::builder{}
+      store(provider::kv_client::builder{}.store(settings.store).build()),
+      instances(provider::instance_list_client::builder{}
                     .address(settings.instance_list)
                     .build()),
-      workers(platform::worker_client::builder{}.build()),
+      workers(provider::worker_client::builder{}.build()),
       bundle_document(rollout::bundle_document, validate_bundle),
       fleet_document(rollout::fleet_document, validate_fleet)
 {
--- a/src/entry/services.hpp
+++ b/src/entry/services.hpp
@@ -14,9 +14,9 @@
 #include "membership/member_service.hpp"
 #include "metrics/registry.hpp"
 #include "peer/peer_server.hpp"
-#include "platform/instance_list_client.hpp"
-#include "platform/kv_client.hpp"
-#include "platform/worker_client.hpp"
+#include "provider/instance_list_client.hpp"
+#include "provider/kv_client.hpp"
+#include "provider/worker_client.hpp"
 #include "records/record_table.hpp"
 #include "rollout/bundle_envelope.hpp"
 #include "rollout/document_service.hpp"
@@ -58,9 +58,9 @@
     metrics::registry metrics;
     access_control access;
     peer_views views;
-    std::unique_ptr<platform::kv_client> store;
-    std::unique_ptr<platform::instance_list_client> instances;
-    std::unique_ptr<platform::worker_client> workers;
+    std::unique_ptr<provider::kv_client> store;
+    std::unique_ptr<provider::instance_list_client> instances;
+    std::unique_ptr<provider::worker_client> workers;
     rollout::versioned_document bundle_document;
     rollout::versioned_document fleet_document;
     capacity::fleet_state fleet_state;
--- a/src/entry/worker_watch.cpp
+++ b/src/entry/worker_watch.cpp
@@ -29,7 +29,7 @@
 
     void run_reports();
     void run_list();
-    void read_report(const platform::worker_endpoint& worker);
+    void read_report(const provider::worker_endpoint& worker);
     void read_list();
     void report_overdue();
     /// Overdue loans that were logged already.
@@ -51,7 +51,7 @@
     reported_loans = std::move(overdue);
 }
 
-void worker_watch::impl::read_report(const platform::worker_endpoint& worker)
+void worker_watch::impl::read_report(const provider::worker_endpoint& worker)
 {
     try
     {
@@ -76,7 +76,7 @@
         net::task_group round;
         for (const auto& worker : bundle->workers)
             if (calls.is_mine(worker.id))
-                round.spawn([this, peer = platform::worker_endpoint{
+                round.spawn([this, peer = provider::worker_endpoint{
                                        worker.id,
                                        worker.address}] { read_report(peer); });
         round.join();
@@ -89,7 +89,7 @@
     std::set<base::worker_id> leaving;
     for (const auto& instance :
          calls.instances.list(base::steady_now() + call_limit))
-        if (instance.state == platform::listed_state::leaving)
+        if (instance.state == provider::listed_state::leaving)
             leaving.insert(instance.id);
     for (const auto& worker : leaving)
         calls.slots->record_leaving(worker,
--- a/src/entry/worker_watch.hpp
+++ b/src/entry/worker_watch.hpp
@@ -4,7 +4,7 @@
 #include "base/strong_id.hpp"
 #include "config/bundle.hpp"
 #include "dispatch/slot_service.hpp"
-#include "platform/worker_operations.hpp"
+#include "provider/worker_operations.hpp"
 
 #include <functional>
 #include <memory>
@@ -20,8 +20,8 @@
 public:
     struct hooks
     {
-        platform::worker_operations workers;
-        platform::instance_list_operations instances;
+        provider::worker_operations workers;
+        provider::instance_list_operations instances;
         dispatch::slot_service* slots = nullptr;
         /// Bundle in force; null while there is none.
         std::function<std::shared_ptr<const config::bundle>()> bundle;
--- /dev/null
+++ b/src/jobs/job.cpp
@@ -0,0 +1,118 @@
+#include "jobs/job.hpp"
+
+#include <algorithm>
+
+namespace pimentograde::jobs
+{
+
+void job::prepare_steps()
+{
+    steps.clear();
+    for (int occurrence = 0; occurrence < spec.occurrences(); ++occurrence)
+        for (const step_spec& part : spec.steps)
+        {
+            step entry;
+            entry.tasks.resize(static_cast<std::size_t>(part.task_count));
+            steps.push_back(std::move(entry));
+        }
+}
+
+const step_spec& job::spec_of(std::size_t position) const
+{
+    return spec.steps[position % step_count()];
+}
+
+int job::occurrence_of(std::size_t position) const
+{
+    return static_cast<int>(position / step_count());
+}
+
+std::size_t job::position_of(const task_id& id) const
+{
+    return static_cast<std::size_t>(id.occurrence) * step_count() +
+           static_cast<std::size_t>(id.step);
+}
+
+task* job::find(const task_id& id)
+{
+    if (id.step < 0 || static_cast<std::size_t>(id.step) >= step_count())
+        return nullptr;
+    const std::size_t position = position_of(id);
+    if (id.occurrence < 0 || position >= steps.size())
+        return nullptr;
+    auto& tasks = steps[position].tasks;
+    if (id.index < 0 || static_cast<std::size_t>(id.index) >= tasks.size())
+        return nullptr;
+    return &tasks[static_cast<std::size_t>(id.index)];
+}
+
+task_id job::id_of(std::size_t position, int index) const
+{
+    return {id, occurrence_of(position),
+            static_cast<int>(position % step_count()), index};
+}
+
+bool job::is_step_ready(std::size_t position, base::wall_time now) const
+{
+    const int occurrence = occurrence_of(position);
+    if (spec.repeat_count > 0)
+    {
+        const auto due =
+            spec.first_due +
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                spec.repeat_interval) *
+                occurrence;
+        if (now < due)
+            return false;
+    }
+    const std::size_t first =
+        static_cast<std::size_t>(occurrence) * step_count();
+    const auto& after = spec_of(position).after;
+    return std::all_of(
+        after.begin(), after.end(),
+        [&](int earlier)
+        { return steps[first + static_cast<std::size_t>(earlier)].is_done(); });
+}
+
+bool job::all_done() const
+{
+    return std::all_of(steps.begin(), steps.end(),
+                       [](const step& entry) { return entry.is_done(); });
+}
+
+double longest_chain(const job& subject, bool only_remaining)
+{
+    double longest = 0;
+    std::vector<double> ends(subject.step_count());
+    for (std::size_t position = 0; position < subject.steps.size(); ++position)
+    {
+        const step_spec& part = subject.spec_of(position);
+        double start = 0;
+        for (const int earlier : part.after)
+            start = std::max(start, ends[static_cast<std::size_t>(earlier)]);
+        const bool counts =
+            !only_remaining || !subject.steps[position].is_done();
+        ends[position % subject.step_count()] =
+            start + (counts ? base::count_seconds(part.estimate) : 0.0);
+        longest = std::max(longest, ends[position % subject.step_count()]);
+    }
+    return longest;
+}
+
+double estimated_work(const job& subject, bool only_remaining)
+{
+    constexpr double millis_per_core = 1000.0;
+    double work = 0;
+    for (std::size_t position = 0; position < subject.steps.size(); ++position)
+    {
+        const step_spec& part = subject.spec_of(position);
+        const step& entry = subject.steps[position];
+        const auto tasks = static_cast<int>(entry.tasks.size());
+        const int counted = only_remaining ? tasks - entry.done : tasks;
+        work += counted * static_cast<double>(part.need.cpu_millis) /
+                millis_per_core * base::count_seconds(part.estimate);
+    }
+    return work;
+}
+
+} // namespace pimentograde::jobs
--- /dev/null
+++ b/src/jobs/ordering.cpp
@@ -0,0 +1,91 @@
+#include "jobs/ordering.hpp"
+
+#include <algorithm>
+
+namespace pimentograde::jobs
+{
+
+namespace
+{
+
+// Weight of a new observation in the moving averages.
+constexpr double learning_rate = 0.05;
+// Bounds that keep a few odd runs from turning the order around.
+constexpr double min_pace = 0.5;
+constexpr double max_pace = 3.0;
+// The value of a job: a fixed part, and a part in proportion to its size,
+// since a large order matters more to its caller. The sizes count up to a
+// multiple of the queue's mean.
+constexpr double fixed_value = 0.3;
+constexpr double value_by_size = 0.7;
+constexpr double max_value = 4.0;
+// Work that is nearly done must not divide by zero, core-seconds.
+constexpr double least_work = 0.05;
+
+base::duration seconds(double count)
+{
+    return std::chrono::duration_cast<base::duration>(
+        std::chrono::duration<double>(count));
+}
+
+} // namespace
+
+void queue_statistics::note_run(base::duration estimate, base::duration actual)
+{
+    if (estimate <= base::duration::zero())
+        return;
+    const double ratio = std::clamp(base::count_seconds(actual) /
+                                        base::count_seconds(estimate),
+                                    min_pace, max_pace);
+    pace_ += learning_rate * (ratio - pace_);
+}
+
+void queue_statistics::note_job(double work)
+{
+    mean_work_ = mean_work_ <= 0.0
+                     ? work
+                     : mean_work_ + learning_rate * (work - mean_work_);
+}
+
+bool job_rank::goes_before(const job_rank& other) const
+{
+    if (is_long_running != other.is_long_running)
+        return is_long_running;
+    if (can_meet_objective != other.can_meet_objective)
+        return can_meet_objective;
+    if (priority != other.priority)
+        return priority < other.priority;
+    if (yield != other.yield)
+        return yield > other.yield;
+    return accepted_at < other.accepted_at;
+}
+
+base::time_point objective_of(const job& subject, const queue_policy& policy,
+                              const queue_statistics& statistics)
+{
+    const double chain = longest_chain(subject, false) * statistics.pace();
+    return subject.accepted_at + seconds(policy.stretch * chain) +
+           policy.target;
+}
+
+job_rank rank_of(const job& subject, const queue_policy& policy,
+                 const queue_statistics& statistics, base::time_point now)
+{
+    const double total = std::max(estimated_work(subject, false), least_work);
+    const double left = std::max(estimated_work(subject, true), least_work);
+    const double mean =
+        statistics.mean_work() > 0.0 ? statistics.mean_work() : total;
+    const double value =
+        std::min(max_value, fixed_value + value_by_size * total / mean);
+    const double chain = longest_chain(subject, true) * statistics.pace();
+    job_rank rank;
+    rank.priority = policy.priority;
+    rank.is_long_running = subject.spec.is_long_running();
+    rank.can_meet_objective =
+        now + seconds(chain) <= objective_of(subject, policy, statistics);
+    rank.yield = value / left;
+    rank.accepted_at = subject.accepted_at;
+    return rank;
+}
+
+} // namespace pimentograde::jobs
--- /dev/null
+++ b/src/jobs/placement.cpp
@@ -0,0 +1,70 @@
+#include "jobs/placement.hpp"
+
+namespace pimentograde::jobs
+{
+
+namespace
+{
+
+bool is_allowed(const worker_view& worker, const placement_request& request,
+                base::time_point now)
+{
+    const step_spec& step = *request.step;
+    if (!worker.accepts_starts(now) || !worker.free().covers(room_of(step)))
+        return false;
+    if (!step.required_label.empty() && !worker.has_label(step.required_label))
+        return false;
+    return step.max_per_worker == 0 ||
+           request.same_step_count(worker) < step.max_per_worker;
+}
+
+struct preference
+{
+    bool is_avoided = false;
+    bool has_data = false;
+    std::int64_t cpu_left = 0;
+
+    [[nodiscard]] bool better_than(const preference& other) const
+    {
+        if (is_avoided != other.is_avoided)
+            return !is_avoided;
+        if (has_data != other.has_data)
+            return has_data;
+        return cpu_left < other.cpu_left;
+    }
+};
+
+} // namespace
+
+resource_amount room_of(const step_spec& step)
+{
+    resource_amount room = step.need;
+    if (step.is_filler)
+        room.cpu_millis = 0;
+    return room;
+}
+
+worker_view* choose_worker(std::span<worker_view* const> workers,
+                           const placement_request& request,
+                           base::time_point now)
+{
+    worker_view* best = nullptr;
+    preference best_preference;
+    for (worker_view* worker : workers)
+    {
+        if (!is_allowed(*worker, request, now))
+            continue;
+        const preference current{
+            worker->description.id == request.avoided,
+            !request.step->data_rack.empty() &&
+                worker->has_label(request.step->data_rack),
+            worker->free().cpu_millis};
+        if (best != nullptr && !current.better_than(best_preference))
+            continue;
+        best = worker;
+        best_preference = current;
+    }
+    return best;
+}
+
+} // namespace pimentograde::jobs
--- /dev/null
+++ b/src/jobs/pool_planner.cpp
@@ -0,0 +1,189 @@
+// Which task starts next, and where.
+
+#include "jobs/placement.hpp"
+#include "jobs/pool_state.hpp"
+
+#include <algorithm>
+
+namespace pimentograde::jobs
+{
+
+struct pool_state::waiting_job
+{
+    job* subject = nullptr;
+    job_rank rank;
+    std::vector<std::size_t> positions;
+};
+
+bool pool_state::may_plan(const job& subject, base::time_point now) const
+{
+    if (subject.status != job_status::open || !subject.is_stored)
+        return false;
+    if (!subject.is_inherited || now >= inherit_until_)
+        return true;
+    return roster_is_complete_ &&
+           std::all_of(workers_.begin(), workers_.end(), [](const auto& entry)
+                       { return entry.second.has_reported; });
+}
+
+std::vector<pool_state::waiting_job>
+pool_state::waiting_jobs(base::time_point now, base::wall_time wall)
+{
+    std::vector<waiting_job> waiting;
+    for (auto& [id, subject] : jobs_)
+    {
+        if (!may_plan(subject, now))
+            continue;
+        waiting_job entry{&subject, {}, {}};
+        for (std::size_t position = 0; position < subject.steps.size();
+             ++position)
+        {
+            const step& part = subject.steps[position];
+            const int left = static_cast<int>(part.tasks.size()) - part.done -
+                             part.active;
+            if (left > 0 && subject.is_step_ready(position, wall))
+                entry.positions.push_back(position);
+        }
+        if (entry.positions.empty())
+            continue;
+        entry.rank =
+            rank_of(subject, policy_of(subject), statistics_of(subject), now);
+        waiting.push_back(std::move(entry));
+    }
+    std::sort(waiting.begin(), waiting.end(),
+              [](const waiting_job& left, const waiting_job& right)
+              { return left.rank.goes_before(right.rank); });
+    return waiting;
+}
+
+int pool_state::same_step_count(const worker_view& worker, const job& subject,
+                                std::size_t position) const
+{
+    const task_id first = subject.id_of(position, 0);
+    int count = 0;
+    for (auto entry = worker.runs.lower_bound(first);
+         entry != worker.runs.end() && entry->first.job == first.job &&
+         entry->first.occurrence == first.occurrence &&
+         entry->first.step == first.step;
+         ++entry)
+        ++count;
+    return count;
+}
+
+std::vector<start_order> pool_state::plan(base::time_point now,
+                                          base::wall_time wall)
+{
+    std::vector<worker_view*> usable;
+    for (auto& [id, worker] : workers_)
+        if (worker.accepts_starts(now))
+            usable.push_back(&worker);
+    std::vector<start_order> orders;
+    if (usable.empty())
+        return orders;
+    for (const waiting_job& entry : waiting_jobs(now, wall))
+        for (const std::size_t position : entry.positions)
+        {
+            if (entry.subject->spec_of(position).is_gang)
+                plan_gang(*entry.subject, position, usable, now, orders);
+            else
+                plan_step(*entry.subject, position, usable, now, orders);
+        }
+    return orders;
+}
+
+void pool_state::plan_step(job& subject, std::size_t position,
+                           std::span<worker_view* const> workers,
+                           base::time_point now,
+                           std::vector<start_order>& orders)
+{
+    const step_spec& part = subject.spec_of(position);
+    auto& tasks = subject.steps[position].tasks;
+    for (std::size_t index = 0; index < tasks.size(); ++index)
+    {
+        task& entry = tasks[index];
+        if (entry.is_done || entry.active || now < entry.not_before)
+            continue;
+        const placement_request request{
+            &part, entry.failed_on, [&](const worker_view& worker)
+            { return same_step_count(worker, subject, position); }};
+        worker_view* worker = choose_worker(workers, request, now);
+        // The tasks of a step are alike: the next one has no room either.
+        if (worker == nullptr)
+            return;
+        const int run = entry.last_run + 1;
+        begin_run(subject, position, static_cast<int>(index), run, *worker,
+                  run_state::ordered, now);
+        orders.push_back({subject.id_of(position, static_cast<int>(index)), run,
+                          worker->description.id, subject.spec.payload,
+                          entry.checkpoint});
+    }
+}
+
+bool pool_state::plan_gang(job& subject, std::size_t position,
+                           std::span<worker_view* const> workers,
+                           base::time_point now,
+                           std::vector<start_order>& orders)
+{
+    const step_spec& part = subject.spec_of(position);
+    auto& tasks = subject.steps[position].tasks;
+    int run = 0;
+    std::string checkpoint;
+    for (const task& member : tasks)
+    {
+        if (member.is_done || member.active || now < member.not_before)
+            return false;
+        run = std::max(run, member.last_run);
+        if (!member.checkpoint.empty())
+            checkpoint = member.checkpoint;
+    }
+    ++run;
+    std::vector<start_order> planned;
+    std::string rack;
+    for (std::size_t index = 0; index < tasks.size(); ++index)
+    {
+        step_spec wanted = part;
+        // The first member's worker decides the rack of all.
+        if (part.needs_same_rack && !rack.empty())
+            wanted.required_label = rack;
+        const placement_request request{
+            &wanted, tasks[index].failed_on, [&](const worker_view& worker)
+            { return same_step_count(worker, subject, position); }};
+        worker_view* worker = choose_worker(workers, request, now);
+        if (worker == nullptr)
+            break;
+        if (rack.empty() && !worker->description.labels.empty())
+            rack = worker->description.labels.back();
+        begin_run(subject, position, static_cast<int>(index), run, *worker,
+                  run_state::ordered, now);
+        planned.push_back({subject.id_of(position, static_cast<int>(index)),
+                           run, worker->description.id, subject.spec.payload,
+                           checkpoint});
+    }
+    if (planned.size() == tasks.size())
+    {
+        orders.insert(orders.end(), planned.begin(), planned.end());
+        return true;
+    }
+    for (const start_order& order : planned)
+        clear_run(subject, order.task, *subject.find(order.task));
+    return false;
+}
+
+std::optional<base::time_point>
+pool_state::next_retry(base::time_point now) const
+{
+    std::optional<base::time_point> next;
+    for (const auto& [id, subject] : jobs_)
+    {
+        if (subject.status != job_status::open)
+            continue;
+        for (const step& part : subject.steps)
+            for (const task& entry : part.tasks)
+                if (!entry.is_done && !entry.active && entry.not_before > now)
+                    next = std::min(next.value_or(entry.not_before),
+                                    entry.not_before);
+    }
+    return next;
+}
+
+} // namespace pimentograde::jobs
--- /dev/null
+++ b/src/jobs/pool_reports.cpp
@@ -0,0 +1,373 @@
+// What workers report, applied to the state of their pool.
+
+#include "jobs/placement.hpp"
+#include "jobs/pool_state.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace pimentograde::jobs
+{
+
+namespace
+{
+
+// Pause before a failed task starts again, so that a fault that affects the
+// whole pool does not use up all attempts at once.
+constexpr std::chrono::milliseconds failure_pause{100};
+// Pause before a long-running task starts again however it ended.
+constexpr std::chrono::milliseconds restart_pause{100};
+// Pause after a worker rejected a start for want of room; its next report
+// usually arrives sooner.
+constexpr std::chrono::milliseconds no_room_pause{50};
+// A run without progress for this long is stalled; reports arrive at least
+// once a second while tasks run.
+constexpr std::chrono::milliseconds stall_limit{2500};
+constexpr int full_percent = 100;
+// A stop that has not shown an end for this long is sent again.
+constexpr std::chrono::milliseconds stop_repeat{2000};
+
+} // namespace
+
+void pool_state::update_worker(const worker_description& description)
+{
+    worker_view& worker = workers_[description.id];
+    const bool begins_draining =
+        description.is_draining && !worker.description.is_draining;
+    worker.is_listed = true;
+    worker.description = description;
+    if (begins_draining)
+        tell({"worker_draining", {}, {}, 0, description.id,
+              "remaining_ms=" +
+                  std::to_string(base::count_millis(description.remaining))});
+}
+
+void pool_state::unlist_worker(std::string_view id)
+{
+    if (worker_view* worker = find_worker(id))
+        worker->is_listed = false;
+}
+
+void pool_state::lose_runs(std::string_view id, base::time_point now)
+{
+    worker_view* worker = find_worker(id);
+    if (worker == nullptr)
+        return;
+    const auto runs = worker->runs;
+    for (const auto& [name, run] : runs)
+    {
+        job* subject = find(name.job);
+        task* entry = subject == nullptr ? nullptr : subject->find(name);
+        if (entry == nullptr || !entry->active)
+            continue;
+        tell({"run_lost", name.job, to_string(name), run, std::string(id),
+              "the worker or its lease has ended"});
+        clear_run(*subject, name, *entry);
+        entry->not_before = now;
+        release_if_idle(*subject);
+    }
+    worker->applied_end = 0;
+    worker->has_reported = false;
+}
+
+void pool_state::forget_worker(std::string_view id)
+{
+    const auto found = workers_.find(id);
+    if (found != workers_.end() && found->second.runs.empty())
+        workers_.erase(found);
+}
+
+void pool_state::set_reachable(std::string_view id, bool is_reachable)
+{
+    if (worker_view* worker = find_worker(id))
+        worker->is_reachable = is_reachable;
+}
+
+void pool_state::apply_report(std::string_view id, const worker_report& report,
+                              base::time_point sent_at, base::time_point now,
+                              base::wall_time wall)
+{
+    worker_view* worker = find_worker(id);
+    if (worker == nullptr)
+        return;
+    for (const listed_end& row : report.ended)
+        if (row.number > worker->applied_end)
+        {
+            apply_end(*worker, row, now, wall);
+            worker->applied_end = row.number;
+        }
+    for (const listed_run& row : report.running)
+        apply_listed(*worker, row, now);
+    if (!report.is_truncated)
+        settle_unlisted(*worker, report, sent_at, now);
+    worker->has_reported = worker->has_reported || !report.is_truncated;
+    worker->is_reachable = true;
+    if (worker->description.is_draining)
+        evacuate(*worker, now);
+}
+
+void pool_state::apply_listed(worker_view& worker, const listed_run& row,
+                              base::time_point now)
+{
+    const std::string& id = worker.description.id;
+    job* subject = find(row.task.job);
+    task* entry = subject == nullptr ? nullptr : subject->find(row.task);
+    if (entry == nullptr || subject->status != job_status::open ||
+        entry->is_done)
+    {
+        const bool is_known = entry != nullptr && entry->active &&
+                              entry->active->worker == id;
+        if (!is_known)
+            request_stop(row.task, row.run, id, "the task has ended");
+        else if (now - entry->active->since > stop_repeat)
+        {
+            entry->active->since = now;
+            request_stop(row.task, row.run, id, "the job has ended");
+        }
+        return;
+    }
+    entry->last_run = std::max(entry->last_run, row.run);
+    if (!row.checkpoint.empty())
+        entry->checkpoint = row.checkpoint;
+    const std::size_t position = subject->position_of(row.task);
+    if (!entry->active)
+    {
+        tell({"adopt", subject->id, to_string(row.task), row.run, id,
+              "listed by the worker"});
+        begin_run(*subject, position, row.task.index, row.run, worker,
+                  run_state::running, now);
+        return;
+    }
+    if (entry->active->worker != id || entry->active->number != row.run)
+    {
+        request_stop(row.task, row.run, id, "another run is current");
+        return;
+    }
+    note_progress(worker, row, row.task, *entry, subject->spec_of(position),
+                  now);
+}
+
+void pool_state::note_progress(worker_view& worker, const listed_run& row,
+                               const task_id& id, task& entry,
+                               const step_spec& part, base::time_point now)
+{
+    active_run& run = *entry.active;
+    if (run.state == run_state::ordered || run.state == run_state::unsettled)
+    {
+        run.state = run_state::running;
+        run.since = now;
+    }
+    if (run.state != run_state::running)
+    {
+        if (now - run.since > stop_repeat)
+        {
+            run.since = now;
+            request_stop(id, run.number, run.worker, "the stop is repeated");
+        }
+        return;
+    }
+    if (row.percent != run.percent)
+    {
+        run.percent = row.percent;
+        run.progressed_at = now;
+        return;
+    }
+    if (part.is_long_running && row.percent == full_percent)
+        return;
+    if (now - run.progressed_at < stall_limit + part.estimate)
+        return;
+    worker.health.note_stall(now);
+    stop_run(id, entry, "no progress", now);
+}
+
+void pool_state::apply_end(worker_view& worker, const listed_end& row,
+                           base::time_point now, base::wall_time wall)
+{
+    job* subject = find(row.task.job);
+    task* entry = subject == nullptr ? nullptr : subject->find(row.task);
+    if (entry == nullptr)
+        return;
+    const std::size_t position = subject->position_of(row.task);
+    const bool is_current = entry->active && entry->active->number == row.run &&
+                            entry->active->worker == worker.description.id;
+    tell({"run_ended", subject->id, to_string(row.task), row.run,
+          worker.description.id, std::string(to_string(row.how))});
+    entry->last_run = std::max(entry->last_run, row.run);
+    if (!row.checkpoint.empty())
+        entry->checkpoint = row.checkpoint;
+    if (is_current && row.how == end_kind::done)
+    {
+        worker.health.note_done();
+        statistics_of(*subject).note_run(subject->spec_of(position).estimate,
+                                         now - entry->active->ordered_at);
+    }
+    if (is_current)
+    {
+        clear_run(*subject, row.task, *entry);
+        entry->not_before = now;
+    }
+    if (subject->status != job_status::open)
+    {
+        release_if_idle(*subject);
+        return;
+    }
+    if (subject->spec_of(position).is_long_running)
+    {
+        // A task that fails again and again must not restart without a pause.
+        entry->not_before = now + restart_pause;
+        if (row.how == end_kind::failed)
+            entry->failed_on = worker.description.id;
+        return;
+    }
+    if (row.how == end_kind::done)
+        apply_done(*subject, row, *entry, now, wall);
+    else if (row.how == end_kind::failed)
+    {
+        worker.health.note_failure(subject->id, now);
+        entry->failed_on = worker.description.id;
+        apply_failure(*subject, row, *entry, now, wall);
+    }
+    else
+        mark_dirty(*subject);
+}
+
+void pool_state::apply_done(job& subject, const listed_end& row, task& entry,
+                            base::time_point now, base::wall_time wall)
+{
+    const std::size_t position = subject.position_of(row.task);
+    step& part = subject.steps[position];
+    const bool is_gang = subject.spec_of(position).is_gang;
+    subject.has_started = true;
+    for (std::size_t index = 0; index < part.tasks.size(); ++index)
+    {
+        task& member = part.tasks[index];
+        if (&member != &entry && !is_gang)
+            continue;
+        if (member.is_done)
+            continue;
+        member.is_done = true;
+        ++part.done;
+        // A run elsewhere, for example of a late order, is not needed.
+        if (member.active && !is_gang)
+            stop_run(subject.id_of(position, static_cast<int>(index)), member,
+                     "the task is done", now);
+    }
+    mark_dirty(subject);
+    if (!subject.all_done())
+        return;
+    tell({"job_completed", subject.id, {}, 0, {}, "all tasks are done"});
+    end_job(subject, job_status::completed, wall);
+}
+
+void pool_state::apply_failure(job& subject, const listed_end& row, task& entry,
+                               base::time_point now, base::wall_time wall)
+{
+    if (row.run <= entry.last_failed_run)
+        return;
+    entry.last_failed_run = row.run;
+    ++entry.failures;
+    entry.not_before = now + failure_pause;
+    mark_dirty(subject);
+    const int limit = policy_of(subject).max_attempts;
+    if (entry.is_done || entry.failures < limit)
+        return;
+    tell({"job_failed", subject.id, to_string(row.task), row.run, {},
+          "failures=" + std::to_string(entry.failures)});
+    end_job(subject, job_status::failed, wall);
+}
+
+void pool_state::settle_unlisted(worker_view& worker,
+                                 const worker_report& report,
+                                 base::time_point sent_at, base::time_point now)
+{
+    std::set<std::pair<task_id, int>> listed;
+    for (const listed_run& row : report.running)
+        listed.emplace(row.task, row.run);
+    const auto runs = worker.runs;
+    for (const auto& [name, number] : runs)
+    {
+        job* subject = find(name.job);
+        task* entry = subject == nullptr ? nullptr : subject->find(name);
+        if (entry == nullptr || !entry->active ||
+            listed.contains({name, number}) || sent_at <= entry->active->since)
+            continue;
+        const run_state state = entry->active->state;
+        if (state == run_state::unsettled)
+            stop_run(name, *entry, "the start got no answer", now);
+        if (state != run_state::running && state != run_state::stopped)
+            continue;
+        tell({"run_absent", name.job, to_string(name), number,
+              worker.description.id, "the worker does not list it"});
+        clear_run(*subject, name, *entry);
+        release_if_idle(*subject);
+    }
+}
+
+void pool_state::apply_start_answer(const start_order& order,
+                                    start_answer answer, base::time_point now)
+{
+    job* subject = find(order.task.job);
+    task* entry = subject == nullptr ? nullptr : subject->find(order.task);
+    worker_view* worker = find_worker(order.worker);
+    const bool is_current = entry != nullptr && entry->active &&
+                            entry->active->number == order.run &&
+                            entry->active->worker == order.worker;
+    tell({"start_answered", order.task.job, to_string(order.task), order.run,
+          order.worker, std::string(to_string(answer))});
+    if (!is_current)
+        return;
+    active_run& run = *entry->active;
+    if (answer == start_answer::started || answer == start_answer::unknown)
+    {
+        if (run.state != run_state::ordered)
+            return;
+        run.state = answer == start_answer::started ? run_state::running
+                                                    : run_state::unsettled;
+        run.since = now;
+        return;
+    }
+    clear_run(*subject, order.task, *entry);
+    entry->not_before = now;
+    if (answer == start_answer::no_room && worker != nullptr)
+        worker->no_room_until = now + no_room_pause;
+    if (answer == start_answer::unhealthy && worker != nullptr)
+        worker->health.note_refusal(now);
+    if (answer == start_answer::rejected)
+        entry->not_before = now + std::chrono::seconds(1);
+    release_if_idle(*subject);
+}
+
+void pool_state::apply_stop_answer(const stop_order& order,
+                                   bool is_acknowledged, base::time_point now)
+{
+    job* subject = find(order.task.job);
+    task* entry = subject == nullptr ? nullptr : subject->find(order.task);
+    const bool is_current = entry != nullptr && entry->active &&
+                            entry->active->number == order.run &&
+                            entry->active->worker == order.worker;
+    if (!is_current || entry->active->state != run_state::stopping)
+        return;
+    entry->active->since = now;
+    // Without an answer the run counts as unsettled again, so that the next
+    // report decides whether to repeat the stop.
+    entry->active->state =
+        is_acknowledged ? run_state::stopped : run_state::unsettled;
+}
+
+void pool_state::evacuate(worker_view& worker, base::time_point now)
+{
+    const auto runs = worker.runs;
+    for (const auto& [name, number] : runs)
+    {
+        job* subject = find(name.job);
+        task* entry = subject == nullptr ? nullptr : subject->find(name);
+        if (entry == nullptr || !entry->active ||
+            entry->active->state != run_state::running)
+            continue;
+        const step_spec& part = subject->spec_of(subject->position_of(name));
+        if (part.is_long_running || part.is_checkpointing)
+            stop_run(name, *entry, "the worker is draining", now);
+    }
+}
+
+} // namespace pimentograde::jobs
--- /dev/null
+++ b/src/jobs/pool_state.cpp
@@ -0,0 +1,370 @@
+#include "jobs/pool_state.hpp"
+
+#include "jobs/job_record.hpp"
+#include "jobs/placement.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pimentograde::jobs
+{
+
+namespace
+{
+
+constexpr double millis_per_core = 1000.0;
+
+// A restored job counts as at most this old on the steady clock: the time of
+// day may have jumped.
+constexpr std::chrono::minutes max_restored_age{10};
+
+reported_status to_reported(const job& subject)
+{
+    switch (subject.stored_status)
+    {
+    case job_status::completed:
+        return reported_status::completed;
+    case job_status::failed:
+        return reported_status::failed;
+    case job_status::cancelled:
+        return reported_status::cancelled;
+    case job_status::open:
+        break;
+    }
+    return subject.has_started ? reported_status::running
+                               : reported_status::queued;
+}
+
+} // namespace
+
+pool_state::pool_state(std::string pool) : pool_(std::move(pool)) {}
+
+void pool_state::on_decision(decision_hook hook)
+{
+    decided_ = std::move(hook);
+}
+
+void pool_state::tell(decision entry) const
+{
+    if (decided_)
+        decided_(entry);
+}
+
+void pool_state::set_policy(const queue_policy& policy)
+{
+    policies_[policy.name] = policy;
+}
+
+const queue_policy& pool_state::policy_of(const job& subject) const
+{
+    static const queue_policy unknown_queue;
+    const auto found = policies_.find(subject.queue);
+    return found == policies_.end() ? unknown_queue : found->second;
+}
+
+queue_statistics& pool_state::statistics_of(const job& subject)
+{
+    return statistics_[subject.queue];
+}
+
+job* pool_state::find(std::string_view id)
+{
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : &found->second;
+}
+
+const job* pool_state::find_job(std::string_view id) const
+{
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : &found->second;
+}
+
+worker_view* pool_state::find_worker(std::string_view id)
+{
+    const auto found = workers_.find(id);
+    return found == workers_.end() ? nullptr : &found->second;
+}
+
+void pool_state::mark_dirty(job& subject)
+{
+    subject.is_dirty = true;
+    ++changes_;
+}
+
+submit_result pool_state::submit(std::string_view id, job_spec spec,
+                                 std::string_view queue, base::time_point now,
+                                 base::wall_time wall)
+{
+    submit_result result;
+    if (find(id) != nullptr)
+    {
+        result.outcome = submit_result::kind::known;
+        return result;
+    }
+    job subject;
+    subject.id = std::string(id);
+    subject.queue = std::string(queue);
+    subject.spec = std::move(spec);
+    subject.accepted_at = now;
+    subject.accepted_wall = wall;
+    subject.prepare_steps();
+    const queue_policy& policy = policy_of(subject);
+    queue_statistics& statistics = statistics_of(subject);
+    admission_inputs inputs;
+    inputs.backlog = backlog();
+    inputs.cores = usable_cores(now);
+    inputs.chain = longest_chain(subject, false) * statistics.pace();
+    inputs.objective =
+        base::count_seconds(objective_of(subject, policy, statistics) - now);
+    inputs.is_long_running = subject.spec.is_long_running();
+    result.admission = decide_admission(inputs);
+    if (!result.admission.is_accepted)
+    {
+        result.outcome = submit_result::kind::refused;
+        return result;
+    }
+    if (!inputs.is_long_running)
+        statistics.note_job(estimated_work(subject, false));
+    mark_dirty(subject);
+    jobs_.emplace(subject.id, std::move(subject));
+    return result;
+}
+
+void pool_state::restore(job subject, base::time_point now,
+                         base::wall_time wall)
+{
+    const auto age = std::clamp<base::duration>(
+        wall - subject.accepted_wall, base::duration::zero(), max_restored_age);
+    subject.accepted_at = now - age;
+    subject.is_stored = true;
+    subject.stored_status = subject.status;
+    subject.is_inherited = true;
+    if (subject.status == job_status::open)
+        statistics_of(subject).note_job(estimated_work(subject, false));
+    jobs_.insert_or_assign(subject.id, std::move(subject));
+}
+
+bool pool_state::cancel(std::string_view id, base::wall_time wall)
+{
+    job* subject = find(id);
+    if (subject == nullptr)
+        return false;
+    if (subject->status == job_status::open)
+    {
+        tell({"cancel", subject->id, {}, 0, {}, "requested by the caller"});
+        end_job(*subject, job_status::cancelled, wall);
+    }
+    return true;
+}
+
+void pool_state::withdraw(std::string_view id)
+{
+    const auto found = jobs_.find(id);
+    if (found != jobs_.end())
+        jobs_.erase(found);
+}
+
+std::optional<reported_status> pool_state::status_of(std::string_view id) const
+{
+    const job* subject = find_job(id);
+    if (subject == nullptr || !subject->is_stored)
+        return std::nullopt;
+    return to_reported(*subject);
+}
+
+int pool_state::pending(std::string_view queue) const
+{
+    int count = 0;
+    for (const auto& [id, subject] : jobs_)
+        if (subject.queue == queue && subject.is_stored &&
+            subject.status == job_status::open && !subject.has_started)
+            ++count;
+    return count;
+}
+
+void pool_state::end_job(job& subject, job_status status, base::wall_time wall)
+{
+    subject.status = status;
+    subject.ended_wall = wall;
+    mark_dirty(subject);
+    for (std::size_t position = 0; position < subject.steps.size(); ++position)
+    {
+        auto& tasks = subject.steps[position].tasks;
+        for (std::size_t index = 0; index < tasks.size(); ++index)
+            if (tasks[index].active)
+                stop_run(subject.id_of(position, static_cast<int>(index)),
+                         tasks[index], "the job has ended",
+                         subject.accepted_at);
+    }
+    release_if_idle(subject);
+}
+
+// Frees what only an open job needs.
+void pool_state::release_if_idle(job& subject)
+{
+    if (subject.status == job_status::open)
+        return;
+    for (const step& entry : subject.steps)
+        if (entry.active > 0)
+            return;
+    subject.steps = {};
+    subject.spec.payload = {};
+}
+
+void pool_state::request_stop(const task_id& id, int run,
+                              std::string_view worker, std::string_view reason)
+{
+    stops_.push_back({id, run, std::string(worker), std::string(reason)});
+}
+
+void pool_state::stop_run(const task_id& id, task& entry,
+                          std::string_view reason, base::time_point now)
+{
+    active_run& run = *entry.active;
+    if (run.state == run_state::stopping || run.state == run_state::stopped)
+        return;
+    run.state = run_state::stopping;
+    run.since = now;
+    request_stop(id, run.number, run.worker, reason);
+    tell({"stop", id.job, to_string(id), run.number, run.worker,
+          std::string(reason)});
+}
+
+void pool_state::begin_run(job& subject, std::size_t position, int index,
+                           int run, worker_view& worker, run_state state,
+                           base::time_point now)
+{
+    step& part = subject.steps[position];
+    task& entry = part.tasks[static_cast<std::size_t>(index)];
+    entry.last_run = std::max(entry.last_run, run);
+    entry.active = active_run{run, worker.description.id, state, now, now, 0,
+                              now};
+    ++part.active;
+    worker.used += room_of(subject.spec_of(position));
+    worker.runs.emplace(subject.id_of(position, index), run);
+    subject.has_started = true;
+}
+
+void pool_state::clear_run(job& subject, const task_id& id, task& entry)
+{
+    const std::size_t position = subject.position_of(id);
+    if (worker_view* worker = find_worker(entry.active->worker))
+        if (worker->runs.erase(id) > 0)
+            worker->used -= room_of(subject.spec_of(position));
+    entry.active.reset();
+    --subject.steps[position].active;
+}
+
+std::vector<stop_order> pool_state::take_stops()
+{
+    return std::exchange(stops_, {});
+}
+
+void pool_state::inherit_until(base::time_point moment, bool roster_is_complete)
+{
+    inherit_until_ = moment;
+    roster_is_complete_ = roster_is_complete;
+}
+
+double pool_state::backlog() const
+{
+    double work = 0;
+    for (const auto& [id, subject] : jobs_)
+    {
+        if (subject.status != job_status::open ||
+            subject.spec.is_long_running())
+            continue;
+        const auto statistics = statistics_.find(subject.queue);
+        const double pace =
+            statistics == statistics_.end() ? 1.0 : statistics->second.pace();
+        work += estimated_work(subject, true) * pace;
+    }
+    return work;
+}
+
+double pool_state::usable_cores(base::time_point now) const
+{
+    double cores = 0;
+    for (const auto& [id, worker] : workers_)
+    {
+        if (!worker.accepts_starts(now))
+            continue;
+        std::int64_t millis = worker.description.capacity.cpu_millis;
+        for (const auto& [task_name, run] : worker.runs)
+        {
+            const job* subject = find_job(task_name.job);
+            if (subject == nullptr)
+                continue;
+            const step_spec& part =
+                subject->spec_of(subject->position_of(task_name));
+            if (part.is_long_running)
+                millis -= room_of(part).cpu_millis;
+        }
+        cores += static_cast<double>(millis) / millis_per_core;
+    }
+    return cores;
+}
+
+std::vector<record_change> pool_state::take_changes(std::size_t limit)
+{
+    std::vector<record_change> changes;
+    for (auto& [id, subject] : jobs_)
+    {
+        if (!subject.is_dirty)
+            continue;
+        if (changes.size() == limit)
+            break;
+        subject.is_dirty = false;
+        subject.written_status = subject.status;
+        changes.push_back(
+            {id, encode_record(subject), subject.stored_revision});
+    }
+    return changes;
+}
+
+void pool_state::note_stored(std::string_view id, std::int64_t revision)
+{
+    job* subject = find(id);
+    if (subject == nullptr)
+        return;
+    subject->is_stored = true;
+    subject->stored_status = subject->written_status;
+    subject->stored_revision = revision;
+}
+
+void pool_state::note_store_revision(std::string_view id, std::int64_t revision)
+{
+    job* subject = find(id);
+    if (subject == nullptr)
+        return;
+    subject->stored_revision = revision;
+    subject->may_be_stored = true;
+    subject->is_dirty = true;
+}
+
+void pool_state::note_not_stored(std::string_view id, bool may_be_stored)
+{
+    job* subject = find(id);
+    if (subject == nullptr)
+        return;
+    subject->may_be_stored = subject->may_be_stored || may_be_stored;
+    subject->is_dirty = true;
+}
+
+std::vector<std::string> pool_state::expired_jobs(base::wall_time limit) const
+{
+    std::vector<std::string> expired;
+    for (const auto& [id, subject] : jobs_)
+        if (subject.status != job_status::open && subject.steps.empty() &&
+            subject.is_stored && !subject.is_dirty &&
+            subject.ended_wall < limit)
+            expired.push_back(id);
+    return expired;
+}
+
+void pool_state::remove_job(std::string_view id)
+{
+    withdraw(id);
+}
+
+} // namespace pimentograde::jobs
--- /dev/null
+++ b/src/jobs/pool_state.hpp
@@ -0,0 +1,208 @@
+#ifndef PIMENTOGRADE_JOBS_POOL_STATE_HPP
+#define PIMENTOGRADE_JOBS_POOL_STATE_HPP
+
+#include "base/time.hpp"
+#include "jobs/admission.hpp"
+#include "jobs/job.hpp"
+#include "jobs/ordering.hpp"
+#include "jobs/worker_report.hpp"
+#include "jobs/worker_view.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pimentograde::jobs
+{
+
+/// Outcome of handing a job in.
+struct submit_result
+{
+    enum class kind
+    {
+        accepted,
+        /// The job was accepted before; its record may still be on its way.
+        known,
+        refused
+    };
+    kind outcome = kind::accepted;
+    admission_decision admission;
+};
+
+/// State of a job as callers ask for it.
+enum class reported_status
+{
+    queued,
+    running,
+    completed,
+    failed,
+    cancelled
+};
+
+/// A decision of the pool, for the log.
+struct decision
+{
+    std::string_view what;
+    std::string job;
+    std::string task;
+    int run = 0;
+    std::string worker;
+    std::string detail;
+};
+
+/// A record to write, and the revision on which the write depends.
+struct record_change
+{
+    std::string job;
+    std::string value;
+    std::int64_t expected_revision = 0;
+};
+
+/// All jobs, workers and runs of one pool, and the rules that hold between
+/// them: a task has at most one run, steps follow their order, attempts are
+/// counted, and what an earlier owner may have started is not started again
+/// before the workers have told.
+class pool_state
+{
+public:
+    using decision_hook = std::function<void(const decision&)>;
+
+    explicit pool_state(std::string pool);
+    void on_decision(decision_hook hook);
+
+    /// Replaces the policies of the pool's queues. Jobs of a queue that is no
+    /// longer listed keep the policy that they had.
+    void set_policy(const queue_policy& policy);
+
+    submit_result submit(std::string_view id, job_spec spec,
+                         std::string_view queue, base::time_point now,
+                         base::wall_time wall);
+    /// Adds a job of an earlier owner.
+    void restore(job subject, base::time_point now, base::wall_time wall);
+    /// Returns whether the job is known. Ended jobs stay as they are.
+    bool cancel(std::string_view id, base::wall_time wall);
+    /// Removes a job whose record was certainly not stored.
+    void withdraw(std::string_view id);
+    [[nodiscard]] std::optional<reported_status>
+    status_of(std::string_view id) const;
+    [[nodiscard]] const job* find_job(std::string_view id) const;
+    /// Accepted jobs of the queue of which no task has started.
+    [[nodiscard]] int pending(std::string_view queue) const;
+
+    void update_worker(const worker_description& description);
+    /// The store no longer lists the worker; its runs may go on.
+    void unlist_worker(std::string_view id);
+    /// Nothing of the worker's runs can exist any more.
+    void lose_runs(std::string_view id, base::time_point now);
+    void forget_worker(std::string_view id);
+    void set_reachable(std::string_view id, bool is_reachable);
+    /// `sent_at` is when the worker was asked.
+    void apply_report(std::string_view id, const worker_report& report,
+                      base::time_point sent_at, base::time_point now,
+                      base::wall_time wall);
+    void apply_start_answer(const start_order& order, start_answer answer,
+                            base::time_point now);
+    void apply_stop_answer(const stop_order& order, bool is_acknowledged,
+                           base::time_point now);
+    [[nodiscard]] const std::map<std::string, worker_view, std::less<>>&
+    workers() const
+    {
+        return workers_;
+    }
+
+    /// Runs of an earlier owner may be unknown until `moment`, or until every
+    /// listed worker has reported.
+    void inherit_until(base::time_point moment, bool roster_is_complete);
+    /// Decides which tasks start now and where.
+    std::vector<start_order> plan(base::time_point now, base::wall_time wall);
+    std::vector<stop_order> take_stops();
+    /// Earliest moment at which `plan` may decide otherwise without an event.
+    [[nodiscard]] std::optional<base::time_point>
+    next_retry(base::time_point now) const;
+
+    /// Number of the newest change that has to be stored.
+    [[nodiscard]] std::uint64_t change_number() const { return changes_; }
+    /// At most `limit` records that differ from the store.
+    std::vector<record_change> take_changes(std::size_t limit);
+    void note_stored(std::string_view id, std::int64_t revision);
+    /// The store holds `revision`, for example of an unanswered write; the
+    /// record is written again.
+    void note_store_revision(std::string_view id, std::int64_t revision);
+    /// The write failed; `may_be_stored` when it may still take effect.
+    void note_not_stored(std::string_view id, bool may_be_stored);
+    /// Ids of jobs that ended before `limit` and are stored, for removal.
+    [[nodiscard]] std::vector<std::string>
+    expired_jobs(base::wall_time limit) const;
+    void remove_job(std::string_view id);
+
+    [[nodiscard]] std::size_t job_count() const { return jobs_.size(); }
+    /// Remaining work of open jobs that end by themselves, core-seconds.
+    [[nodiscard]] double backlog() const;
+    /// Cores of workers that accept starts, without those that long-running
+    /// tasks hold.
+    [[nodiscard]] double usable_cores(base::time_point now) const;
+
+private:
+    struct waiting_job;
+
+    job* find(std::string_view id);
+    worker_view* find_worker(std::string_view id);
+    [[nodiscard]] const queue_policy& policy_of(const job& subject) const;
+    queue_statistics& statistics_of(const job& subject);
+    void mark_dirty(job& subject);
+    void end_job(job& subject, job_status status, base::wall_time wall);
+    void release_if_idle(job& subject);
+    void begin_run(job& subject, std::size_t position, int index, int run,
+                   worker_view& worker, run_state state, base::time_point now);
+    void clear_run(job& subject, const task_id& id, task& entry);
+    void request_stop(const task_id& id, int run, std::string_view worker,
+                      std::string_view reason);
+    void stop_run(const task_id& id, task& entry, std::string_view reason,
+                  base::time_point now);
+    void apply_listed(worker_view& worker, const listed_run& row,
+                      base::time_point now);
+    void apply_end(worker_view& worker, const listed_end& row,
+                   base::time_point now, base::wall_time wall);
+    void apply_done(job& subject, const listed_end& row, task& entry,
+                    base::time_point now, base::wall_time wall);
+    void apply_failure(job& subject, const listed_end& row, task& entry,
+                       base::time_point now, base::wall_time wall);
+    void settle_unlisted(worker_view& worker, const worker_report& report,
+                         base::time_point sent_at, base::time_point now);
+    void note_progress(worker_view& worker, const listed_run& row,
+                       const task_id& id, task& entry, const step_spec& part,
+                       base::time_point now);
+    [[nodiscard]] bool may_plan(const job& subject, base::time_point now) const;
+    std::vector<waiting_job> waiting_jobs(base::time_point now,
+                                          base::wall_time wall);
+    void plan_step(job& subject, std::size_t position,
+                   std::span<worker_view* const> workers, base::time_point now,
+                   std::vector<start_order>& orders);
+    bool plan_gang(job& subject, std::size_t position,
+                   std::span<worker_view* const> workers, base::time_point now,
+                   std::vector<start_order>& orders);
+    int same_step_count(const worker_view& worker, const job& subject,
+                        std::size_t position) const;
+    void evacuate(worker_view& worker, base::time_point now);
+    void tell(decision entry) const;
+
+    std::string pool_;
+    std::map<std::string, job, std::less<>> jobs_;
+    std::map<std::string, worker_view, std::less<>> workers_;
+    std::map<std::string, queue_policy, std::less<>> policies_;
+    std::map<std::string, queue_statistics, std::less<>> statistics_;
+    std::vector<stop_order> stops_;
+    base::time_point inherit_until_{};
+    bool roster_is_complete_ = true;
+    std::uint64_t changes_ = 0;
+    decision_hook decided_;
+};
+
+} // namespace pimentograde::jobs
+
+#endif
--- /dev/null
+++ b/src/jobs/worker_view.cpp
@@ -0,0 +1,84 @@
+#include "jobs/worker_view.hpp"
+
+#include <algorithm>
+
+namespace pimentograde::jobs
+{
+
+namespace
+{
+
+// Failures of different jobs in a row after which a worker is suspected. A
+// hopeless job fails everywhere; three of them in a row on one worker are rare.
+constexpr int suspicious_failures = 3;
+constexpr std::chrono::seconds first_quarantine{3};
+constexpr int max_quarantine_doublings = 3;
+constexpr std::chrono::milliseconds refusal_pause{500};
+
+} // namespace
+
+void worker_health::note_done()
+{
+    failure_streak_ = 0;
+    last_failed_job_.clear();
+    if (quarantines_ > 0)
+        --quarantines_;
+}
+
+void worker_health::note_failure(const std::string& job, base::time_point now)
+{
+    if (job == last_failed_job_)
+        return;
+    last_failed_job_ = job;
+    if (++failure_streak_ >= suspicious_failures)
+        quarantine(now);
+}
+
+void worker_health::note_stall(base::time_point now)
+{
+    quarantine(now);
+}
+
+void worker_health::note_refusal(base::time_point now)
+{
+    quarantined_until_ = std::max(quarantined_until_, now + refusal_pause);
+}
+
+bool worker_health::is_quarantined(base::time_point now) const
+{
+    return now < quarantined_until_;
+}
+
+void worker_health::quarantine(base::time_point now)
+{
+    if (is_quarantined(now))
+        return;
+    quarantined_until_ =
+        now + first_quarantine *
+                  (1 << std::min(quarantines_, max_quarantine_doublings));
+    ++quarantines_;
+    // One more failure after the quarantine is enough to renew it.
+    failure_streak_ = suspicious_failures - 1;
+}
+
+resource_amount worker_view::free() const
+{
+    resource_amount left = description.capacity;
+    left -= used;
+    return left;
+}
+
+bool worker_view::accepts_starts(base::time_point now) const
+{
+    return is_listed && has_reported && is_reachable &&
+           !description.is_draining && now >= no_room_until &&
+           !health.is_quarantined(now);
+}
+
+bool worker_view::has_label(const std::string& label) const
+{
+    const auto& labels = description.labels;
+    return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+} // namespace pimentograde::jobs
--- /dev/null
+++ b/src/jobs/worker_view.hpp
@@ -0,0 +1,82 @@
+#ifndef PIMENTOGRADE_JOBS_WORKER_VIEW_HPP
+#define PIMENTOGRADE_JOBS_WORKER_VIEW_HPP
+
+#include "base/time.hpp"
+#include "jobs/job_spec.hpp"
+#include "jobs/task_id.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace pimentograde::jobs
+{
+
+/// What a worker tells of itself through the platform.
+struct worker_description
+{
+    std::string id;
+    /// `address:port`.
+    std::string address;
+    std::string pool;
+    std::string zone;
+    std::vector<std::string> labels;
+    resource_amount capacity;
+    bool is_draining = false;
+    /// Start of this life of the worker, Unix milliseconds; 0 when unknown.
+    std::int64_t born_ms = 0;
+    /// Least time that is left while it drains.
+    base::duration remaining{};
+
+    bool operator==(const worker_description&) const = default;
+};
+
+/// Detects workers that fail or stall what they start, from the ends that they
+/// report. Answers workers that look healthy and are not.
+class worker_health
+{
+public:
+    void note_done();
+    /// Failures of one job count once, since the job itself may be at fault.
+    void note_failure(const std::string& job, base::time_point now);
+    void note_stall(base::time_point now);
+    /// The worker refused an order because it is unhealthy.
+    void note_refusal(base::time_point now);
+    [[nodiscard]] bool is_quarantined(base::time_point now) const;
+
+private:
+    void quarantine(base::time_point now);
+
+    int failure_streak_ = 0;
+    int quarantines_ = 0;
+    std::string last_failed_job_;
+    base::time_point quarantined_until_{};
+};
+
+/// A worker as its pool's owner sees it.
+struct worker_view
+{
+    worker_description description;
+    /// The store lists the worker.
+    bool is_listed = true;
+    /// It has reported its runs under this owner's fence.
+    bool has_reported = false;
+    /// The last exchange with it succeeded.
+    bool is_reachable = false;
+    resource_amount used;
+    std::map<task_id, int> runs;
+    /// Highest end that has been applied.
+    std::int64_t applied_end = 0;
+    worker_health health;
+    /// Set after the worker rejected a start for want of room.
+    base::time_point no_room_until{};
+
+    [[nodiscard]] resource_amount free() const;
+    [[nodiscard]] bool accepts_starts(base::time_point now) const;
+    [[nodiscard]] bool has_label(const std::string& label) const;
+};
+
+} // namespace pimentograde::jobs
+
+#endif
--- a/src/membership/member_service.cpp
+++ b/src/membership/member_service.cpp
@@ -283,7 +283,7 @@
 {
     const auto items =
         given.store_.list(key_prefix, base::steady_now() + store_limit);
-    for (const platform::kv_item& item : items)
+    for (const provider::kv_item& item : items)
     {
         try
         {
@@ -322,7 +322,7 @@
 }
 
 member_service::builder&
-member_service::builder::store(platform::kv_operations operations)
+member_service::builder::store(provider::kv_operations operations)
 {
     store_ = std::move(operations);
     return *this;
--- a/src/membership/member_service.hpp
+++ b/src/membership/member_service.hpp
@@ -7,7 +7,7 @@
 #include "peer/messages.hpp"
 #include "peer/peer_client.hpp"
 #include "peer/rpc_dispatcher.hpp"
-#include "platform/kv_operations.hpp"
+#include "provider/kv_operations.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -41,7 +41,7 @@
         /// Address at which other members reach this one.
         builder& self(peer::member_entry entry);
         builder& secret(std::string shared);
-        builder& store(platform::kv_operations operations);
+        builder& store(provider::kv_operations operations);
         /// Addresses that are contacted whether or not anybody names them.
         builder& first_contacts(std::vector<net::endpoint> addresses);
         /// Adds the document versions to an outgoing heartbeat.
@@ -54,7 +54,7 @@
         friend class member_service;
         peer::member_entry self_;
         std::string secret_;
-        platform::kv_operations store_;
+        provider::kv_operations store_;
         std::vector<net::endpoint> first_contacts_;
         std::function<void(peer::heartbeat&)> fill_;
         peer::peer_client::late_result_hook late_;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -94,7 +94,10 @@
     message.method_string(request.method);
     message.target(request.target);
     message.version(11);
-    message.set(http::field::host, to_string(where));
+    message.set(http::field::host,
+                request.host.empty() ? to_string(where) : request.host);
+    for (const http_field& extra : request.headers)
+        message.set(extra.first, extra.second);
     if (!request.authorization.empty())
         message.set(http::field::authorization, request.authorization);
     if (!request.body.empty())
@@ -226,7 +229,10 @@
         throw exchange_error(read.failure, where, step);
     auto& reply = parser.get();
     http_response response{reply.result_int(), std::move(reply.body()),
-                           std::string(reply[http::field::content_type])};
+                           std::string(reply[http::field::content_type]),
+                           {}};
+    for (const auto& field : reply)
+        response.headers.emplace_back(field.name_string(), field.value());
     // Bytes beyond the response would be taken for the next answer.
     if (reply.keep_alive() && buffer.size() == 0)
         impl_->keep(where, std::move(stream), base::steady_now());
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -9,6 +9,9 @@
 namespace pimentograde::net
 {
 
+/// A header field's name and value.
+using http_field = std::pair<std::string, std::string>;
+
 struct http_request
 {
     std::string method;
@@ -19,6 +22,11 @@
     std::string authorization;
     /// Address and port of the client, for errors and logs.
     std::string peer;
+    /// Value of the Host field; empty in a client for the server's address.
+    std::string host;
+    /// In a client, fields to send besides the usual ones; in a server, all
+    /// fields that arrived.
+    std::vector<http_field> headers{};
 };
 
 struct http_response
@@ -26,6 +34,8 @@
     unsigned status = 200;
     std::string body;
     std::string content_type = "application/json";
+    /// Fields to send besides the usual ones.
+    std::vector<http_field> headers{};
 };
 
 /// Bounds of what a server or client accepts.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -60,6 +60,7 @@
     base::duration idle_timeout{};
     std::size_t max_connections = 0;
     bool stopping = false;
+    bool closing = false;
     std::set<connection*> connections;
     task_group fibers;
 
@@ -161,10 +162,15 @@
     request.authorization = message[http::field::authorization];
     request.body = std::move(message.body());
     request.peer = peer;
+    request.host = message[http::field::host];
+    for (const auto& field : message)
+        request.headers.emplace_back(field.name_string(), field.value());
     // While the handler runs, no timeout applies to the connection.
     client.stream.expires_never();
-    const bool keep_alive = message.keep_alive() && !stopping;
-    return respond(client, call_handler(request), keep_alive,
+    const bool wants_keep_alive = message.keep_alive();
+    http_response response = call_handler(request);
+    const bool keep_alive = wants_keep_alive && !stopping && !closing;
+    return respond(client, std::move(response), keep_alive,
                    message.version()) &&
            keep_alive;
 }
@@ -196,6 +202,8 @@
     http::response<http::string_body> message{
         static_cast<http::status>(response.status), version};
     message.set(http::field::content_type, response.content_type);
+    for (const http_field& extra : response.headers)
+        message.set(extra.first, extra.second);
     message.keep_alive(keep_alive);
     message.body() = std::move(response.body);
     message.prepare_payload();
@@ -301,6 +309,11 @@
     return impl_->connections.size();
 }
 
+void http_server::close_after_responses()
+{
+    impl_->closing = true;
+}
+
 bool http_server::stop_gracefully(base::time_point deadline)
 {
     impl_->stop_accepting();
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -49,6 +49,9 @@
     [[nodiscard]] const endpoint& local_endpoint() const;
     [[nodiscard]] std::size_t connection_count() const;
 
+    /// From now on each response closes its connection, so that clients move
+    /// to other servers. Further connections are still accepted.
+    void close_after_responses();
     /// Stops accepting, closes idle connections, waits for the requests in
     /// progress until the deadline, then closes the rest. Returns whether
     /// every request ended in time.
--- /dev/null
+++ b/src/node/caller_front.cpp
@@ -0,0 +1,246 @@
+#include "node/caller_front.hpp"
+
+#include "base/error.hpp"
+#include "log/event.hpp"
+#include "node/events.hpp"
+#include "platform/job_document.hpp"
+#include "platform/caller_protocol.hpp"
+
+#include <algorithm>
+
+namespace pimentograde::node
+{
+
+namespace
+{
+
+using submission_kind = pools::submission_answer::kind;
+using job_kind = pools::job_answer::kind;
+
+// Callers that name no limit wait this long; the users' pages say 3 s.
+constexpr std::chrono::milliseconds default_time_left{3000};
+constexpr std::chrono::milliseconds longest_time_left{10'000};
+constexpr std::chrono::seconds outage_retry{1};
+
+constexpr unsigned ok = 200;
+constexpr unsigned bad_request = 400;
+constexpr unsigned not_found = 404;
+constexpr unsigned method_not_allowed = 405;
+constexpr unsigned gone = 410;
+constexpr unsigned too_large = 413;
+constexpr unsigned service_unavailable = 503;
+constexpr unsigned gateway_timeout = 504;
+
+net::http_response retry_later(base::duration retry_after,
+                               std::string_view reason)
+{
+    const auto seconds =
+        std::chrono::ceil<std::chrono::seconds>(retry_after).count();
+    net::http_response response{service_unavailable,
+                                platform::write_reason(reason)};
+    response.headers.emplace_back(
+        "Retry-After", std::to_string(std::max<std::int64_t>(seconds, 1)));
+    return response;
+}
+
+} // namespace
+
+struct caller_front::call
+{
+    const net::http_request& request;
+    std::string_view path;
+    const platform::queue_route* route = nullptr;
+    /// The rest of the path behind the queue's prefix.
+    std::string_view job;
+    base::time_point deadline{};
+    /// Why it was answered so, for the log.
+    std::string reason;
+};
+
+caller_front::caller_front(pool_gateway& gateway, metrics::registry& metrics)
+    : gateway_(gateway), metrics_(metrics)
+{
+}
+
+void caller_front::set_configuration(const platform::configuration& current)
+{
+    if (configuration_)
+        for (const auto& route : configuration_->queues)
+        {
+            auto& pools = earlier_pools_[route.policy.name];
+            if (std::find(pools.begin(), pools.end(), route.policy.pool) ==
+                pools.end())
+                pools.push_back(route.policy.pool);
+        }
+    configuration_ = current;
+}
+
+net::http_response caller_front::handle(const net::http_request& request)
+{
+    const base::time_point begin = base::steady_now();
+    call current{request, request.target, nullptr, {}, {}, {}};
+    current.path = current.path.substr(0, current.path.find('?'));
+    const base::duration time_left = std::clamp<base::duration>(
+        platform::caller_time_left(request).value_or(default_time_left),
+        base::duration::zero(), longest_time_left);
+    current.deadline = begin + time_left;
+    net::http_response response = answer(current);
+    note(current, response, begin);
+    return response;
+}
+
+net::http_response caller_front::answer(call& current)
+{
+    if (!configuration_)
+    {
+        current.reason = "no configuration yet";
+        return retry_later(outage_retry, current.reason);
+    }
+    std::string_view host = current.request.host;
+    host = host.substr(0, host.find(':'));
+    current.route = configuration_->match(host, current.path);
+    if (current.route == nullptr)
+    {
+        current.reason = "no such queue";
+        return {not_found, platform::write_reason(current.reason)};
+    }
+    current.job = current.path.substr(current.route->path_prefix.size());
+    const std::string& method = current.request.method;
+    if (current.job.empty() && method == "GET")
+        return count(current);
+    if (!platform::is_job_id(current.job))
+    {
+        current.reason = "the path names no job";
+        return {not_found, platform::write_reason(current.reason)};
+    }
+    if (method == "POST")
+        return submit(current);
+    if (method == "GET")
+        return status(current);
+    if (method == "DELETE")
+        return cancel(current);
+    current.reason = "unknown method";
+    return {method_not_allowed, platform::write_reason(current.reason)};
+}
+
+net::http_response caller_front::submit(call& current)
+{
+    if (current.request.body.size() > configuration_->max_body_bytes)
+    {
+        current.reason = "the body is too large";
+        return {too_large, platform::write_reason(current.reason)};
+    }
+    // The configuration may change while the owner is asked.
+    const jobs::queue_policy queue = current.route->policy;
+    jobs::job_spec spec;
+    try
+    {
+        spec = platform::read_job(current.request.body);
+    }
+    catch (const base::error& failure)
+    {
+        current.reason = failure.detail();
+        return {bad_request, platform::write_reason(current.reason)};
+    }
+    const auto reply =
+        gateway_.submit(queue, current.job, std::move(spec), current.deadline);
+    current.reason = reply.reason;
+    if (reply.outcome == submission_kind::accepted)
+        return {ok, "{}"};
+    if (reply.outcome == submission_kind::refused)
+        return retry_later(reply.retry_after, reply.reason);
+    return {gateway_timeout, platform::write_reason(current.reason)};
+}
+
+std::vector<jobs::queue_policy>
+caller_front::policies_of(const platform::queue_route& route) const
+{
+    std::vector<jobs::queue_policy> policies{route.policy};
+    const auto earlier = earlier_pools_.find(route.policy.name);
+    if (earlier == earlier_pools_.end())
+        return policies;
+    for (const std::string& pool : earlier->second)
+        if (pool != route.policy.pool)
+        {
+            policies.push_back(route.policy);
+            policies.back().pool = pool;
+        }
+    return policies;
+}
+
+net::http_response caller_front::status(call& current)
+{
+    bool is_certain = true;
+    for (const auto& queue : policies_of(*current.route))
+    {
+        const auto reply =
+            gateway_.status(queue, current.job, current.deadline);
+        if (reply.outcome == job_kind::found)
+            return {ok, platform::write_status(reply.status)};
+        is_certain = is_certain && reply.outcome == job_kind::absent;
+    }
+    if (is_certain)
+    {
+        current.reason = "no such job";
+        return {gone, platform::write_reason(current.reason)};
+    }
+    current.reason = "the pool's owner does not answer";
+    return retry_later(outage_retry, current.reason);
+}
+
+net::http_response caller_front::cancel(call& current)
+{
+    bool is_certain = true;
+    for (const auto& queue : policies_of(*current.route))
+    {
+        const auto reply =
+            gateway_.cancel(queue, current.job, current.deadline);
+        if (reply.outcome == job_kind::found)
+            return {ok, "{}"};
+        is_certain = is_certain && reply.outcome == job_kind::absent;
+    }
+    if (is_certain)
+    {
+        current.reason = "no such job";
+        return {gone, platform::write_reason(current.reason)};
+    }
+    current.reason = "the cancellation is not stored";
+    return retry_later(outage_retry, current.reason);
+}
+
+net::http_response caller_front::count(call& current)
+{
+    const jobs::queue_policy queue = current.route->policy;
+    if (const auto pending = gateway_.pending(queue, current.deadline))
+        return {ok, platform::write_pending(*pending)};
+    current.reason = "the pool's owner does not answer";
+    return retry_later(outage_retry, current.reason);
+}
+
+void caller_front::note(const call& current,
+                        const net::http_response& response,
+                        base::time_point begin)
+{
+    const base::duration took = base::steady_now() - begin;
+    const std::string& method = current.request.method;
+    metrics_.get_histogram("pimentograde_call_seconds")
+        .observe(base::count_seconds(took));
+    metrics_
+        .get_counter("pimentograde_calls_total",
+                     metrics::label("status", std::to_string(response.status)))
+        .add();
+    // Readings that succeed decide nothing.
+    if (method == "GET" && response.status == ok)
+        return;
+    log::write(event_request,
+               {{"job", current.job},
+                {"method", method},
+                {"path", current.path},
+                {"status", response.status},
+                {"reason", current.reason},
+                {"config_version",
+                 configuration_ ? configuration_->version : 0},
+                {"took_ms", base::count_millis(took)}});
+}
+
+} // namespace pimentograde::node
--- /dev/null
+++ b/src/node/caller_front.hpp
@@ -0,0 +1,55 @@
+#ifndef PIMENTOGRADE_NODE_CALLER_FRONT_HPP
+#define PIMENTOGRADE_NODE_CALLER_FRONT_HPP
+
+#include "metrics/registry.hpp"
+#include "net/http_message.hpp"
+#include "node/pool_gateway.hpp"
+#include "platform/configuration.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pimentograde::node
+{
+
+/// Answers callers: finds the queue of a request and asks the owner of its
+/// pool.
+class caller_front
+{
+public:
+    caller_front(pool_gateway& gateway, metrics::registry& metrics);
+
+    void set_configuration(const platform::configuration& current);
+    [[nodiscard]] bool has_configuration() const
+    {
+        return configuration_.has_value();
+    }
+    net::http_response handle(const net::http_request& request);
+
+private:
+    struct call;
+
+    net::http_response answer(call& current);
+    net::http_response submit(call& current);
+    net::http_response status(call& current);
+    net::http_response cancel(call& current);
+    net::http_response count(call& current);
+    /// The queue's policy for each pool that it has had, the present one
+    /// first: jobs stay in the pool that accepted them.
+    [[nodiscard]] std::vector<jobs::queue_policy>
+    policies_of(const platform::queue_route& route) const;
+    void note(const call& current, const net::http_response& response,
+              base::time_point begin);
+
+    pool_gateway& gateway_;
+    metrics::registry& metrics_;
+    std::optional<platform::configuration> configuration_;
+    std::map<std::string, std::vector<std::string>> earlier_pools_;
+};
+
+} // namespace pimentograde::node
+
+#endif
--- /dev/null
+++ b/src/node/events.hpp
@@ -0,0 +1,42 @@
+#ifndef PIMENTOGRADE_NODE_EVENTS_HPP
+#define PIMENTOGRADE_NODE_EVENTS_HPP
+
+#include "log/event.hpp"
+
+namespace pimentograde::node
+{
+
+inline constexpr log::event event_started{3301, log::severity::info,
+                                          "instance started"};
+inline constexpr log::event event_stopping{3302, log::severity::info,
+                                           "planned stop began"};
+inline constexpr log::event event_stopped{3303, log::severity::info,
+                                          "instance stopped"};
+inline constexpr log::event event_store_lost{3304, log::severity::warning,
+                                             "store does not answer"};
+inline constexpr log::event event_store_regained{3305, log::severity::info,
+                                                 "store answers again"};
+inline constexpr log::event event_lease_lost{
+    3306, log::severity::warning, "the instance's lease has ended"};
+inline constexpr log::event event_registered{
+    3307, log::severity::info, "instance registered in the store"};
+inline constexpr log::event event_configuration_adopted{
+    3308, log::severity::info, "configuration in force"};
+inline constexpr log::event event_configuration_invalid{
+    3309, log::severity::error, "configuration cannot be read"};
+inline constexpr log::event event_pool_claimed{3310, log::severity::info,
+                                               "pool claimed"};
+inline constexpr log::event event_request{3311, log::severity::info,
+                                          "request answered"};
+inline constexpr log::event event_claim_failed{
+    3312, log::severity::warning, "claiming a pool failed"};
+inline constexpr log::event event_wave{3313, log::severity::info,
+                                       "maintenance wave"};
+inline constexpr log::event event_machine_order{3314, log::severity::info,
+                                                "order to a machine"};
+inline constexpr log::event event_machine_service_failed{
+    3315, log::severity::warning, "machine service does not answer"};
+
+} // namespace pimentograde::node
+
+#endif
--- /dev/null
+++ b/src/node/node_instance.cpp
@@ -0,0 +1,281 @@
+#include "node/node_instance.hpp"
+
+#include "base/error.hpp"
+#include "base/random_source.hpp"
+#include "entry/signal_wait.hpp"
+#include "log/event.hpp"
+#include "metrics/registry.hpp"
+#include "net/http_server.hpp"
+#include "net/task_group.hpp"
+#include "node/caller_front.hpp"
+#include "node/events.hpp"
+#include "node/pool_claims.hpp"
+#include "node/pool_gateway.hpp"
+#include "node/prefix_watch.hpp"
+#include "node/session.hpp"
+#include "node/state_dump.hpp"
+#include "node/worker_directory.hpp"
+
+#include <boost/fiber/operations.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace pimentograde::node
+{
+
+namespace
+{
+
+constexpr std::string_view operator_prefix = "op/";
+constexpr std::string_view configuration_key = "op/config";
+// The platform takes an instance out of rotation after two missed checks, one
+// a second; until then new connections still arrive.
+constexpr std::chrono::milliseconds rotation_time{2300};
+// Calls in progress may take this long at a planned stop.
+constexpr std::chrono::milliseconds stop_reserve{1200};
+constexpr std::chrono::milliseconds secret_poll{50};
+constexpr std::chrono::seconds caller_idle_timeout{60};
+constexpr std::size_t max_caller_connections = 3000;
+
+} // namespace
+
+struct node_instance::impl
+{
+    explicit impl(platform::node_settings own)
+        : settings(std::move(own)),
+          store(platform::store_client::builder{}
+                    .connect_to(settings.store)
+                    .build()),
+          worker_http(net::http_client::builder{}.max_idle(2).build()),
+          members({settings.name,
+                   settings.zone,
+                   base::random_source{}.bits(),
+                   {settings.address, settings.first_internal_port}},
+                  *store,
+                  {[this] { claims.notify(); }, [this] { claims.notify(); }}),
+          claims(members, directory, *store, *worker_http,
+                 settings.longest_worker_lease),
+          gateway(members, claims, *store), front(gateway, metrics),
+          member_watch(std::string(session::prefix()), *store,
+                       member_hooks()),
+          operator_watch(std::string(operator_prefix), *store,
+                         operator_hooks()),
+          worker_watch(std::string(worker_directory::prefix()), *store,
+                       worker_hooks())
+    {
+    }
+
+    platform::node_settings settings;
+    metrics::registry metrics;
+    std::unique_ptr<platform::store_client> store;
+    std::unique_ptr<net::http_client> worker_http;
+    worker_directory directory;
+    session members;
+    pool_claims claims;
+    pool_gateway gateway;
+    caller_front front;
+    prefix_watch member_watch;
+    prefix_watch operator_watch;
+    prefix_watch worker_watch;
+    std::unique_ptr<net::http_server> callers;
+    std::unique_ptr<net::http_server> readiness;
+    std::unique_ptr<net::http_server> metrics_server;
+    std::unique_ptr<peer::peer_server> peers;
+    net::task_group fibers;
+    bool is_stopping = false;
+    bool store_answers = true;
+    std::int64_t version = 0;
+
+    prefix_watch::hooks member_hooks();
+    prefix_watch::hooks operator_hooks();
+    prefix_watch::hooks worker_hooks();
+    void note_exchange(bool is_ok);
+    void adopt(const platform::store_item& item);
+    void open_listeners();
+    void open_peer_listener();
+    [[nodiscard]] bool is_ready() const;
+    void start();
+    void stop();
+};
+
+prefix_watch::hooks node_instance::impl::member_hooks()
+{
+    return {[this](std::span<const platform::store_item> items)
+            { members.apply_listing(items); },
+            [this](std::span<const platform::store_event> events)
+            { members.apply_changes(events); },
+            [this](bool is_ok) { note_exchange(is_ok); }};
+}
+
+prefix_watch::hooks node_instance::impl::operator_hooks()
+{
+    return {[this](std::span<const platform::store_item> items)
+            {
+                for (const auto& item : items)
+                    if (item.key == configuration_key)
+                        adopt(item);
+            },
+            [this](std::span<const platform::store_event> events)
+            {
+                for (const auto& event : events)
+                    if (event.item.key == configuration_key &&
+                        !event.is_deleted)
+                        adopt(event.item);
+            },
+            [](bool) {}};
+}
+
+prefix_watch::hooks node_instance::impl::worker_hooks()
+{
+    return {[this](std::span<const platform::store_item> items)
+            {
+                directory.apply_listing(items, base::steady_now());
+                claims.notify();
+            },
+            [this](std::span<const platform::store_event> events)
+            {
+                directory.apply_changes(events, base::steady_now());
+                claims.notify();
+            },
+            [](bool) {}};
+}
+
+void node_instance::impl::note_exchange(bool is_ok)
+{
+    if (std::exchange(store_answers, is_ok) != is_ok)
+        log::write(is_ok ? event_store_regained : event_store_lost);
+}
+
+void node_instance::impl::adopt(const platform::store_item& item)
+{
+    try
+    {
+        const auto current = platform::read_configuration(item.value);
+        // A listing after an outage may be answered by an older watch.
+        if (current.version <= version)
+            return;
+        version = current.version;
+        front.set_configuration(current);
+        claims.set_configuration(current);
+        log::write(event_configuration_adopted,
+                   {{"version", version},
+                    {"revision", item.revision},
+                    {"queues", current.queues.size()},
+                    {"pools", current.pools.size()}});
+    }
+    catch (const std::exception& failure)
+    {
+        log::write(event_configuration_invalid,
+                   {{"revision", item.revision}, {"reason", failure.what()}});
+    }
+}
+
+bool node_instance::impl::is_ready() const
+{
+    return !is_stopping && front.has_configuration() && peers != nullptr;
+}
+
+void node_instance::impl::open_listeners()
+{
+    callers = net::http_server::builder{}
+                  .listen_on(settings.caller_listen)
+                  .handle_with([this](const net::http_request& request)
+                               { return front.handle(request); })
+                  .idle_timeout(caller_idle_timeout)
+                  .max_connections(max_caller_connections)
+                  .build();
+    readiness =
+        net::http_server::builder{}
+            .listen_on(settings.readiness_listen)
+            .handle_with(
+                [this](const net::http_request&)
+                {
+                    constexpr unsigned ok = 200;
+                    constexpr unsigned service_unavailable = 503;
+                    return net::http_response{
+                        is_ready() ? ok : service_unavailable, "{}"};
+                })
+            .build();
+    const auto metrics_port =
+        static_cast<std::uint16_t>(settings.first_internal_port + 1);
+    metrics_server =
+        net::http_server::builder{}
+            .listen_on({settings.address, metrics_port})
+            .handle_with(
+                [this](const net::http_request& request)
+                {
+                    if (request.target == "/state")
+                        return net::http_response{
+                            200, dump_state(members, claims, version)};
+                    return net::http_response{200, metrics.expose(),
+                                              "text/plain; version=0.0.4"};
+                })
+            .build();
+}
+
+void node_instance::impl::open_peer_listener()
+{
+    while (members.peer_secret().empty() && !is_stopping)
+        boost::this_fiber::sleep_for(secret_poll);
+    if (is_stopping)
+        return;
+    auto builder = peer::peer_server::builder{};
+    builder.listen_on(members.own().address)
+        .authenticate_as({{base::member_id(settings.name),
+                           members.own().incarnation},
+                          members.peer_secret()});
+    gateway.add_handlers(builder);
+    peers = builder.build();
+}
+
+void node_instance::impl::start()
+{
+    open_listeners();
+    member_watch.start();
+    operator_watch.start();
+    worker_watch.start();
+    members.start();
+    claims.start();
+    fibers.spawn([this] { open_peer_listener(); });
+    log::write(event_started,
+               {{"callers", net::to_string(settings.caller_listen)},
+                {"zone", settings.zone},
+                {"store", net::to_string(settings.store)}});
+}
+
+void node_instance::impl::stop()
+{
+    const base::time_point begin = base::steady_now();
+    const base::time_point deadline =
+        begin + std::max<base::duration>(settings.grace - stop_reserve,
+                                         rotation_time);
+    is_stopping = true;
+    log::write(event_stopping);
+    claims.quiesce();
+    members.stop();
+    callers->close_after_responses();
+    boost::this_fiber::sleep_until(begin + rotation_time);
+    const bool all_ended = callers->stop_gracefully(deadline);
+    if (peers)
+        peers->stop_now();
+    worker_http->cancel();
+    store->cancel();
+    log::write(event_stopped, {{"all_answered", all_ended ? 1 : 0}});
+}
+
+node_instance::node_instance(platform::node_settings settings)
+    : impl_(std::make_unique<impl>(std::move(settings)))
+{
+}
+
+node_instance::~node_instance() = default;
+
+void node_instance::run()
+{
+    impl_->start();
+    entry::wait_for_stop_signal();
+    impl_->stop();
+}
+
+} // namespace pimentograde::node
--- /dev/null
+++ b/src/node/pool_claims.cpp
@@ -0,0 +1,220 @@
+#include "node/pool_claims.hpp"
+
+#include "base/error.hpp"
+#include "log/event.hpp"
+#include "node/events.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pimentograde::node
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds check_interval{200};
+// The first in turn claims at once, the next after this long, and so on.
+constexpr std::chrono::milliseconds turn_delay{300};
+// At a common start, members register before roles are dealt out.
+constexpr std::chrono::milliseconds settle_time{400};
+
+std::string role_of(std::string_view pool)
+{
+    return "pool/" + std::string(pool);
+}
+
+} // namespace
+
+base::duration claim_delay(const std::map<std::string, member>& members,
+                           std::string_view own_name, std::size_t role_index)
+{
+    std::size_t position = 0;
+    for (const auto& [name, entry] : members)
+    {
+        if (name == own_name)
+            break;
+        ++position;
+    }
+    const std::size_t count = std::max<std::size_t>(members.size(), 1);
+    const std::size_t turn = (position + count - role_index % count) % count;
+    return settle_time + turn_delay * static_cast<int>(turn);
+}
+
+pool_claims::pool_claims(session& members, worker_directory& directory,
+                         platform::store_client& store, net::http_client& http,
+                         base::duration worker_lease)
+    : session_(members), directory_(directory), store_(store), http_(http),
+      worker_lease_(worker_lease)
+{
+}
+
+pool_claims::~pool_claims()
+{
+    stop();
+}
+
+void pool_claims::start()
+{
+    fibers_.spawn([this] { run(); });
+}
+
+void pool_claims::quiesce()
+{
+    stop_.set();
+    wakeup_.notify();
+    for (auto& [pool, owner] : owners_)
+        owner->quiesce();
+}
+
+void pool_claims::stop()
+{
+    quiesce();
+    owners_.clear();
+    fibers_.join();
+}
+
+void pool_claims::set_configuration(const platform::configuration& current)
+{
+    policies_.clear();
+    for (const auto& route : current.queues)
+        policies_.push_back(route.policy);
+    pools_.clear();
+    for (const auto& pool : current.pools)
+        if (!pool.is_standby)
+            pools_.insert(pool.name);
+    wakeup_.notify();
+}
+
+std::shared_ptr<pools::pool_owner>
+pool_claims::find(std::string_view pool) const
+{
+    const auto found = owners_.find(pool);
+    return found == owners_.end() || lost_.contains(std::string(pool))
+               ? nullptr
+               : found->second;
+}
+
+std::vector<std::shared_ptr<pools::pool_owner>> pool_claims::owners() const
+{
+    std::vector<std::shared_ptr<pools::pool_owner>> result;
+    for (const auto& [pool, owner] : owners_)
+        result.push_back(owner);
+    return result;
+}
+
+void pool_claims::run()
+{
+    while (!stop_.is_set())
+    {
+        wakeup_.wait_until(base::steady_now() + check_interval);
+        if (stop_.is_set())
+            return;
+        close_lost();
+        check(base::steady_now());
+        update_owners();
+    }
+}
+
+void pool_claims::close_lost()
+{
+    for (const std::string& pool : std::exchange(lost_, {}))
+    {
+        const auto found = owners_.find(pool);
+        if (found == owners_.end())
+            continue;
+        // A look at a worker may hold the end up for seconds.
+        fibers_.spawn([owner = std::move(found->second)] { owner->quiesce(); });
+        owners_.erase(found);
+    }
+}
+
+void pool_claims::check(base::time_point now)
+{
+    std::size_t index = 0;
+    for (const std::string& pool : pools_)
+        check_pool(pool, index++, now);
+}
+
+void pool_claims::check_pool(const std::string& pool, std::size_t index,
+                             base::time_point now)
+{
+    const holder* current = session_.holder_of(role_of(pool));
+    const auto owner = owners_.find(pool);
+    if (owner != owners_.end())
+    {
+        if (current == nullptr ||
+            current->revision != owner->second->fence())
+            lost_.insert(pool);
+        return;
+    }
+    if (!session_.is_registered())
+        return;
+    if (current != nullptr && session_.is_own(*current))
+    {
+        // A claim that got no answer has taken effect.
+        open(pool, current->revision, now);
+        return;
+    }
+    const bool is_free =
+        current == nullptr || current->node == session_.own().name;
+    if (!is_free)
+    {
+        free_since_.erase(pool);
+        return;
+    }
+    const auto since = free_since_.emplace(pool, now).first->second;
+    if (now - since <
+        claim_delay(session_.members(), session_.own().name, index))
+        return;
+    free_since_.erase(pool);
+    try
+    {
+        if (const auto revision = session_.claim(role_of(pool)))
+            open(pool, *revision, now);
+    }
+    catch (const base::error& failure)
+    {
+        log::write(event_claim_failed,
+                   {{"pool", pool}, {"reason", failure.what()}});
+    }
+}
+
+void pool_claims::open(const std::string& pool, std::int64_t revision,
+                       base::time_point now)
+{
+    log::write(event_pool_claimed, {{"pool", pool}, {"fence", revision}});
+    std::shared_ptr<pools::pool_owner> owner =
+        pools::pool_owner::builder{}
+            .pool(pool)
+            .ownership(session::role_key(role_of(pool)), revision)
+            .store(store_)
+            .http(http_)
+            .worker_lease(worker_lease_)
+            .departed(directory_.departed_of(pool, now))
+            .roster_is_complete(directory_.is_complete(now))
+            .may_order([this]
+                       { return session_.may_order(base::suspend_aware_now()); })
+            .on_lost(
+                [this, pool](std::string_view)
+                {
+                    lost_.insert(pool);
+                    wakeup_.notify();
+                })
+            .build();
+    owner->set_policies(policies_);
+    owner->set_workers(directory_.workers_of(pool));
+    owner->start();
+    owners_[pool] = std::move(owner);
+}
+
+void pool_claims::update_owners()
+{
+    for (auto& [pool, owner] : owners_)
+    {
+        owner->set_policies(policies_);
+        owner->set_workers(directory_.workers_of(pool));
+    }
+}
+
+} // namespace pimentograde::node
--- /dev/null
+++ b/src/node/pool_claims.hpp
@@ -0,0 +1,85 @@
+#ifndef PIMENTOGRADE_NODE_POOL_CLAIMS_HPP
+#define PIMENTOGRADE_NODE_POOL_CLAIMS_HPP
+
+#include "base/time.hpp"
+#include "net/http_client.hpp"
+#include "net/task_group.hpp"
+#include "net/wakeup.hpp"
+#include "node/session.hpp"
+#include "node/worker_directory.hpp"
+#include "platform/configuration.hpp"
+#include "pools/pool_owner.hpp"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pimentograde::node
+{
+
+/// How long this instance waits before it claims a role that nobody holds.
+/// Instances take the roles in turn by their names, so that the roles spread
+/// evenly and two instances rarely claim at once.
+base::duration claim_delay(const std::map<std::string, member>& members,
+                           std::string_view own_name, std::size_t role_index);
+
+/// Claims pools without an owner and runs the owners of this instance.
+class pool_claims
+{
+public:
+    pool_claims(session& members, worker_directory& directory,
+                platform::store_client& store, net::http_client& http,
+                base::duration worker_lease);
+    ~pool_claims();
+    pool_claims(const pool_claims&) = delete;
+    pool_claims& operator=(const pool_claims&) = delete;
+
+    void start();
+    /// Stops giving orders and stores what the owners know. Afterwards the
+    /// lease can be ended.
+    void quiesce();
+    /// Ends the owners' fibers.
+    void stop();
+    /// Members, holders, the configuration or the workers have changed.
+    void notify() { wakeup_.notify(); }
+    void set_configuration(const platform::configuration& current);
+
+    /// The owner on this instance; null when it does not own the pool.
+    [[nodiscard]] std::shared_ptr<pools::pool_owner>
+    find(std::string_view pool) const;
+    /// All owners on this instance.
+    [[nodiscard]] std::vector<std::shared_ptr<pools::pool_owner>>
+    owners() const;
+
+private:
+    void run();
+    void check(base::time_point now);
+    void check_pool(const std::string& pool, std::size_t index,
+                    base::time_point now);
+    void open(const std::string& pool, std::int64_t revision,
+              base::time_point now);
+    void close_lost();
+    void update_owners();
+
+    session& session_;
+    worker_directory& directory_;
+    platform::store_client& store_;
+    net::http_client& http_;
+    base::duration worker_lease_;
+    std::vector<jobs::queue_policy> policies_;
+    std::set<std::string> pools_;
+    std::map<std::string, std::shared_ptr<pools::pool_owner>, std::less<>>
+        owners_;
+    std::set<std::string> lost_;
+    std::map<std::string, base::time_point> free_since_;
+    net::wakeup wakeup_;
+    net::stop_signal stop_;
+    net::task_group fibers_;
+};
+
+} // namespace pimentograde::node
+
+#endif
--- /dev/null
+++ b/src/node/pool_gateway.cpp
@@ -0,0 +1,283 @@
+#include "node/pool_gateway.hpp"
+
+#include "base/error.hpp"
+#include "jobs/job_record.hpp"
+#include "pools/job_writer.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace pimentograde::node
+{
+
+namespace
+{
+
+using submission_kind = pools::submission_answer::kind;
+using job_kind = pools::job_answer::kind;
+
+// When a pool has no owner, another instance takes it over in about 3 s.
+constexpr std::chrono::seconds takeover_retry{1};
+// Left for the answer's way back to the caller.
+constexpr std::chrono::milliseconds reply_reserve{150};
+
+constexpr std::array submission_words{"accepted", "refused", "unknown"};
+constexpr std::array job_words{"found", "absent", "unavailable"};
+constexpr std::array status_words{"queued", "running", "completed", "failed",
+                                  "cancelled"};
+
+template <class Enum, std::size_t Count>
+std::string word_of(Enum value, const std::array<const char*, Count>& words)
+{
+    return words[static_cast<std::size_t>(value)];
+}
+
+template <class Enum, std::size_t Count>
+Enum value_of(std::string_view word,
+              const std::array<const char*, Count>& words)
+{
+    for (std::size_t index = 0; index < Count; ++index)
+        if (word == words[index])
+            return static_cast<Enum>(index);
+    throw base::error(base::error_code::invalid, "read peer reply", "",
+                      "unknown word: " + std::string(word));
+}
+
+peer::job_reply to_reply(const pools::job_answer& answer)
+{
+    return {word_of(answer.outcome, job_words),
+            word_of(answer.status, status_words)};
+}
+
+pools::job_answer from_reply(const peer::job_reply& reply)
+{
+    return {value_of<job_kind>(reply.outcome, job_words),
+            value_of<jobs::reported_status>(reply.status, status_words)};
+}
+
+std::string role_of(const std::string& pool)
+{
+    return "pool/" + pool;
+}
+
+jobs::reported_status reported(const jobs::job& subject)
+{
+    switch (subject.status)
+    {
+    case jobs::job_status::completed:
+        return jobs::reported_status::completed;
+    case jobs::job_status::failed:
+        return jobs::reported_status::failed;
+    case jobs::job_status::cancelled:
+        return jobs::reported_status::cancelled;
+    case jobs::job_status::open:
+        break;
+    }
+    return subject.has_started ? jobs::reported_status::running
+                               : jobs::reported_status::queued;
+}
+
+base::duration time_left(base::time_point deadline)
+{
+    return std::max<base::duration>(deadline - reply_reserve -
+                                        base::steady_now(),
+                                    base::duration::zero());
+}
+
+} // namespace
+
+pool_gateway::pool_gateway(session& members, pool_claims& claims,
+                           platform::store_client& store)
+    : session_(members), claims_(claims), store_(store)
+{
+}
+
+peer::peer_client& pool_gateway::client_of(const net::endpoint& address)
+{
+    auto& client = clients_[address];
+    if (!client)
+        client =
+            peer::peer_client::builder{}
+                .connect_to(address)
+                .authenticate_as({{base::member_id(session_.own().name),
+                                   session_.own().incarnation},
+                                  session_.peer_secret()})
+                .build();
+    return *client;
+}
+
+pools::submission_answer
+pool_gateway::submit(const jobs::queue_policy& queue, std::string_view id,
+                     jobs::job_spec spec, base::time_point deadline)
+{
+    if (const auto owner = claims_.find(queue.pool))
+        return owner->submit(id, std::move(spec), queue.name,
+                             deadline - reply_reserve);
+    const holder* current = session_.holder_of(role_of(queue.pool));
+    if (current == nullptr)
+        return {submission_kind::refused, takeover_retry,
+                "the pool has no owner"};
+    jobs::job subject;
+    subject.queue = queue.name;
+    subject.spec = std::move(spec);
+    const peer::submit_job message{queue.pool, queue.name, std::string(id),
+                                   jobs::encode_record(subject),
+                                   time_left(deadline)};
+    try
+    {
+        const auto reply =
+            client_of(current->address).send(message, deadline);
+        return {value_of<submission_kind>(reply.outcome, submission_words),
+                reply.retry_after, reply.reason};
+    }
+    catch (const base::error& failure)
+    {
+        if (failure.effect_unknown())
+            return {submission_kind::unknown, {}, failure.what()};
+        return {submission_kind::refused, takeover_retry, failure.what()};
+    }
+}
+
+pools::job_answer pool_gateway::stored_status(std::string_view pool,
+                                              std::string_view id)
+{
+    try
+    {
+        const auto item =
+            store_.get(pools::record_prefix(pool) + std::string(id));
+        if (!item)
+            return {job_kind::absent, {}};
+        return {job_kind::found,
+                reported(jobs::decode_record(id, item->value))};
+    }
+    catch (const base::error&)
+    {
+        // The owner and the store are both away: nothing is known.
+        return {job_kind::unavailable, {}};
+    }
+}
+
+pools::job_answer pool_gateway::status(const jobs::queue_policy& queue,
+                                       std::string_view id,
+                                       base::time_point deadline)
+{
+    pools::job_answer answer{job_kind::unavailable, {}};
+    if (const auto owner = claims_.find(queue.pool))
+        answer = owner->status(id);
+    else if (const holder* current = session_.holder_of(role_of(queue.pool)))
+    {
+        try
+        {
+            answer = from_reply(
+                client_of(current->address)
+                    .send(peer::query_job{queue.pool, std::string(id)},
+                          deadline - std::chrono::milliseconds(500)));
+        }
+        catch (const base::error&)
+        {
+            // The store answers below.
+            answer.outcome = job_kind::unavailable;
+        }
+    }
+    if (answer.outcome == job_kind::unavailable)
+        return stored_status(queue.pool, id);
+    return answer;
+}
+
+pools::job_answer pool_gateway::cancel(const jobs::queue_policy& queue,
+                                       std::string_view id,
+                                       base::time_point deadline)
+{
+    if (const auto owner = claims_.find(queue.pool))
+        return owner->cancel(id, deadline - reply_reserve);
+    const holder* current = session_.holder_of(role_of(queue.pool));
+    if (current == nullptr)
+        return {job_kind::unavailable, {}};
+    try
+    {
+        return from_reply(client_of(current->address)
+                              .send(peer::cancel_job{queue.pool,
+                                                     std::string(id),
+                                                     time_left(deadline)},
+                                    deadline));
+    }
+    catch (const base::error&)
+    {
+        // The caller asks again: a cancellation may be repeated.
+        return {job_kind::unavailable, {}};
+    }
+}
+
+std::optional<std::int64_t>
+pool_gateway::pending(const jobs::queue_policy& queue,
+                      base::time_point deadline)
+{
+    if (const auto owner = claims_.find(queue.pool))
+        return owner->pending(queue.name);
+    const holder* current = session_.holder_of(role_of(queue.pool));
+    if (current == nullptr)
+        return std::nullopt;
+    try
+    {
+        const auto reply =
+            client_of(current->address)
+                .send(peer::count_pending{queue.pool, queue.name}, deadline);
+        if (reply.is_known)
+            return reply.count;
+    }
+    catch (const base::error&)
+    {
+        // The caller asks again.
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+void pool_gateway::add_handlers(peer::peer_server::builder& server)
+{
+    server.handle<peer::submit_job>(
+        [this](const peer::call_context&, const peer::submit_job& message)
+        {
+            const auto owner = claims_.find(message.pool);
+            if (owner == nullptr)
+                return peer::submit_reply{"refused", takeover_retry,
+                                          "the pool is not owned here"};
+            jobs::job subject =
+                jobs::decode_record(message.job, message.record);
+            const auto answer = owner->submit(
+                message.job, std::move(subject.spec), message.queue,
+                base::steady_now() + message.time_left);
+            return peer::submit_reply{
+                word_of(answer.outcome, submission_words), answer.retry_after,
+                answer.reason};
+        });
+    server.handle<peer::query_job>(
+        [this](const peer::call_context&, const peer::query_job& message)
+        {
+            const auto owner = claims_.find(message.pool);
+            return to_reply(owner == nullptr
+                                ? pools::job_answer{job_kind::unavailable, {}}
+                                : owner->status(message.job));
+        });
+    server.handle<peer::cancel_job>(
+        [this](const peer::call_context&, const peer::cancel_job& message)
+        {
+            const auto owner = claims_.find(message.pool);
+            return to_reply(
+                owner == nullptr
+                    ? pools::job_answer{job_kind::unavailable, {}}
+                    : owner->cancel(message.job,
+                                    base::steady_now() + message.time_left));
+        });
+    server.handle<peer::count_pending>(
+        [this](const peer::call_context&, const peer::count_pending& message)
+        {
+            const auto owner = claims_.find(message.pool);
+            const auto count =
+                owner == nullptr ? std::nullopt : owner->pending(message.queue);
+            return peer::pending_reply{count.has_value(), count.value_or(0)};
+        });
+}
+
+} // namespace pimentograde::node
--- /dev/null
+++ b/src/node/pool_gateway.hpp
@@ -0,0 +1,55 @@
+#ifndef PIMENTOGRADE_NODE_POOL_GATEWAY_HPP
+#define PIMENTOGRADE_NODE_POOL_GATEWAY_HPP
+
+#include "base/time.hpp"
+#include "node/pool_claims.hpp"
+#include "node/session.hpp"
+#include "peer/peer_client.hpp"
+#include "peer/peer_server.hpp"
+#include "peer/pool_messages.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace pimentograde::node
+{
+
+/// Takes what callers ask of a pool to its owner, on this instance or another,
+/// and answers from the store when the owner cannot be asked.
+class pool_gateway
+{
+public:
+    pool_gateway(session& members, pool_claims& claims,
+                 platform::store_client& store);
+
+    pools::submission_answer submit(const jobs::queue_policy& queue,
+                                    std::string_view id, jobs::job_spec spec,
+                                    base::time_point deadline);
+    pools::job_answer status(const jobs::queue_policy& queue,
+                             std::string_view id, base::time_point deadline);
+    pools::job_answer cancel(const jobs::queue_policy& queue,
+                             std::string_view id, base::time_point deadline);
+    /// Empty when the owner cannot be asked.
+    std::optional<std::int64_t> pending(const jobs::queue_policy& queue,
+                                        base::time_point deadline);
+
+    /// Answers what other instances ask of the pools owned here.
+    void add_handlers(peer::peer_server::builder& server);
+
+private:
+    peer::peer_client& client_of(const net::endpoint& address);
+    pools::job_answer stored_status(std::string_view pool,
+                                    std::string_view id);
+
+    session& session_;
+    pool_claims& claims_;
+    platform::store_client& store_;
+    std::map<net::endpoint, std::unique_ptr<peer::peer_client>> clients_;
+};
+
+} // namespace pimentograde::node
+
+#endif
--- /dev/null
+++ b/src/node/prefix_watch.cpp
@@ -0,0 +1,84 @@
+#include "node/prefix_watch.hpp"
+
+#include "base/error.hpp"
+
+#include <utility>
+
+namespace pimentograde::node
+{
+
+namespace
+{
+
+// A connection that went silent is noticed after this long, well within the
+// 2 s in which a configuration has to be in force.
+constexpr std::chrono::milliseconds watch_wait{1000};
+// Spreads the instances' returns after an outage of the store.
+constexpr std::chrono::milliseconds retry_delay{100};
+constexpr std::chrono::milliseconds retry_jitter{150};
+
+} // namespace
+
+prefix_watch::prefix_watch(std::string prefix, platform::store_client& store,
+                           hooks functions)
+    : prefix_(std::move(prefix)), store_(store), hooks_(std::move(functions))
+{
+}
+
+prefix_watch::~prefix_watch()
+{
+    stop();
+    fibers_.join();
+}
+
+void prefix_watch::start()
+{
+    fibers_.spawn([this] { run(); });
+}
+
+void prefix_watch::stop()
+{
+    stop_.set();
+}
+
+void prefix_watch::run()
+{
+    while (!stop_.is_set())
+    {
+        try
+        {
+            step();
+            hooks_.exchanged(true);
+        }
+        catch (const std::exception&)
+        {
+            if (stop_.is_set())
+                return;
+            hooks_.exchanged(false);
+            stop_.wait_for(retry_delay + random_.jitter(retry_jitter));
+        }
+    }
+}
+
+void prefix_watch::step()
+{
+    if (!is_listed_)
+    {
+        const auto listing = store_.list(prefix_);
+        revision_ = listing.revision;
+        is_listed_ = true;
+        hooks_.listed(listing.items);
+        return;
+    }
+    const auto changes = store_.watch(prefix_, revision_, watch_wait);
+    if (changes.is_compacted)
+    {
+        is_listed_ = false;
+        return;
+    }
+    revision_ = changes.revision;
+    if (!changes.events.empty())
+        hooks_.changed(changes.events);
+}
+
+} // namespace pimentograde::node
--- /dev/null
+++ b/src/node/session.cpp
@@ -0,0 +1,258 @@
+#include "node/session.hpp"
+
+#include "base/error.hpp"
+#include "base/random_source.hpp"
+#include "log/event.hpp"
+#include "node/events.hpp"
+
+#include <boost/json.hpp>
+
+#include <utility>
+
+namespace pimentograde::node
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr std::string_view key_prefix = "pimentograde/";
+constexpr std::string_view member_prefix = "pimentograde/member/";
+constexpr std::string_view role_prefix = "pimentograde/role/";
+constexpr std::string_view secret_key = "pimentograde/peer-secret";
+// A lost instance's roles are free after this long. The store may take 250 ms
+// for an answer when it is slow, and a renewal may be lost.
+constexpr std::chrono::milliseconds lease_length{2500};
+constexpr std::chrono::milliseconds renewal_interval{800};
+constexpr std::chrono::milliseconds retry_delay{150};
+// Orders go on this long without a renewal, so that an outage of the store
+// does not stop accepted work. New owners wait for it, see pools/pool_owner.
+constexpr std::chrono::seconds order_limit{6};
+// JSON numbers are exact up to 2^53.
+constexpr std::uint64_t incarnation_mask = (std::uint64_t{1} << 53) - 1;
+
+} // namespace
+
+session::session(identity own, platform::store_client& store, hooks functions)
+    : own_(std::move(own)), store_(store), hooks_(std::move(functions))
+{
+    own_.incarnation &= incarnation_mask;
+}
+
+session::~session()
+{
+    stop_.set();
+    fibers_.join();
+}
+
+void session::start()
+{
+    fibers_.spawn([this] { lease_loop(); });
+}
+
+void session::stop()
+{
+    stop_.set();
+    fibers_.join();
+    if (lease_ == 0)
+        return;
+    try
+    {
+        store_.end_lease(std::exchange(lease_, 0));
+    }
+    catch (const base::error& failure)
+    {
+        log::write(event_store_lost, {{"reason", failure.what()}});
+    }
+}
+
+std::string_view session::prefix()
+{
+    return key_prefix;
+}
+
+std::string session::role_key(std::string_view role)
+{
+    return std::string(role_prefix).append(role);
+}
+
+const holder* session::holder_of(std::string_view role) const
+{
+    const auto found = holders_.find(role);
+    return found == holders_.end() ? nullptr : &found->second;
+}
+
+bool session::is_own(const holder& candidate) const
+{
+    return candidate.node == own_.name &&
+           candidate.incarnation == own_.incarnation;
+}
+
+bool session::may_order(base::time_point now) const
+{
+    return lease_ != 0 && now - renewed_at_ < order_limit;
+}
+
+void session::lease_loop()
+{
+    while (!stop_.is_set())
+    {
+        base::duration pause = renewal_interval;
+        try
+        {
+            if (lease_ == 0)
+                register_self();
+            else
+                renew();
+        }
+        catch (const std::exception& failure)
+        {
+            if (!stop_.is_set())
+                log::write(event_store_lost, {{"step", "lease"},
+                                              {"reason", failure.what()}});
+            pause = retry_delay;
+        }
+        stop_.wait_for(pause);
+    }
+}
+
+void session::ensure_secret()
+{
+    if (!secret_.empty())
+        return;
+    base::random_source random;
+    const std::string fresh = random.hex_id() + random.hex_id();
+    store_.commit({{{std::string(secret_key), 0}},
+                   {{std::string(secret_key), fresh, 0}},
+                   {}});
+    if (const auto stored = store_.get(secret_key))
+        secret_ = stored->value;
+}
+
+void session::register_self()
+{
+    ensure_secret();
+    const base::time_point sent_at = base::suspend_aware_now();
+    const std::int64_t lease = store_.grant_lease(lease_length);
+    const json::object value{{"zone", own_.zone},
+                             {"address", net::to_string(own_.address)}};
+    const auto result = store_.commit(
+        {{},
+         {{std::string(member_prefix) + own_.name, json::serialize(value),
+           lease}},
+         {}});
+    if (result.outcome != platform::commit_result::kind::committed)
+        return;
+    lease_ = lease;
+    renewed_at_ = sent_at;
+    log::write(event_registered, {{"lease", lease}});
+    hooks_.changed();
+}
+
+void session::renew()
+{
+    const base::time_point sent_at = base::suspend_aware_now();
+    if (store_.renew_lease(lease_))
+    {
+        renewed_at_ = sent_at;
+        return;
+    }
+    log::write(event_lease_lost, {{"lease", lease_}});
+    lease_ = 0;
+    hooks_.lease_lost();
+}
+
+std::string session::holder_value() const
+{
+    return json::serialize(
+        json::object{{"node", own_.name},
+                     {"incarnation", own_.incarnation},
+                     {"address", net::to_string(own_.address)}});
+}
+
+std::optional<std::int64_t> session::claim(std::string_view role)
+{
+    const std::string key = role_key(role);
+    const holder* current = holder_of(role);
+    const std::int64_t revision = current == nullptr ? 0 : current->revision;
+    const auto result = store_.commit(
+        {{{key, revision}}, {{key, holder_value(), lease_}}, {}});
+    if (result.outcome != platform::commit_result::kind::committed)
+        return std::nullopt;
+    holders_[std::string(role)] = {own_.name, own_.incarnation, own_.address,
+                                   result.revision};
+    return result.revision;
+}
+
+void session::apply_item(const platform::store_item& item)
+{
+    const std::string_view key = item.key;
+    boost::system::error_code failure;
+    const json::value parsed = json::parse(item.value, failure);
+    if (failure || !parsed.is_object())
+        return;
+    const json::object& source = parsed.get_object();
+    const auto text = [&](std::string_view name)
+    {
+        const json::value* found = source.if_contains(name);
+        return found != nullptr && found->is_string()
+                   ? std::string(found->get_string())
+                   : std::string{};
+    };
+    const auto address = net::parse_endpoint(text("address"));
+    if (!address)
+        return;
+    if (key.starts_with(member_prefix))
+    {
+        const std::string name(key.substr(member_prefix.size()));
+        members_[name] = {name, text("zone"), *address};
+        return;
+    }
+    if (!key.starts_with(role_prefix))
+        return;
+    const json::value* incarnation = source.if_contains("incarnation");
+    const holder* known = holder_of(key.substr(role_prefix.size()));
+    if (known != nullptr && known->revision >= item.revision)
+        return;
+    holders_[std::string(key.substr(role_prefix.size()))] = {
+        text("node"),
+        incarnation == nullptr ? 0 : incarnation->to_number<std::uint64_t>(),
+        *address, item.revision};
+}
+
+void session::remove_key(std::string_view key, std::int64_t revision)
+{
+    if (key.starts_with(member_prefix))
+        members_.erase(std::string(key.substr(member_prefix.size())));
+    else if (key.starts_with(role_prefix))
+    {
+        const auto found = holders_.find(key.substr(role_prefix.size()));
+        // An own claim may be newer than the watch.
+        if (found != holders_.end() && found->second.revision < revision)
+            holders_.erase(found);
+    }
+}
+
+void session::apply_listing(std::span<const platform::store_item> items)
+{
+    members_.clear();
+    holders_.clear();
+    for (const auto& item : items)
+        apply_item(item);
+    hooks_.changed();
+}
+
+void session::apply_changes(std::span<const platform::store_event> events)
+{
+    for (const auto& event : events)
+    {
+        if (event.is_deleted)
+            remove_key(event.item.key, event.item.revision);
+        else
+            apply_item(event.item);
+    }
+    hooks_.changed();
+}
+
+} // namespace pimentograde::node
--- /dev/null
+++ b/src/peer/pool_messages.cpp
@@ -0,0 +1,114 @@
+#include "peer/pool_messages.hpp"
+
+#include "peer/message_fields.hpp"
+
+namespace pimentograde::peer
+{
+
+Json::Value submit_reply::to_json() const
+{
+    Json::Value value(Json::objectValue);
+    value["outcome"] = text_value(outcome);
+    value["retry_after_us"] = length_value(retry_after);
+    value["reason"] = text_value(reason);
+    return value;
+}
+
+submit_reply submit_reply::from_json(const Json::Value& source)
+{
+    const message_fields fields(source);
+    return {fields.text("outcome"), fields.length("retry_after_us"),
+            fields.text("reason")};
+}
+
+Json::Value submit_job::to_json() const
+{
+    Json::Value value(Json::objectValue);
+    value["pool"] = text_value(pool);
+    value["queue"] = text_value(queue);
+    value["job"] = text_value(job);
+    value["record"] = text_value(record);
+    value["time_left_us"] = length_value(time_left);
+    return value;
+}
+
+submit_job submit_job::from_json(const Json::Value& source)
+{
+    const message_fields fields(source);
+    return {fields.text("pool"), fields.text("queue"), fields.text("job"),
+            fields.text("record"), fields.length("time_left_us")};
+}
+
+Json::Value job_reply::to_json() const
+{
+    Json::Value value(Json::objectValue);
+    value["outcome"] = text_value(outcome);
+    value["status"] = text_value(status);
+    return value;
+}
+
+job_reply job_reply::from_json(const Json::Value& source)
+{
+    const message_fields fields(source);
+    return {fields.text("outcome"), fields.text("status")};
+}
+
+Json::Value query_job::to_json() const
+{
+    Json::Value value(Json::objectValue);
+    value["pool"] = text_value(pool);
+    value["job"] = text_value(job);
+    return value;
+}
+
+query_job query_job::from_json(const Json::Value& source)
+{
+    const message_fields fields(source);
+    return {fields.text("pool"), fields.text("job")};
+}
+
+Json::Value cancel_job::to_json() const
+{
+    Json::Value value(Json::objectValue);
+    value["pool"] = text_value(pool);
+    value["job"] = text_value(job);
+    value["time_left_us"] = length_value(time_left);
+    return value;
+}
+
+cancel_job cancel_job::from_json(const Json::Value& source)
+{
+    const message_fields fields(source);
+    return {fields.text("pool"), fields.text("job"),
+            fields.length("time_left_us")};
+}
+
+Json::Value pending_reply::to_json() const
+{
+    Json::Value value(Json::objectValue);
+    value["known"] = is_known;
+    value["count"] = Json::Int64(count);
+    return value;
+}
+
+pending_reply pending_reply::from_json(const Json::Value& source)
+{
+    const message_fields fields(source);
+    return {fields.flag("known"), fields.signed_number("count")};
+}
+
+Json::Value count_pending::to_json() const
+{
+    Json::Value value(Json::objectValue);
+    value["pool"] = text_value(pool);
+    value["queue"] = text_value(queue);
+    return value;
+}
+
+count_pending count_pending::from_json(const Json::Value& source)
+{
+    const message_fields fields(source);
+    return {fields.text("pool"), fields.text("queue")};
+}
+
+} // namespace pimentograde::peer
--- /dev/null
+++ b/src/platform/configuration.cpp
@@ -0,0 +1,98 @@
+#include "platform/configuration.hpp"
+
+#include "platform/json_call.hpp"
+
+namespace pimentograde::platform
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+json::object parse_object(std::string_view text, std::string_view step)
+{
+    boost::system::error_code failure;
+    json::value parsed = json::parse(text, failure);
+    if (failure || !parsed.is_object())
+        throw base::error(base::error_code::invalid, std::string(step), "",
+                          "not a JSON object");
+    return std::move(parsed.get_object());
+}
+
+queue_route read_route(const json::object& source)
+{
+    queue_route route;
+    route.host = read_text(source, "Host");
+    route.path_prefix = read_text(source, "Prefix");
+    route.timeout =
+        std::chrono::milliseconds(read_integer(source, "TimeoutMs"));
+    route.policy.name = read_text(source, "Name");
+    // The pool whose workers run the queue's tasks.
+    route.policy.pool = read_text(source, "Service");
+    route.policy.priority = static_cast<int>(read_integer(source, "Priority"));
+    route.policy.max_attempts =
+        static_cast<int>(read_integer(source, "MaxAttempts", 1));
+    route.policy.stretch = read_number(source, "Stretch", 1.0);
+    route.policy.target =
+        std::chrono::milliseconds(read_integer(source, "TargetDurationMs"));
+    return route;
+}
+
+} // namespace
+
+const queue_route* configuration::match(std::string_view host,
+                                        std::string_view path) const
+{
+    const queue_route* best = nullptr;
+    for (const queue_route& route : queues)
+        if (route.host == host && path.starts_with(route.path_prefix) &&
+            (best == nullptr ||
+             route.path_prefix.size() > best->path_prefix.size()))
+            best = &route;
+    return best;
+}
+
+configuration read_configuration(std::string_view text)
+{
+    const json::object source = parse_object(text, "read configuration");
+    configuration result;
+    result.version = read_integer(source, "Version");
+    for (const json::value& row : read_array(source, "Routes"))
+        result.queues.push_back(read_route(row.as_object()));
+    for (const json::value& row : read_array(source, "Services"))
+    {
+        const json::object& entry = row.as_object();
+        result.pools.push_back({read_text(entry, "Name"),
+                                read_flag(entry, "Standby"),
+                                read_flag(entry, "EnforcesCapacity")});
+    }
+    const json::object& limits = read_object(source, "Limits");
+    result.max_body_bytes = static_cast<std::size_t>(read_integer(
+        limits, "MaxBodyBytes",
+        static_cast<std::int64_t>(result.max_body_bytes)));
+    return result;
+}
+
+fleet::maintenance_wave read_wave(std::string_view text)
+{
+    const json::object source = parse_object(text, "read wave");
+    fleet::maintenance_wave wave;
+    wave.number = read_integer(source, "Wave");
+    for (const json::value& row : read_array(source, "Machines"))
+        wave.machines.emplace_back(row.as_string());
+    constexpr double nanos_per_second = 1e9;
+    wave.time_limit = base::duration(static_cast<std::int64_t>(
+        read_number(source, "FinishByS", 0.0) * nanos_per_second));
+    // Bound of the machines that are down at once, not of their number.
+    wave.max_down = static_cast<int>(read_integer(source, "Cap", 1));
+    return wave;
+}
+
+std::string write_wave_status(bool is_completed)
+{
+    return json::serialize(
+        json::object{{"State", is_completed ? "completed" : "running"}});
+}
+
+} // namespace pimentograde::platform
--- a/src/platform/events.hpp
+++ b/src/platform/events.hpp
@@ -6,8 +6,8 @@
 namespace pimentograde::platform
 {
 
-inline constexpr log::event event_malformed_response{
-    1201, log::severity::warning, "malformed response of the platform"};
+inline constexpr log::event event_foreign_entry{
+    3101, log::severity::warning, "unusable entry in the store ignored"};
 
 } // namespace pimentograde::platform
 
--- /dev/null
+++ b/src/platform/json_call.hpp
@@ -0,0 +1,67 @@
+#ifndef PIMENTOGRADE_PLATFORM_JSON_CALL_HPP
+#define PIMENTOGRADE_PLATFORM_JSON_CALL_HPP
+
+#include "base/error.hpp"
+#include "base/time.hpp"
+#include "net/endpoint.hpp"
+#include "net/http_client.hpp"
+
+#include <boost/json.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pimentograde::platform
+{
+
+/// One call of the platform's HTTP interfaces.
+struct json_request
+{
+    std::string method;
+    /// Path and query.
+    std::string target;
+    /// Sent as JSON; null for no body.
+    boost::json::value body;
+    std::vector<net::http_field> headers;
+};
+
+struct json_response
+{
+    unsigned status = 0;
+    /// Empty when the response has no JSON object as its body.
+    boost::json::object body;
+};
+
+/// Sends the call and parses the response's body. Throws what
+/// `net::http_client::send` throws; `step` names the call in errors.
+json_response call_json(net::http_client& client, const net::endpoint& where,
+                        const json_request& request, base::time_point deadline,
+                        std::string_view step);
+
+/// The error for a status that the call does not expect. 429 and 503 become
+/// `refused`: the server has done nothing.
+base::error unexpected_status(unsigned status, const net::endpoint& where,
+                              std::string_view step);
+
+/// Percent-encodes a query value.
+std::string encode_query(std::string_view text);
+
+/// Readers of optional members with a default; a member of another type is an
+/// `invalid` error that names the member.
+std::int64_t read_integer(const boost::json::object& source,
+                          std::string_view name, std::int64_t fallback = 0);
+double read_number(const boost::json::object& source, std::string_view name,
+                   double fallback);
+bool read_flag(const boost::json::object& source, std::string_view name);
+std::string read_text(const boost::json::object& source, std::string_view name);
+/// Empty when the member is missing.
+const boost::json::array& read_array(const boost::json::object& source,
+                                     std::string_view name);
+const boost::json::object& read_object(const boost::json::object& source,
+                                       std::string_view name);
+
+} // namespace pimentograde::platform
+
+#endif
--- /dev/null
+++ b/src/platform/node_settings.cpp
@@ -0,0 +1,106 @@
+#include "platform/node_settings.hpp"
+
+#include "platform/json_call.hpp"
+
+namespace pimentograde::platform
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+[[noreturn]] void reject(std::string_view name, std::string_view expected)
+{
+    throw base::error(base::error_code::invalid, "read settings", "",
+                      std::string(name) + ": expected " +
+                          std::string(expected));
+}
+
+net::endpoint read_endpoint(const json::object& source, std::string_view name)
+{
+    const auto where = net::parse_endpoint(read_text(source, name));
+    if (!where)
+        reject(name, "an IP address and port");
+    return *where;
+}
+
+std::string required_text(const json::object& source, std::string_view name)
+{
+    std::string text = read_text(source, name);
+    if (text.empty())
+        reject(name, "a text");
+    return text;
+}
+
+base::duration read_millis(const json::object& source, std::string_view name,
+                           std::int64_t fallback)
+{
+    const std::int64_t value = read_integer(source, name, fallback);
+    if (value < 0)
+        reject(name, "milliseconds");
+    return std::chrono::milliseconds(value);
+}
+
+base::duration read_seconds(const json::object& source, std::string_view name,
+                            double fallback)
+{
+    constexpr double nanos_per_second = 1e9;
+    const double value = read_number(source, name, fallback);
+    if (value < 0)
+        reject(name, "seconds");
+    return base::duration(static_cast<std::int64_t>(value * nanos_per_second));
+}
+
+std::uint16_t read_port(const json::array& ports, std::size_t index)
+{
+    if (ports.size() <= index || !ports[index].is_int64())
+        reject("InternalPorts", "two port numbers");
+    return ports[index].to_number<std::uint16_t>();
+}
+
+void read_bounds(const json::object& bounds, node_settings& settings)
+{
+    settings.longest_worker_lease = read_millis(bounds, "HoldMaxMs", 6000);
+    settings.grace = read_seconds(bounds, "GraceS", 6.0);
+    settings.move_time = read_seconds(bounds, "MoveS", 1.5);
+    settings.maintenance_time = read_seconds(bounds, "UpkeepS", 2.0);
+    settings.machine_holder_pause = read_millis(bounds, "LeaseMs", 3000);
+    settings.status_retention = read_seconds(bounds, "status_s", 120.0);
+    settings.unavailability_notice = read_millis(bounds, "NoticeMs", 4500);
+    settings.fencing_enforced = read_flag(bounds, "FencingEnforced");
+}
+
+} // namespace
+
+node_settings read_node_settings(std::string_view text)
+{
+    boost::system::error_code failure;
+    const json::value parsed = json::parse(text, failure);
+    if (failure || !parsed.is_object())
+        reject("settings file", "a JSON object");
+    const json::object& source = parsed.get_object();
+    node_settings settings;
+    settings.name = required_text(source, "NodeName");
+    settings.zone = required_text(source, "Zone");
+    settings.address = required_text(source, "Ip");
+    const json::array& ports = read_array(source, "InternalPorts");
+    settings.first_internal_port = read_port(ports, 0);
+    settings.last_internal_port = read_port(ports, 1);
+    const json::object& listen = read_object(source, "ListenAddrs");
+    settings.caller_listen = read_endpoint(listen, "Front");
+    settings.readiness_listen = read_endpoint(listen, "ReadyAddr");
+    const json::object& store = read_object(source, "platform");
+    settings.store = read_endpoint(store, "Address");
+    settings.least_lease = read_millis(store, "TtlMinMs", 1000);
+    settings.machine_service =
+        read_endpoint(read_object(source, "CloudApi"), "Address");
+    if (!read_text(source, "Advice").empty())
+        settings.advice_service = read_endpoint(source, "Advice");
+    read_bounds(read_object(source, "Bounds"), settings);
+    settings.memory_mb = static_cast<std::size_t>(
+        read_integer(read_object(source, "Limits"), "MemoryMb"));
+    return settings;
+}
+
+} // namespace pimentograde::platform
--- /dev/null
+++ b/src/platform/node_settings.hpp
@@ -0,0 +1,51 @@
+#ifndef PIMENTOGRADE_PLATFORM_NODE_SETTINGS_HPP
+#define PIMENTOGRADE_PLATFORM_NODE_SETTINGS_HPP
+
+#include "base/time.hpp"
+#include "net/endpoint.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace pimentograde::platform
+{
+
+/// What the platform's settings file tells an entry instance.
+struct node_settings
+{
+    std::string name;
+    std::string zone;
+    std::string address;
+    /// Ports that are free for the system's own use.
+    std::uint16_t first_internal_port = 0;
+    std::uint16_t last_internal_port = 0;
+    net::endpoint caller_listen;
+    net::endpoint readiness_listen;
+    net::endpoint store;
+    net::endpoint machine_service;
+    std::optional<net::endpoint> advice_service;
+    base::duration least_lease{};
+    /// Longest lease that a worker grants.
+    base::duration longest_worker_lease{};
+    base::duration grace{};
+    base::duration move_time{};
+    base::duration maintenance_time{};
+    /// Pause between two holders that give orders to machines.
+    base::duration machine_holder_pause{};
+    /// How long an ended job can be asked for.
+    base::duration status_retention{};
+    /// A task away for this long counts as unavailable.
+    base::duration unavailability_notice{};
+    bool fencing_enforced = false;
+    std::size_t memory_mb = 0;
+};
+
+/// Reads the settings from JSON. Unknown members are ignored. Throws
+/// `base::error` with `invalid` that names the member at fault.
+node_settings read_node_settings(std::string_view text);
+
+} // namespace pimentograde::platform
+
+#endif
--- /dev/null
+++ b/src/platform/store_client.cpp
@@ -0,0 +1,294 @@
+#include "platform/store_client.hpp"
+
+#include "base/error.hpp"
+#include "platform/json_call.hpp"
+
+#include <openssl/evp.h>
+
+#include <utility>
+
+namespace pimentograde::platform
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr unsigned ok = 200;
+constexpr unsigned not_found = 404;
+constexpr unsigned gone = 410;
+constexpr unsigned precondition_failed = 412;
+// Time beyond its wait that a watch may take before its connection counts as
+// silent.
+constexpr std::chrono::milliseconds watch_slack{800};
+
+store_item to_item(const json::object& source)
+{
+    store_item item;
+    item.key = read_text(source, "Key");
+    item.value = decode_base64(read_text(source, "Value"));
+    item.revision = read_integer(source, "Rev");
+    item.created = read_integer(source, "Created");
+    return item;
+}
+
+json::object to_body(const store_transaction& change)
+{
+    json::array conditions;
+    for (const auto& entry : change.conditions)
+        conditions.push_back(
+            json::object{{"Key", entry.key}, {"Rev", entry.revision}});
+    json::array writes;
+    for (const auto& entry : change.writes)
+    {
+        json::object write{{"Key", entry.key},
+                           {"Value", encode_base64(entry.value)}};
+        if (entry.lease != 0)
+            write["Lease"] = entry.lease;
+        writes.push_back(std::move(write));
+    }
+    return {{"Expected", std::move(conditions)},
+            {"Writes", std::move(writes)},
+            {"Remove", json::value_from(change.removals)}};
+}
+
+} // namespace
+
+struct store_client::impl
+{
+    net::endpoint where;
+    base::duration timeout{};
+    call_hook called;
+    std::unique_ptr<net::http_client> http;
+
+    json_response call(json_request request, base::duration limit,
+                       std::string_view step)
+    {
+        const base::time_point begin = base::steady_now();
+        bool is_ok = false;
+        try
+        {
+            json_response response =
+                call_json(*http, where, request, begin + limit, step);
+            constexpr unsigned first_server_error = 500;
+            constexpr unsigned too_many_requests = 429;
+            is_ok = response.status < first_server_error &&
+                    response.status != too_many_requests;
+            report(step, is_ok, base::steady_now() - begin);
+            return response;
+        }
+        catch (const base::error&)
+        {
+            report(step, false, base::steady_now() - begin);
+            throw;
+        }
+    }
+    void report(std::string_view step, bool is_ok, base::duration length) const
+    {
+        if (called)
+            called(step, is_ok, length);
+    }
+    [[nodiscard]] base::error unexpected(const json_response& response,
+                                         std::string_view step) const
+    {
+        return unexpected_status(response.status, where, step);
+    }
+};
+
+store_client::builder& store_client::builder::connect_to(net::endpoint where)
+{
+    where_ = std::move(where);
+    return *this;
+}
+
+store_client::builder&
+store_client::builder::call_timeout(base::duration length)
+{
+    timeout_ = length;
+    return *this;
+}
+
+store_client::builder& store_client::builder::on_call(call_hook hook)
+{
+    called_ = std::move(hook);
+    return *this;
+}
+
+std::unique_ptr<store_client> store_client::builder::build()
+{
+    auto state = std::make_unique<impl>();
+    state->where = where_;
+    state->timeout = timeout_;
+    state->called = called_;
+    constexpr std::size_t max_response_bytes = std::size_t{4} << 20;
+    net::http_limits limits;
+    limits.max_body_bytes = max_response_bytes;
+    state->http = net::http_client::builder{}.limits(limits).build();
+    return std::unique_ptr<store_client>(new store_client(std::move(state)));
+}
+
+store_client::store_client(std::unique_ptr<impl> state)
+    : impl_(std::move(state))
+{
+}
+
+store_client::~store_client() = default;
+
+std::optional<store_item> store_client::get(std::string_view key)
+{
+    const json_response response =
+        impl_->call({"GET", "/-/kv-key?Key=" + encode_query(key), nullptr, {}},
+                    impl_->timeout, "read key");
+    if (response.status == not_found)
+        return std::nullopt;
+    if (response.status != ok)
+        throw impl_->unexpected(response, "read key");
+    return to_item(response.body);
+}
+
+store_listing store_client::list(std::string_view prefix)
+{
+    store_listing listing;
+    std::string after;
+    while (true)
+    {
+        std::string target = "/-/kv-range?Prefix=" + encode_query(prefix);
+        if (!after.empty())
+            target += "&After=" + encode_query(after);
+        const json_response response = impl_->call(
+            {"GET", std::move(target), nullptr, {}}, impl_->timeout, "list");
+        if (response.status != ok)
+            throw impl_->unexpected(response, "list");
+        // Changes after the first page are seen again by a watch from there.
+        if (after.empty())
+            listing.revision = read_integer(response.body, "AsOf");
+        for (const json::value& row : read_array(response.body, "items"))
+            listing.items.push_back(to_item(row.as_object()));
+        if (!read_flag(response.body, "Truncated") || listing.items.empty())
+            return listing;
+        after = listing.items.back().key;
+    }
+}
+
+store_changes store_client::watch(std::string_view prefix,
+                                  std::int64_t revision, base::duration wait)
+{
+    const std::string target =
+        "/-/kv-watch?Prefix=" + encode_query(prefix) +
+        "&After=" + std::to_string(revision) +
+        "&WaitMs=" + std::to_string(base::count_millis(wait));
+    const json_response response = impl_->call({"GET", target, nullptr, {}},
+                                               wait + watch_slack, "watch");
+    store_changes changes;
+    if (response.status == gone)
+    {
+        changes.is_compacted = true;
+        return changes;
+    }
+    if (response.status != ok)
+        throw impl_->unexpected(response, "watch");
+    changes.revision = read_integer(response.body, "AsOf", revision);
+    for (const json::value& row : read_array(response.body, "events"))
+        changes.events.push_back({to_item(row.as_object()),
+                                  read_flag(row.as_object(), "Deleted")});
+    return changes;
+}
+
+commit_result store_client::commit(const store_transaction& change)
+{
+    const json_response response =
+        impl_->call({"POST", "/-/kv-txn", to_body(change), {}},
+                    impl_->timeout, "commit");
+    commit_result result;
+    if (response.status == ok)
+    {
+        result.revision = read_integer(response.body, "Rev");
+        return result;
+    }
+    if (response.status == not_found)
+    {
+        result.outcome = commit_result::kind::lease_ended;
+        return result;
+    }
+    if (response.status != precondition_failed)
+        throw impl_->unexpected(response, "commit");
+    result.outcome = commit_result::kind::conflict;
+    for (const json::value& row : read_array(response.body, "items"))
+        if (row.is_object())
+            result.actual.push_back(to_item(row.as_object()));
+    return result;
+}
+
+std::int64_t store_client::grant_lease(base::duration time_to_live)
+{
+    const json_response response = impl_->call(
+        {"POST",
+         "/-/kv-lease",
+         json::object{{"TtlMs", base::count_millis(time_to_live)}},
+         {}},
+        impl_->timeout, "grant lease");
+    if (response.status != ok)
+        throw impl_->unexpected(response, "grant lease");
+    return read_integer(response.body, "Lease");
+}
+
+bool store_client::renew_lease(std::int64_t lease)
+{
+    const json_response response = impl_->call(
+        {"POST", "/-/kv-keep/" + std::to_string(lease), nullptr, {}},
+        impl_->timeout, "renew lease");
+    if (response.status == not_found)
+        return false;
+    if (response.status != ok)
+        throw impl_->unexpected(response, "renew lease");
+    return true;
+}
+
+void store_client::end_lease(std::int64_t lease)
+{
+    const json_response response = impl_->call(
+        {"DELETE", "/-/kv-lease-end/" + std::to_string(lease), nullptr, {}},
+        impl_->timeout, "end lease");
+    if (response.status != ok && response.status != not_found)
+        throw impl_->unexpected(response, "end lease");
+}
+
+void store_client::cancel()
+{
+    impl_->http->cancel();
+}
+
+std::string encode_base64(std::string_view bytes)
+{
+    // 4 characters for each 3 bytes, and the terminator that OpenSSL writes.
+    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    const int length = EVP_EncodeBlock(
+        reinterpret_cast<unsigned char*>(text.data()),
+        reinterpret_cast<const unsigned char*>(bytes.data()),
+        static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(length));
+    return text;
+}
+
+std::string decode_base64(std::string_view text)
+{
+    if (text.empty())
+        return {};
+    std::string bytes(text.size() / 4 * 3 + 3, '\0');
+    const int length = EVP_DecodeBlock(
+        reinterpret_cast<unsigned char*>(bytes.data()),
+        reinterpret_cast<const unsigned char*>(text.data()),
+        static_cast<int>(text.size()));
+    if (length < 0)
+        throw base::error(base::error_code::invalid, "decode base64", "",
+                          "not base64 text");
+    std::size_t padding = 0;
+    while (padding < 2 && padding < text.size() &&
+           text[text.size() - 1 - padding] == '=')
+        ++padding;
+    bytes.resize(static_cast<std::size_t>(length) - padding);
+    return bytes;
+}
+
+} // namespace pimentograde::platform
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -1,12 +1,8 @@
 #include "platform/worker_client.hpp"
 
-#include "platform/json_exchange.hpp"
-
-#include <boost/json.hpp>
-
-#include <array>
-#include <functional>
-#include <utility>
+#include "base/error.hpp"
+#include "jobs/task_id.hpp"
+#include "platform/json_call.hpp"
 
 namespace pimentograde::platform
 {
@@ -16,316 +12,176 @@
 namespace
 {
 
-struct state_word
-{
-    std::string_view word;
-    lease_state state;
-};
-
-constexpr std::array<state_word, 7> state_words{{
-    {"unknown", lease_state::unknown},
-    {"reserved", lease_state::reserved},
-    {"running", lease_state::running},
-    {"done", lease_state::done},
-    {"failed", lease_state::failed},
-    {"stopped_unstarted", lease_state::stopped_unstarted},
-    {"stopped_started", lease_state::stopped_started},
-}};
-
-lease_state read_state(const response_reader& response)
-{
-    const std::string word = response.text("state");
-    for (const state_word& known : state_words)
-        if (known.word == word)
-            return known.state;
-    response.fail("unknown lease state");
-}
-
-std::uint64_t read_incarnation(const response_reader& response)
-{
-    const std::uint64_t incarnation = response.number("incarnation");
-    if (incarnation == 0)
-        response.fail("incarnation is 0");
-    return incarnation;
-}
-
-lease_status read_status(const response_reader& response)
-{
-    return {read_state(response), response.text("answer"),
-            response.text("reason"), read_incarnation(response),
-            response.millis("run_time_ms")};
-}
-
-// A state that has not ended contradicts a call that waits for the end.
-void require_ended(const response_reader& response, lease_state state)
-{
-    if (state == lease_state::reserved || state == lease_state::running)
-        response.fail("the task has not ended");
-}
-
-reserve_outcome read_outcome(const response_reader& response)
-{
-    const std::string word = response.text("outcome");
-    if (word == "granted")
-        return reserve_outcome::granted;
-    if (word == "full")
-        return reserve_outcome::full;
-    if (word == "leaving")
-        return reserve_outcome::leaving;
-    if (word == "too_large")
-        return reserve_outcome::too_large;
-    response.fail("unknown outcome");
-}
-
-base::task_size read_size(const response_reader& response)
-{
-    return {response.real("cores"), response.number("memory_mb"),
-            response.small_number("accelerators")};
-}
+constexpr unsigned ok = 200;
+constexpr unsigned bad_request = 400;
+constexpr unsigned conflict = 409;
+constexpr unsigned misdirected = 421;
+constexpr unsigned too_many_requests = 429;
+constexpr unsigned service_unavailable = 503;
+// Ends that one answer holds.
+constexpr std::size_t ends_per_answer = 500;
 
-json::object to_json(const base::task_size& size)
+bool is_unhealthy(unsigned status)
 {
-    return {{"cores", size.cores},
-            {"memory_mb", size.memory_mb},
-            {"accelerators", size.accelerators}};
+    return status == too_many_requests || status == service_unavailable;
 }
 
-json::object to_json(const task_spec& task)
+json_request to_request(const char* path, const order_target& target,
+                        json::object body)
 {
-    return {{"task", task.task},
-            {"queue", task.queue},
-            {"size", to_json(task.size)},
-            {"payload", task.payload}};
+    body["FencingToken"] = target.fence;
+    return {"POST",
+            path,
+            std::move(body),
+            {{"X-Pimentograde-Expect-Instance", target.worker}}};
 }
 
-} // namespace
-
-struct worker_client::impl
+jobs::end_kind to_end_kind(std::string_view word)
 {
-    std::unique_ptr<net::http_client> client;
-
-    response_reader call(const worker_endpoint& worker, std::string_view target,
-                         std::string_view step, base::time_point deadline,
-                         json::object body);
-    lease_status lease_call(const worker_endpoint& worker,
-                            const base::lease_id& lease,
-                            std::string_view target, std::string_view step,
-                            base::time_point deadline, json::object body = {});
-    reserve_result reserve(const worker_endpoint& worker,
-                           const base::task_size& size, base::duration ttl,
-                           base::time_point deadline);
-    lease_status start(const worker_endpoint& worker,
-                       const base::lease_id& lease, const task_spec& task,
-                       base::time_point deadline);
-    run_result run(const worker_endpoint& worker, const task_spec& task,
-                   base::time_point deadline);
-    lease_status end_call(const worker_endpoint& worker,
-                          const base::lease_id& lease, std::string_view target,
-                          std::string_view step, base::time_point deadline);
-    worker_report report(const worker_endpoint& worker,
-                         base::time_point deadline);
-    void plain_call(const worker_endpoint& worker, std::string_view target,
-                    std::string_view step, base::time_point deadline);
-};
-
-// The request names the worker and the response repeats the name: an address
-// may have passed to another worker.
-response_reader worker_client::impl::call(const worker_endpoint& worker,
-                                          std::string_view target,
-                                          std::string_view step,
-                                          base::time_point deadline,
-                                          json::object body)
-{
-    body["worker"] = worker.id.str();
-    auto response =
-        exchange(*client, {worker.address, target, step, deadline}, body);
-    response.expect_echo("worker", worker.id.str());
-    return response;
+    using jobs::end_kind;
+    for (const end_kind kind :
+         {end_kind::done, end_kind::failed, end_kind::stopped,
+          end_kind::lapsed, end_kind::broken, end_kind::alone})
+        if (to_string(kind) == word)
+            return kind;
+    throw base::error(base::error_code::invalid, "read ends", "",
+                      "unknown kind of end: " + std::string(word));
 }
 
-lease_status worker_client::impl::lease_call(const worker_endpoint& worker,
-                                             const base::lease_id& lease,
-                                             std::string_view target,
-                                             std::string_view step,
-                                             base::time_point deadline,
-                                             json::object body)
+// Rows of another form name tasks that this system did not start.
+std::optional<jobs::listed_run> to_run(const json::value& row)
 {
-    body["lease"] = lease.str();
-    const auto response = call(worker, target, step, deadline, std::move(body));
-    response.expect_echo("lease", lease.str());
-    return read_status(response);
+    const json::array& cells = row.as_array();
+    const auto task = jobs::parse_task_id(cells.at(0).as_string());
+    if (!task)
+        return std::nullopt;
+    return jobs::listed_run{*task, cells.at(1).to_number<int>(),
+                            std::string(cells.at(2).as_string()),
+                            cells.at(3).to_number<int>()};
 }
 
-reserve_result worker_client::impl::reserve(const worker_endpoint& worker,
-                                            const base::task_size& size,
-                                            base::duration ttl,
-                                            base::time_point deadline)
+std::optional<jobs::listed_end> to_end(const json::value& row)
 {
-    const auto response =
-        call(worker, "/v1/leases/reserve", "worker reserve", deadline,
-             {{"size", to_json(size)}, {"ttl_ms", base::count_millis(ttl)}});
-    reserve_result result;
-    result.outcome = read_outcome(response);
-    result.lease = base::lease_id(response.text("lease"));
-    result.incarnation = read_incarnation(response);
-    result.slots_used = response.small_number("slots_used");
-    if ((result.outcome == reserve_outcome::granted) == result.lease.empty())
-        response.fail("outcome and lease contradict each other");
-    return result;
+    const json::array& cells = row.as_array();
+    const auto task = jobs::parse_task_id(cells.at(1).as_string());
+    if (!task)
+        return std::nullopt;
+    return jobs::listed_end{cells.at(0).to_number<std::int64_t>(), *task,
+                            cells.at(2).to_number<int>(),
+                            to_end_kind(cells.at(3).as_string()),
+                            std::string(cells.at(4).as_string())};
 }
 
-lease_status worker_client::impl::start(const worker_endpoint& worker,
-                                        const base::lease_id& lease,
-                                        const task_spec& task,
-                                        base::time_point deadline)
+jobs::worker_report to_report(const json::object& body)
 {
-    json::object body = to_json(task);
-    body["lease"] = lease.str();
-    const auto response = call(worker, "/v1/leases/start", "worker start",
-                               deadline, std::move(body));
-    response.expect_echo("lease", lease.str());
-    response.expect_echo("task", task.task);
-    lease_status status = read_status(response);
-    require_ended(response, status.state);
-    return status;
-}
-
-run_result worker_client::impl::run(const worker_endpoint& worker,
-                                    const task_spec& task,
-                                    base::time_point deadline)
-{
-    const auto response =
-        call(worker, "/v1/run", "worker run", deadline, to_json(task));
-    response.expect_echo("task", task.task);
-    run_result result;
-    result.outcome = read_outcome(response);
-    if (result.outcome != reserve_outcome::granted)
-        return result;
-    const auto status = response.nested("status");
-    result.status = read_status(status);
-    require_ended(status, result.status.state);
-    return result;
-}
-
-// The final state after a stop or a checkpoint is never one that can go on.
-lease_status worker_client::impl::end_call(const worker_endpoint& worker,
-                                           const base::lease_id& lease,
-                                           std::string_view target,
-                                           std::string_view step,
-                                           base::time_point deadline)
-{
-    json::object body{{"lease", lease.str()}};
-    const auto response = call(worker, target, step, deadline, std::move(body));
-    response.expect_echo("lease", lease.str());
-    lease_status status = read_status(response);
-    require_ended(response, status.state);
-    return status;
-}
-
-worker_report worker_client::impl::report(const worker_endpoint& worker,
-                                          base::time_point deadline)
-{
-    const auto response =
-        call(worker, "/v1/report", "worker report", deadline, {});
-    worker_report report;
-    report.incarnation = read_incarnation(response);
-    report.leaving = response.flag("leaving");
-    report.slots = response.small_number("slots");
-    report.slots_used = response.small_number("slots_used");
-    for (const response_reader& element : response.elements("usage"))
-        report.usage.push_back(
-            {base::lease_id(element.text("lease")), element.text("queue"),
-             read_size(element.nested("used")), element.millis("run_time_ms")});
+    jobs::worker_report report;
+    report.born_ms = read_integer(body, "born");
+    for (const json::value& row : read_array(body, "Running"))
+        if (auto run = to_run(row))
+            report.running.push_back(std::move(*run));
+    const json::array& ended = read_array(body, "Finished");
+    report.is_truncated = ended.size() >= ends_per_answer;
+    for (const json::value& row : ended)
+        if (auto end = to_end(row))
+            report.ended.push_back(std::move(*end));
     return report;
 }
 
-void worker_client::impl::plain_call(const worker_endpoint& worker,
-                                     std::string_view target,
-                                     std::string_view step,
-                                     base::time_point deadline)
+jobs::start_answer to_start_answer(std::string_view reason)
 {
-    call(worker, target, step, deadline, {});
+    if (reason == "room")
+        return jobs::start_answer::no_room;
+    if (reason == "old")
+        return jobs::start_answer::outdated_run;
+    if (reason == "late")
+        return jobs::start_answer::too_late;
+    return jobs::start_answer::rejected;
 }
 
-worker_client::builder& worker_client::builder::max_idle(std::size_t count)
-{
-    max_idle_ = count;
-    return *this;
-}
-
-std::unique_ptr<worker_client> worker_client::builder::build()
-{
-    auto state = std::make_unique<impl>();
-    state->client = net::http_client::builder{}.max_idle(max_idle_).build();
-    return std::unique_ptr<worker_client>(new worker_client(std::move(state)));
-}
-
-worker_client::worker_client(std::unique_ptr<impl> state)
-    : impl_(std::move(state))
+start_result to_start_result(const json_response& response,
+                             const order_target& target)
 {
+    start_result result;
+    if (response.status == ok)
+        result.answer = jobs::start_answer::started;
+    else if (response.status == conflict)
+    {
+        const std::string reason = read_text(response.body, "Reason");
+        result.answer = to_start_answer(reason);
+        result.is_fenced_off = reason == "fence";
+    }
+    else if (response.status == bad_request)
+        result.answer = jobs::start_answer::rejected;
+    else if (is_unhealthy(response.status))
+        result.answer = jobs::start_answer::unhealthy;
+    else if (response.status == misdirected)
+    {
+        result.answer = jobs::start_answer::rejected;
+        result.is_replaced = true;
+    }
+    else
+        throw unexpected_status(response.status, target.where, "start task");
+    return result;
 }
 
-worker_client::~worker_client() = default;
+} // namespace
 
-worker_operations worker_client::operations()
-{
-    impl* self = impl_.get();
-    using deadline_type = base::time_point;
-    const auto lease_hook =
-        [self](std::string_view target, std::string_view step)
-    {
-        return [=](const worker_endpoint& worker, const base::lease_id& lease,
-                   deadline_type deadline)
-        {
-            return self->lease_call(worker, lease, target, step, deadline);
-        };
-    };
-    const auto plain_hook =
-        [self](std::string_view target, std::string_view step)
-    {
-        return [=](const worker_endpoint& worker, deadline_type deadline)
-        {
-            self->plain_call(worker, target, step, deadline);
-        };
-    };
-    worker_operations hooks;
-    hooks.reserve = std::bind_front(&impl::reserve, self);
-    hooks.start = std::bind_front(&impl::start, self);
-    hooks.run = std::bind_front(&impl::run, self);
-    hooks.query = lease_hook("/v1/leases/query", "worker query");
-    hooks.renew = [self](const worker_endpoint& worker,
-                         const base::lease_id& lease, base::duration ttl,
-                         deadline_type deadline)
-    {
-        return self->lease_call(worker, lease, "/v1/leases/renew",
-                                "worker renew", deadline,
-                                {{"ttl_ms", base::count_millis(ttl)}});
-    };
-    hooks.stop = [self](const worker_endpoint& worker,
-                        const base::lease_id& lease, deadline_type deadline)
-    {
-        return self->end_call(worker, lease, "/v1/leases/stop", "worker stop",
-                              deadline);
-    };
-    hooks.checkpoint = [self](const worker_endpoint& worker,
-                              const base::lease_id& lease,
-                              deadline_type deadline)
-    {
-        return self->end_call(worker, lease, "/v1/leases/checkpoint",
-                              "worker checkpoint", deadline);
-    };
-    hooks.throttle = [self](const worker_endpoint& worker,
-                            const base::lease_id& lease, double share,
-                            deadline_type deadline)
-    {
-        self->lease_call(worker, lease, "/v1/leases/throttle",
-                         "worker throttle", deadline, {{"share", share}});
-    };
-    hooks.report = std::bind_front(&impl::report, self);
-    hooks.drain = plain_hook("/v1/drain", "worker drain");
-    hooks.undrain = plain_hook("/v1/undrain", "worker undrain");
-    hooks.reboot = plain_hook("/v1/reboot", "worker reboot");
-    return hooks;
+start_result worker_client::start(const order_target& target,
+                                  const jobs::start_order& order,
+                                  std::int64_t lease_until_ms,
+                                  base::time_point deadline)
+{
+    json::object body{{"Task", to_string(order.task)},
+                      {"RunId", order.run},
+                      {"Spec", order.payload},
+                      {"UntilMs", lease_until_ms}};
+    if (!order.checkpoint.empty())
+        body["Checkpoint"] = order.checkpoint;
+    const json_response response = call_json(
+        client_, target.where,
+        to_request("/-/run-start", target, std::move(body)), deadline,
+        "start task");
+    return to_start_result(response, target);
+}
+
+bool worker_client::stop(const order_target& target,
+                         const jobs::stop_order& order,
+                         base::time_point deadline)
+{
+    const json_response response = call_json(
+        client_, target.where,
+        to_request("/-/run-stop", target,
+                   {{"Task", to_string(order.task)}, {"RunId", order.run}}),
+        deadline, "stop task");
+    return response.status == ok;
+}
+
+worker_listing worker_client::list(const order_target& target,
+                                   const listing_request& request,
+                                   base::time_point deadline)
+{
+    json::object body{{"LastSeen", request.stored_end}};
+    if (request.lease_until_ms > 0)
+        body["UntilMs"] = request.lease_until_ms;
+    if (request.wait > base::duration::zero())
+        body["WaitMs"] = base::count_millis(request.wait);
+    const json_response response =
+        call_json(client_, target.where,
+                  to_request("/-/hold", target, std::move(body)), deadline,
+                  "list runs");
+    worker_listing listing;
+    listing.clock_ms = read_integer(response.body, "ClockMs");
+    if (response.status == conflict)
+        listing.outcome = worker_listing::kind::fenced_off;
+    else if (response.status == misdirected)
+        listing.outcome = worker_listing::kind::replaced;
+    else if (is_unhealthy(response.status))
+        listing.outcome = worker_listing::kind::unhealthy;
+    else if (response.status != ok)
+        throw unexpected_status(response.status, target.where, "list runs");
+    else
+        listing.report = to_report(response.body);
+    return listing;
 }
 
 } // namespace pimentograde::platform
--- /dev/null
+++ b/src/pools/job_writer.cpp
@@ -0,0 +1,195 @@
+#include "pools/job_writer.hpp"
+
+#include "base/error.hpp"
+#include "log/event.hpp"
+#include "pools/events.hpp"
+
+#include <boost/fiber/operations.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace pimentograde::pools
+{
+
+namespace
+{
+
+// A transaction holds 32 entries: the condition on the ownership, and a
+// condition and a write for each record.
+constexpr std::size_t records_per_transaction = 15;
+// Collects changes that arrive together into one transaction.
+constexpr std::chrono::milliseconds batch_delay{4};
+constexpr std::chrono::milliseconds retry_delay{150};
+constexpr std::chrono::milliseconds idle_wait{1000};
+constexpr std::chrono::milliseconds poll_interval{20};
+constexpr std::chrono::seconds removal_interval{10};
+// Ended jobs can be asked for this long; the pages of both users say 120 s.
+constexpr std::chrono::seconds record_retention{150};
+
+} // namespace
+
+std::string record_prefix(std::string_view pool)
+{
+    return "pimentograde-jobs/" + std::string(pool) + "/";
+}
+
+job_writer::job_writer(std::string pool, std::string owner_key,
+                       std::int64_t owner_revision, jobs::pool_state& state,
+                       platform::store_client& store, hooks functions)
+    : pool_(std::move(pool)), owner_key_(std::move(owner_key)),
+      owner_revision_(owner_revision), state_(state), store_(store),
+      hooks_(std::move(functions))
+{
+}
+
+void job_writer::run()
+{
+    while (!hooks_.is_stopping() || state_.change_number() > stored_)
+    {
+        if (state_.change_number() == stored_)
+        {
+            work_.wait_until(base::steady_now() + idle_wait);
+            if (base::steady_now() >= next_removal_)
+                remove_expired(base::wall_now());
+            continue;
+        }
+        boost::this_fiber::sleep_for(batch_delay);
+        write_all();
+        ++rounds_;
+        progress_.notify();
+        if (is_failing_)
+        {
+            if (hooks_.is_stopping())
+                return;
+            boost::this_fiber::sleep_for(retry_delay);
+        }
+    }
+}
+
+bool job_writer::wait_stored(std::uint64_t change, base::time_point deadline)
+{
+    while (stored_ < change)
+    {
+        const base::time_point now = base::steady_now();
+        if (now >= deadline || hooks_.is_stopping())
+            return stored_ >= change;
+        // Several fibers wait; one that misses the notification looks again.
+        progress_.wait_until(
+            std::min<base::time_point>(deadline, now + poll_interval));
+    }
+    return true;
+}
+
+void job_writer::write_all()
+{
+    const std::uint64_t target = state_.change_number();
+    while (true)
+    {
+        const auto changes = state_.take_changes(records_per_transaction);
+        if (changes.empty())
+            break;
+        const bool was_failing = is_failing_;
+        is_failing_ = false;
+        write_batch(changes);
+        if (is_failing_)
+            return;
+        if (was_failing)
+            log::write(event_write_recovered, {{"pool", pool_}});
+    }
+    stored_ = std::max(stored_, target);
+}
+
+void job_writer::write_batch(const std::vector<jobs::record_change>& changes)
+{
+    platform::store_transaction transaction;
+    transaction.conditions.push_back({owner_key_, owner_revision_});
+    const std::string prefix = record_prefix(pool_);
+    for (const auto& change : changes)
+    {
+        transaction.conditions.push_back(
+            {prefix + change.job, change.expected_revision});
+        transaction.writes.push_back({prefix + change.job, change.value, 0});
+    }
+    try
+    {
+        const auto result = store_.commit(transaction);
+        if (result.outcome != platform::commit_result::kind::committed)
+        {
+            apply_conflict(changes, result);
+            return;
+        }
+        for (const auto& change : changes)
+            state_.note_stored(change.job, result.revision);
+    }
+    catch (const base::error& failure)
+    {
+        note_failure(changes, failure.what(), failure.effect_unknown());
+    }
+}
+
+void job_writer::apply_conflict(const std::vector<jobs::record_change>& changes,
+                                const platform::commit_result& result)
+{
+    const auto revision_of = [&](const std::string& key)
+    {
+        const auto found =
+            std::find_if(result.actual.begin(), result.actual.end(),
+                         [&](const auto& item) { return item.key == key; });
+        return found == result.actual.end() ? std::int64_t{0}
+                                            : found->revision;
+    };
+    if (revision_of(owner_key_) != owner_revision_)
+    {
+        note_failure(changes, "the ownership has ended", false);
+        hooks_.lost("the store holds another owner");
+        return;
+    }
+    // A write that got no answer has taken effect after all.
+    const std::string prefix = record_prefix(pool_);
+    for (const auto& change : changes)
+        state_.note_store_revision(change.job,
+                                   revision_of(prefix + change.job));
+}
+
+void job_writer::note_failure(const std::vector<jobs::record_change>& changes,
+                              std::string_view reason, bool may_be_stored)
+{
+    for (const auto& change : changes)
+        state_.note_not_stored(change.job, may_be_stored);
+    if (!std::exchange(is_failing_, true))
+        log::write(event_write_failed,
+                   {{"pool", pool_},
+                    {"records", changes.size()},
+                    {"reason", reason}});
+}
+
+void job_writer::remove_expired(base::wall_time wall)
+{
+    next_removal_ = base::steady_now() + removal_interval;
+    auto expired = state_.expired_jobs(wall - record_retention);
+    if (expired.empty())
+        return;
+    constexpr std::size_t removals_per_transaction = 31;
+    expired.resize(std::min(expired.size(), removals_per_transaction));
+    platform::store_transaction transaction;
+    transaction.conditions.push_back({owner_key_, owner_revision_});
+    for (const std::string& id : expired)
+        transaction.removals.push_back(record_prefix(pool_) + id);
+    try
+    {
+        if (store_.commit(transaction).outcome !=
+            platform::commit_result::kind::committed)
+            return;
+        for (const std::string& id : expired)
+            state_.remove_job(id);
+    }
+    catch (const base::error& failure)
+    {
+        log::write(event_write_failed, {{"pool", pool_},
+                                        {"records", expired.size()},
+                                        {"reason", failure.what()}});
+    }
+}
+
+} // namespace pimentograde::pools
--- /dev/null
+++ b/src/pools/job_writer.hpp
@@ -0,0 +1,69 @@
+#ifndef PIMENTOGRADE_POOLS_JOB_WRITER_HPP
+#define PIMENTOGRADE_POOLS_JOB_WRITER_HPP
+
+#include "base/time.hpp"
+#include "jobs/pool_state.hpp"
+#include "net/wakeup.hpp"
+#include "platform/store_client.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace pimentograde::pools
+{
+
+/// Key prefix of a pool's job records.
+std::string record_prefix(std::string_view pool);
+
+/// Keeps a pool's job records in the store, in transactions that hold only
+/// while the pool's ownership does. Run `run` on a fiber of its own.
+class job_writer
+{
+public:
+    /// Hooks of the owner.
+    struct hooks
+    {
+        /// Another instance owns the pool, or nobody does.
+        std::function<void(std::string_view reason)> lost;
+        std::function<bool()> is_stopping;
+    };
+
+    job_writer(std::string pool, std::string owner_key,
+               std::int64_t owner_revision, jobs::pool_state& state,
+               platform::store_client& store, hooks functions);
+
+    void run();
+    /// Tells that the state has changed, or that the writer has to end.
+    void notify() { work_.notify(); }
+    /// Waits until all changes up to `change` are stored. Returns whether they
+    /// are.
+    bool wait_stored(std::uint64_t change, base::time_point deadline);
+    [[nodiscard]] bool is_failing() const { return is_failing_; }
+
+private:
+    void write_all();
+    void write_batch(const std::vector<jobs::record_change>& changes);
+    void apply_conflict(const std::vector<jobs::record_change>& changes,
+                        const platform::commit_result& result);
+    void note_failure(const std::vector<jobs::record_change>& changes,
+                      std::string_view reason, bool may_be_stored);
+    void remove_expired(base::wall_time wall);
+
+    std::string pool_;
+    std::string owner_key_;
+    std::int64_t owner_revision_;
+    jobs::pool_state& state_;
+    platform::store_client& store_;
+    hooks hooks_;
+    net::wakeup work_;
+    net::wakeup progress_;
+    std::uint64_t stored_ = 0;
+    std::uint64_t rounds_ = 0;
+    bool is_failing_ = false;
+    base::time_point next_removal_{};
+};
+
+} // namespace pimentograde::pools
+
+#endif
