--- /dev/null
+++ b/src/pools/pool_owner.cpp
@@ -0,0 +1,476 @@
+#include "pools/pool_owner.hpp"
+
+#include "base/error.hpp"
+#include "jobs/job_record.hpp"
+#include "log/event.hpp"
+#include "net/task_group.hpp"
+#include "net/wakeup.hpp"
+#include "pools/events.hpp"
+#include "pools/job_writer.hpp"
+#include "pools/worker_link.hpp"
+
+#include <boost/fiber/operations.hpp>
+
+#include <map>
+#include <utility>
+
+namespace pimentograde::pools
+{
+
+namespace
+{
+
+// The planner also looks without a change this often, for pauses that end.
+constexpr std::chrono::milliseconds plan_interval{250};
+// Collects changes that arrive together into one plan.
+constexpr std::chrono::milliseconds plan_delay{2};
+constexpr std::chrono::milliseconds load_retry{200};
+// An earlier owner that is cut off from the store gives orders for up to 6 s
+// after its last renewal, and the leases of its workers end 6 s later.
+constexpr std::chrono::seconds inheritance_wait{10};
+constexpr std::chrono::seconds outage_retry{1};
+
+std::string_view to_string(submission_answer::kind outcome)
+{
+    if (outcome == submission_answer::kind::accepted)
+        return "accepted";
+    return outcome == submission_answer::kind::refused ? "refused" : "unknown";
+}
+
+} // namespace
+
+struct pool_owner::impl
+{
+    explicit impl(const builder& parts)
+        : pool(parts.pool_), fence(parts.revision_), store(*parts.store_),
+          http(*parts.http_), lease(parts.lease_), may_order(parts.may_order_),
+          lost_hook(parts.lost_), departed(parts.departed_),
+          roster_is_complete(parts.roster_is_complete_), state(parts.pool_),
+          writer(parts.pool_, parts.key_, parts.revision_, state,
+                 *parts.store_,
+                 {[this](std::string_view reason) { lose(reason); },
+                  [this] { return is_stopping; }})
+    {
+        state.on_decision([](const jobs::decision& entry) { note(entry); });
+    }
+
+    std::string pool;
+    std::int64_t fence;
+    platform::store_client& store;
+    net::http_client& http;
+    base::duration lease;
+    std::function<bool()> may_order;
+    std::function<void(std::string_view)> lost_hook;
+    std::vector<jobs::worker_description> departed;
+    bool roster_is_complete;
+    base::time_point inherit_until{};
+    bool is_loaded = false;
+    bool is_stopping = false;
+    bool is_lost = false;
+    std::vector<jobs::worker_description> workers;
+    jobs::pool_state state;
+    job_writer writer;
+    std::map<std::string, std::unique_ptr<worker_link>> links;
+    net::wakeup plan_wakeup;
+    net::task_group fibers;
+
+    static void note(const jobs::decision& entry)
+    {
+        log::write(event_decision, {{"what", entry.what},
+                                    {"job", entry.job},
+                                    {"task", entry.task},
+                                    {"run", entry.run},
+                                    {"worker", entry.worker},
+                                    {"detail", entry.detail}});
+    }
+    void lose(std::string_view reason);
+    void changed();
+    void load();
+    bool load_records();
+    void plan_loop();
+    void plan_once();
+    void apply_workers();
+    worker_link& link_of(const jobs::worker_description& worker);
+    void remove_idle_links();
+    submission_answer answer_submission(std::string_view id,
+                                        std::uint64_t change,
+                                        base::time_point deadline);
+};
+
+void pool_owner::impl::lose(std::string_view reason)
+{
+    if (std::exchange(is_lost, true))
+        return;
+    is_stopping = true;
+    log::write(event_pool_lost,
+               {{"pool", pool}, {"fence", fence}, {"reason", reason}});
+    changed();
+    lost_hook(reason);
+}
+
+void pool_owner::impl::changed()
+{
+    plan_wakeup.notify();
+    writer.notify();
+}
+
+void pool_owner::impl::load()
+{
+    while (!is_stopping && !load_records())
+        boost::this_fiber::sleep_for(load_retry);
+    if (is_stopping)
+        return;
+    is_loaded = true;
+    inherit_until = base::steady_now() + inheritance_wait;
+    state.inherit_until(inherit_until, roster_is_complete);
+    for (const auto& worker : departed)
+    {
+        state.update_worker(worker);
+        state.unlist_worker(worker.id);
+        link_of(worker);
+    }
+    log::write(event_pool_loaded, {{"pool", pool},
+                                   {"fence", fence},
+                                   {"jobs", state.job_count()},
+                                   {"roster_complete", roster_is_complete}});
+    apply_workers();
+    fibers.spawn([this] { writer.run(); });
+    fibers.spawn([this] { plan_loop(); });
+}
+
+bool pool_owner::impl::load_records()
+{
+    const std::string prefix = record_prefix(pool);
+    try
+    {
+        const auto listing = store.list(prefix);
+        const base::time_point now = base::steady_now();
+        for (const auto& item : listing.items)
+        {
+            const std::string id = item.key.substr(prefix.size());
+            try
+            {
+                jobs::job subject = jobs::decode_record(id, item.value);
+                subject.stored_revision = item.revision;
+                state.restore(std::move(subject), now, base::wall_now());
+            }
+            catch (const base::error& failure)
+            {
+                log::write(event_record_invalid,
+                           {{"job", id}, {"reason", failure.what()}});
+            }
+        }
+        return true;
+    }
+    catch (const std::exception& failure)
+    {
+        log::write(event_write_failed,
+                   {{"pool", pool}, {"reason", failure.what()}});
+        return false;
+    }
+}
+
+worker_link&
+pool_owner::impl::link_of(const jobs::worker_description& worker)
+{
+    auto& link = links[worker.id];
+    if (link)
+        return *link;
+    worker_link::hooks hooks;
+    hooks.changed = [this] { changed(); };
+    hooks.stored = [this](base::time_point deadline)
+    { return writer.wait_stored(state.change_number(), deadline); };
+    hooks.fenced_off = [this](std::string_view reason) { lose(reason); };
+    hooks.may_order = [this] { return !is_stopping && may_order(); };
+    link = std::make_unique<worker_link>(worker, fence, lease, state, http,
+                                         std::move(hooks));
+    link->start();
+    return *link;
+}
+
+void pool_owner::impl::apply_workers()
+{
+    std::map<std::string_view, bool> listed;
+    for (const auto& worker : workers)
+    {
+        listed[worker.id] = true;
+        state.update_worker(worker);
+        link_of(worker).update(worker);
+    }
+    for (auto& [id, link] : links)
+        if (!listed.contains(id))
+            state.unlist_worker(id);
+    remove_idle_links();
+    changed();
+}
+
+// A link stays while its worker may still run something.
+void pool_owner::impl::remove_idle_links()
+{
+    const base::time_point now = base::steady_now();
+    for (auto entry = links.begin(); entry != links.end();)
+    {
+        const auto found = state.workers().find(entry->first);
+        const bool is_over =
+            found == state.workers().end() ||
+            (!found->second.is_listed && found->second.runs.empty() &&
+             (found->second.has_reported || now >= inherit_until));
+        if (!is_over)
+        {
+            ++entry;
+            continue;
+        }
+        state.forget_worker(entry->first);
+        entry->second->stop();
+        if (entry->second->is_idle())
+            entry = links.erase(entry);
+        else
+            ++entry;
+    }
+}
+
+void pool_owner::impl::plan_loop()
+{
+    while (!is_stopping)
+    {
+        plan_wakeup.wait_until(base::steady_now() + plan_interval);
+        if (is_stopping)
+            return;
+        boost::this_fiber::sleep_for(plan_delay);
+        plan_once();
+    }
+}
+
+void pool_owner::impl::plan_once()
+{
+    for (auto& order : state.take_stops())
+        if (const auto link = links.find(order.worker); link != links.end())
+            link->second->send(std::move(order));
+    if (!may_order())
+        return;
+    for (auto& order : state.plan(base::steady_now(), base::wall_now()))
+        if (const auto link = links.find(order.worker); link != links.end())
+            link->second->send(std::move(order));
+    remove_idle_links();
+}
+
+submission_answer
+pool_owner::impl::answer_submission(std::string_view id, std::uint64_t change,
+                                    base::time_point deadline)
+{
+    using kind = submission_answer::kind;
+    while (base::steady_now() < deadline && !is_stopping)
+    {
+        if (writer.wait_stored(change,
+                               std::min<base::time_point>(
+                                   deadline, base::steady_now() +
+                                                 std::chrono::milliseconds(
+                                                     100))))
+            return {kind::accepted, {}, "stored"};
+        const jobs::job* subject = state.find_job(id);
+        if (subject != nullptr && subject->is_stored)
+            return {kind::accepted, {}, "stored"};
+        if (writer.is_failing() && subject != nullptr &&
+            !subject->may_be_stored && subject->is_dirty)
+        {
+            state.withdraw(id);
+            return {kind::refused, outage_retry, "the store refuses writes"};
+        }
+    }
+    return {kind::unknown, {}, "not stored in time"};
+}
+
+pool_owner::builder& pool_owner::builder::pool(std::string name)
+{
+    pool_ = std::move(name);
+    return *this;
+}
+
+pool_owner::builder& pool_owner::builder::ownership(std::string key,
+                                                    std::int64_t revision)
+{
+    key_ = std::move(key);
+    revision_ = revision;
+    return *this;
+}
+
+pool_owner::builder&
+pool_owner::builder::store(platform::store_client& client)
+{
+    store_ = &client;
+    return *this;
+}
+
+pool_owner::builder& pool_owner::builder::http(net::http_client& client)
+{
+    http_ = &client;
+    return *this;
+}
+
+pool_owner::builder& pool_owner::builder::worker_lease(base::duration length)
+{
+    lease_ = length;
+    return *this;
+}
+
+pool_owner::builder& pool_owner::builder::may_order(std::function<bool()> check)
+{
+    may_order_ = std::move(check);
+    return *this;
+}
+
+pool_owner::builder&
+pool_owner::builder::on_lost(std::function<void(std::string_view)> hook)
+{
+    lost_ = std::move(hook);
+    return *this;
+}
+
+pool_owner::builder& pool_owner::builder::departed(
+    std::vector<jobs::worker_description> workers)
+{
+    departed_ = std::move(workers);
+    return *this;
+}
+
+pool_owner::builder& pool_owner::builder::roster_is_complete(bool is_complete)
+{
+    roster_is_complete_ = is_complete;
+    return *this;
+}
+
+std::unique_ptr<pool_owner> pool_owner::builder::build()
+{
+    return std::unique_ptr<pool_owner>(
+        new pool_owner(std::make_unique<impl>(*this)));
+}
+
+pool_owner::pool_owner(std::unique_ptr<impl> state) : impl_(std::move(state)) {}
+
+pool_owner::~pool_owner()
+{
+    quiesce();
+    impl_->links.clear();
+}
+
+void pool_owner::start()
+{
+    impl_->fibers.spawn([state = impl_.get()] { state->load(); });
+}
+
+void pool_owner::quiesce()
+{
+    impl_->is_stopping = true;
+    for (auto& [id, link] : impl_->links)
+        link->stop();
+    impl_->changed();
+    impl_->fibers.join();
+}
+
+void pool_owner::set_policies(std::span<const jobs::queue_policy> policies)
+{
+    for (const jobs::queue_policy& policy : policies)
+        impl_->state.set_policy(policy);
+}
+
+void pool_owner::set_workers(std::span<const jobs::worker_description> workers)
+{
+    impl_->workers.assign(workers.begin(), workers.end());
+    if (impl_->is_loaded && !impl_->is_stopping)
+        impl_->apply_workers();
+}
+
+submission_answer pool_owner::submit(std::string_view id, jobs::job_spec spec,
+                                     std::string_view queue,
+                                     base::time_point deadline)
+{
+    using kind = submission_answer::kind;
+    submission_answer answer{kind::refused, outage_retry, {}};
+    const base::time_point now = base::steady_now();
+    jobs::submit_result result;
+    if (!impl_->is_loaded || impl_->is_stopping)
+        answer.reason = "the pool is not loaded";
+    else if (impl_->writer.is_failing() &&
+             impl_->state.find_job(id) == nullptr)
+        answer.reason = "the store is away";
+    else
+    {
+        result = impl_->state.submit(id, std::move(spec), queue, now,
+                                     base::wall_now());
+        if (result.outcome == jobs::submit_result::kind::refused)
+            answer = {kind::refused, result.admission.retry_after,
+                      "the backlog is too long"};
+        else
+        {
+            impl_->changed();
+            answer = impl_->answer_submission(
+                id, impl_->state.change_number(), deadline);
+        }
+    }
+    log::write(event_submission,
+               {{"job", id},
+                {"queue", queue},
+                {"pool", impl_->pool},
+                {"outcome", to_string(answer.outcome)},
+                {"reason", answer.reason},
+                {"expected_wait_s", result.admission.expected_wait},
+                {"took_ms",
+                 base::count_millis(base::steady_now() - now)}});
+    return answer;
+}
+
+job_answer pool_owner::status(std::string_view id) const
+{
+    using kind = job_answer::kind;
+    if (!impl_->is_loaded || impl_->is_stopping)
+        return {kind::unavailable, {}};
+    if (const auto status = impl_->state.status_of(id))
+        return {kind::found, *status};
+    // A job that is just being stored is neither known nor unknown.
+    return {impl_->state.find_job(id) == nullptr ? kind::absent
+                                                 : kind::unavailable,
+            {}};
+}
+
+job_answer pool_owner::cancel(std::string_view id, base::time_point deadline)
+{
+    using kind = job_answer::kind;
+    if (!impl_->is_loaded || impl_->is_stopping)
+        return {kind::unavailable, {}};
+    if (!impl_->state.cancel(id, base::wall_now()))
+        return {kind::absent, {}};
+    impl_->changed();
+    const bool is_stored =
+        impl_->writer.wait_stored(impl_->state.change_number(), deadline);
+    return {is_stored ? kind::found : kind::unavailable,
+            jobs::reported_status::cancelled};
+}
+
+std::optional<int> pool_owner::pending(std::string_view queue) const
+{
+    if (!impl_->is_loaded || impl_->is_stopping)
+        return std::nullopt;
+    return impl_->state.pending(queue);
+}
+
+const std::string& pool_owner::pool() const
+{
+    return impl_->pool;
+}
+
+std::int64_t pool_owner::fence() const
+{
+    return impl_->fence;
+}
+
+bool pool_owner::is_loaded() const
+{
+    return impl_->is_loaded;
+}
+
+const jobs::pool_state& pool_owner::state() const
+{
+    return impl_->state;
+}
+
+} // namespace pimentograde::pools
--- /dev/null
+++ b/src/pools/worker_link.cpp
@@ -0,0 +1,331 @@
+#include "pools/worker_link.hpp"
+
+#include "base/error.hpp"
+#include "log/event.hpp"
+#include "pools/events.hpp"
+
+#include <boost/fiber/operations.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace pimentograde::pools
+{
+
+namespace
+{
+
+// How long a worker may wait for an end before it answers: short enough to
+// notice a silent connection while tasks run, long where nothing ends soon.
+constexpr std::chrono::milliseconds busy_wait{600};
+constexpr std::chrono::milliseconds calm_wait{1800};
+// Time beyond its wait that a look may take.
+constexpr std::chrono::milliseconds look_slack{700};
+// Collects ends that arrive together in one look; each look is priced.
+constexpr std::chrono::milliseconds look_interval{30};
+constexpr std::chrono::milliseconds look_retry{120};
+// How long an idle link sleeps unless it is woken.
+constexpr std::chrono::seconds idle_wait{5};
+constexpr std::chrono::milliseconds order_timeout{450};
+// An order that arrives later than this does nothing.
+constexpr std::chrono::milliseconds order_validity{1500};
+// While the store is away, ends stay listed and looks return at once.
+constexpr std::chrono::milliseconds unstored_interval{250};
+constexpr std::chrono::seconds store_wait{2};
+// A worker's clock may be 2 % slow.
+constexpr double slowest_clock = 1.03;
+constexpr std::chrono::milliseconds lapse_slack{150};
+
+} // namespace
+
+worker_link::worker_link(jobs::worker_description worker, std::int64_t fence,
+                         base::duration lease, jobs::pool_state& state,
+                         net::http_client& http, hooks functions)
+    : worker_(std::move(worker)), fence_(fence), lease_(lease), state_(state),
+      client_(http), hooks_(std::move(functions)), born_ms_(worker_.born_ms)
+{
+}
+
+worker_link::~worker_link()
+{
+    stop();
+    fibers_.join();
+}
+
+void worker_link::start()
+{
+    fibers_.spawn([this] { look_loop(); });
+    fibers_.spawn([this] { order_loop(); });
+}
+
+void worker_link::stop()
+{
+    is_stopping_ = true;
+    look_wakeup_.notify();
+    order_wakeup_.notify();
+}
+
+void worker_link::update(const jobs::worker_description& worker)
+{
+    const bool is_reborn = worker.born_ms != 0 && born_ms_ != 0 &&
+                           worker.born_ms != born_ms_;
+    worker_ = worker;
+    if (is_reborn)
+        note_rebirth(worker.born_ms, base::steady_now());
+    look_wakeup_.notify();
+}
+
+void worker_link::send(jobs::start_order order)
+{
+    orders_.emplace_back(std::move(order));
+    order_wakeup_.notify();
+}
+
+void worker_link::send(jobs::stop_order order)
+{
+    orders_.emplace_back(std::move(order));
+    order_wakeup_.notify();
+}
+
+platform::order_target worker_link::target() const
+{
+    return {*net::parse_endpoint(worker_.address), worker_.id, fence_};
+}
+
+std::int64_t worker_link::clock_at(base::time_point now) const
+{
+    return clock_ms_ + base::count_millis(now - clock_read_at_);
+}
+
+std::int64_t worker_link::extend_lease(base::time_point now,
+                                       base::duration length)
+{
+    const std::int64_t until = clock_at(now) + base::count_millis(length);
+    lease_until_ms_ = std::max(lease_until_ms_, until);
+    return until;
+}
+
+bool worker_link::needs_look() const
+{
+    const auto& workers = state_.workers();
+    const auto found = workers.find(worker_.id);
+    return found != workers.end() &&
+           (!found->second.has_reported || !found->second.runs.empty() ||
+            !found->second.is_reachable);
+}
+
+base::duration worker_link::look_wait() const
+{
+    const auto found = state_.workers().find(worker_.id);
+    if (found == state_.workers().end() || !found->second.has_reported)
+        return base::duration::zero();
+    const auto& runs = found->second.runs;
+    const bool is_calm = std::all_of(
+        runs.begin(), runs.end(),
+        [&](const auto& entry)
+        {
+            const jobs::job* subject = state_.find_job(entry.first.job);
+            return subject != nullptr && subject->spec.is_long_running();
+        });
+    return is_calm ? calm_wait : busy_wait;
+}
+
+void worker_link::look_loop()
+{
+    while (!is_stopping_)
+    {
+        const base::time_point now = base::steady_now();
+        if (!needs_look() || !hooks_.may_order())
+        {
+            look_wakeup_.wait_until(now + (needs_look()
+                                               ? base::duration(look_retry)
+                                               : base::duration(idle_wait)));
+            continue;
+        }
+        look(now);
+    }
+}
+
+void worker_link::look(base::time_point now)
+{
+    platform::listing_request request;
+    request.stored_end = stored_end_;
+    request.wait = look_wait();
+    if (clock_ms_ > 0)
+        request.lease_until_ms = extend_lease(now, lease_);
+    try
+    {
+        const auto listing =
+            client_.list(target(), request, now + request.wait + look_slack);
+        if (!is_stopping_)
+            apply(listing, now);
+    }
+    catch (const std::exception& failure)
+    {
+        if (is_stopping_)
+            return;
+        note_unreachable(failure.what(), base::steady_now());
+        look_wakeup_.wait_until(base::steady_now() + look_retry);
+    }
+}
+
+void worker_link::apply(const platform::worker_listing& listing,
+                        base::time_point sent_at)
+{
+    using kind = platform::worker_listing::kind;
+    const base::time_point now = base::steady_now();
+    if (listing.outcome == kind::fenced_off)
+    {
+        hooks_.fenced_off("worker " + worker_.id + " has seen a higher fence");
+        return;
+    }
+    if (listing.outcome == kind::replaced)
+    {
+        // The named life of the worker is over, with all that it ran.
+        state_.lose_runs(worker_.id, now);
+        note_unreachable("another worker answers at its address", now);
+        hooks_.changed();
+        look_wakeup_.wait_until(now + std::chrono::milliseconds(500));
+        return;
+    }
+    if (listing.outcome == kind::unhealthy)
+    {
+        note_unreachable("the worker says that it is unhealthy", now);
+        look_wakeup_.wait_until(now + look_retry);
+        return;
+    }
+    if (std::exchange(has_failed_, false))
+        log::write(event_worker_reachable, {{"worker", worker_.id}});
+    const auto& report = listing.report;
+    if (report.born_ms != 0 && born_ms_ != 0 && report.born_ms != born_ms_)
+        note_rebirth(report.born_ms, now);
+    if (report.born_ms != 0)
+        born_ms_ = report.born_ms;
+    clock_ms_ = listing.clock_ms;
+    clock_read_at_ = now;
+    state_.apply_report(worker_.id, report, sent_at, now, base::wall_now());
+    hooks_.changed();
+    const std::int64_t last_end =
+        report.ended.empty() ? stored_end_ : report.ended.back().number;
+    if (last_end == stored_end_)
+    {
+        if (base::steady_now() - sent_at < look_interval)
+            boost::this_fiber::sleep_for(look_interval);
+        return;
+    }
+    boost::this_fiber::sleep_for(look_interval);
+    const std::int64_t born_ms = born_ms_;
+    if (hooks_.stored(base::steady_now() + store_wait))
+    {
+        if (born_ms == born_ms_)
+            stored_end_ = last_end;
+    }
+    else
+        boost::this_fiber::sleep_for(unstored_interval);
+}
+
+void worker_link::note_rebirth(std::int64_t born_ms, base::time_point now)
+{
+    log::write(event_worker_reborn,
+               {{"worker", worker_.id}, {"born_ms", born_ms}});
+    state_.lose_runs(worker_.id, now);
+    born_ms_ = born_ms;
+    stored_end_ = 0;
+    clock_ms_ = 0;
+    lease_until_ms_ = 0;
+    hooks_.changed();
+}
+
+void worker_link::note_unreachable(std::string_view reason,
+                                   base::time_point now)
+{
+    state_.set_reachable(worker_.id, false);
+    if (!std::exchange(has_failed_, true))
+        log::write(event_worker_unreachable,
+                   {{"worker", worker_.id}, {"reason", reason}});
+    const auto lease_left = std::chrono::milliseconds(
+        std::max<std::int64_t>(lease_until_ms_ - clock_ms_, 0));
+    const auto lapse =
+        clock_read_at_ +
+        std::chrono::duration_cast<base::duration>(lease_left * slowest_clock) +
+        lapse_slack;
+    const auto found = state_.workers().find(worker_.id);
+    if (clock_ms_ == 0 || now < lapse || found == state_.workers().end() ||
+        found->second.runs.empty())
+        return;
+    state_.lose_runs(worker_.id, now);
+    hooks_.changed();
+}
+
+void worker_link::order_loop()
+{
+    while (!is_stopping_)
+    {
+        if (orders_.empty())
+        {
+            order_wakeup_.wait_until(base::steady_now() + idle_wait);
+            continue;
+        }
+        const order next = std::move(orders_.front());
+        orders_.pop_front();
+        if (const auto* begin = std::get_if<jobs::start_order>(&next))
+            send_start(*begin);
+        else
+            send_stop(std::get<jobs::stop_order>(next));
+        look_wakeup_.notify();
+    }
+}
+
+void worker_link::send_start(const jobs::start_order& order)
+{
+    const base::time_point now = base::steady_now();
+    platform::start_result result;
+    if (!hooks_.may_order() || clock_ms_ == 0)
+        result.answer = jobs::start_answer::not_sent;
+    else
+    {
+        try
+        {
+            result = client_.start(target(), order,
+                                   extend_lease(now, order_validity),
+                                   now + order_timeout);
+        }
+        catch (const base::error& failure)
+        {
+            result.answer = failure.effect_unknown()
+                                ? jobs::start_answer::unknown
+                                : jobs::start_answer::not_sent;
+        }
+    }
+    if (is_stopping_)
+        return;
+    state_.apply_start_answer(order, result.answer, base::steady_now());
+    if (result.is_fenced_off)
+        hooks_.fenced_off("worker " + worker_.id + " has seen a higher fence");
+    if (result.answer != jobs::start_answer::started)
+        hooks_.changed();
+}
+
+void worker_link::send_stop(const jobs::stop_order& order)
+{
+    bool is_acknowledged = false;
+    if (hooks_.may_order())
+    {
+        try
+        {
+            is_acknowledged = client_.stop(target(), order,
+                                           base::steady_now() + order_timeout);
+        }
+        catch (const base::error& failure)
+        {
+            if (!std::exchange(has_failed_, true))
+                log::write(event_worker_unreachable,
+                           {{"worker", worker_.id},
+                            {"reason", failure.what()}});
+        }
+    }
+    if (!is_stopping_)
+        state_.apply_stop_answer(order, is_acknowledged, base::steady_now());
+}
+
+} // namespace pimentograde::pools
--- /dev/null
+++ b/src/pools/worker_link.hpp
@@ -0,0 +1,94 @@
+#ifndef PIMENTOGRADE_POOLS_WORKER_LINK_HPP
+#define PIMENTOGRADE_POOLS_WORKER_LINK_HPP
+
+#include "base/time.hpp"
+#include "jobs/pool_state.hpp"
+#include "net/task_group.hpp"
+#include "net/wakeup.hpp"
+#include "platform/worker_client.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string>
+#include <variant>
+
+namespace pimentograde::pools
+{
+
+/// The owner's exchange with one worker: one fiber looks at its runs and
+/// extends its lease, another sends it orders.
+class worker_link
+{
+public:
+    struct hooks
+    {
+        /// The state has changed: plan again and store the changes.
+        std::function<void()> changed;
+        /// Waits until all changes so far are stored; returns whether they are.
+        std::function<bool(base::time_point deadline)> stored;
+        /// The worker has seen a higher fence.
+        std::function<void(std::string_view reason)> fenced_off;
+        /// Whether orders may still be given.
+        std::function<bool()> may_order;
+    };
+
+    worker_link(jobs::worker_description worker, std::int64_t fence,
+                base::duration lease, jobs::pool_state& state,
+                net::http_client& http, hooks functions);
+    ~worker_link();
+    worker_link(const worker_link&) = delete;
+    worker_link& operator=(const worker_link&) = delete;
+
+    void start();
+    void stop();
+    /// Applies a change of the worker's entry.
+    void update(const jobs::worker_description& worker);
+    void send(jobs::start_order order);
+    void send(jobs::stop_order order);
+    /// Whether both fibers have returned.
+    [[nodiscard]] bool is_idle() const { return fibers_.size() == 0; }
+
+private:
+    using order = std::variant<jobs::start_order, jobs::stop_order>;
+
+    void look_loop();
+    void look(base::time_point now);
+    void apply(const platform::worker_listing& listing,
+               base::time_point sent_at);
+    void note_rebirth(std::int64_t born_ms, base::time_point now);
+    void note_unreachable(std::string_view reason, base::time_point now);
+    void order_loop();
+    void send_start(const jobs::start_order& order);
+    void send_stop(const jobs::stop_order& order);
+    [[nodiscard]] bool needs_look() const;
+    [[nodiscard]] base::duration look_wait() const;
+    [[nodiscard]] std::int64_t clock_at(base::time_point now) const;
+    [[nodiscard]] std::int64_t extend_lease(base::time_point now,
+                                            base::duration length);
+    [[nodiscard]] platform::order_target target() const;
+
+    jobs::worker_description worker_;
+    std::int64_t fence_;
+    base::duration lease_;
+    jobs::pool_state& state_;
+    platform::worker_client client_;
+    hooks hooks_;
+    net::task_group fibers_;
+    net::wakeup look_wakeup_;
+    net::wakeup order_wakeup_;
+    std::deque<order> orders_;
+    bool is_stopping_ = false;
+    bool has_failed_ = false;
+    std::int64_t born_ms_ = 0;
+    std::int64_t stored_end_ = 0;
+    /// The worker's clock as last read, and when; 0 when never.
+    std::int64_t clock_ms_ = 0;
+    base::time_point clock_read_at_{};
+    /// Latest lease end that was sent, on the worker's clock.
+    std::int64_t lease_until_ms_ = 0;
+};
+
+} // namespace pimentograde::pools
+
+#endif
--- a/src/platform/instance_list_client.cpp
+++ b/src/provider/instance_list_client.cpp
@@ -1,10 +1,10 @@
-#include "platform/instance_list_client.hpp"
+#include "provider/instance_list_client.hpp"
 
-#include "platform/json_exchange.hpp"
+#include "provider/json_exchange.hpp"
 
 #include <utility>
 
-namespace pimentograde::platform
+namespace pimentograde::provider
 {
 
 struct instance_list_client::impl
@@ -66,4 +66,4 @@
             }};
 }
 
-} // namespace pimentograde::platform
+} // namespace pimentograde::provider
--- a/src/platform/instance_list_client.hpp
+++ b/src/provider/instance_list_client.hpp
@@ -1,12 +1,12 @@
-#ifndef PIMENTOGRADE_PLATFORM_INSTANCE_LIST_CLIENT_HPP
-#define PIMENTOGRADE_PLATFORM_INSTANCE_LIST_CLIENT_HPP
+#ifndef PIMENTOGRADE_PROVIDER_INSTANCE_LIST_CLIENT_HPP
+#define PIMENTOGRADE_PROVIDER_INSTANCE_LIST_CLIENT_HPP
 
 #include "net/endpoint.hpp"
-#include "platform/worker_operations.hpp"
+#include "provider/worker_operations.hpp"
 
 #include <memory>
 
-namespace pimentograde::platform
+namespace pimentograde::provider
 {
 
 /// Client of the platform's list of live and leaving instances.
@@ -36,6 +36,6 @@
     std::unique_ptr<impl> impl_;
 };
 
-} // namespace pimentograde::platform
+} // namespace pimentograde::provider
 
 #endif
--- a/src/platform/json_exchange.cpp
+++ b/src/provider/json_exchange.cpp
@@ -1,8 +1,8 @@
-#include "platform/json_exchange.hpp"
+#include "provider/json_exchange.hpp"
 
 #include "base/error.hpp"
 #include "net/http_status.hpp"
-#include "platform/events.hpp"
+#include "provider/events.hpp"
 
 #include <boost/json.hpp>
 
@@ -11,7 +11,7 @@
 #include <optional>
 #include <utility>
 
-namespace pimentograde::platform
+namespace pimentograde::provider
 {
 
 namespace json = boost::json;
@@ -172,4 +172,4 @@
     throw base::error(*code, step, peer, detail);
 }
 
-} // namespace pimentograde::platform
+} // namespace pimentograde::provider
--- a/src/platform/json_exchange.hpp
+++ b/src/provider/json_exchange.hpp
@@ -1,5 +1,5 @@
-#ifndef PIMENTOGRADE_PLATFORM_JSON_EXCHANGE_HPP
-#define PIMENTOGRADE_PLATFORM_JSON_EXCHANGE_HPP
+#ifndef PIMENTOGRADE_PROVIDER_JSON_EXCHANGE_HPP
+#define PIMENTOGRADE_PROVIDER_JSON_EXCHANGE_HPP
 
 #include "base/time.hpp"
 #include "net/http_client.hpp"
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <vector>
 
-namespace pimentograde::platform
+namespace pimentograde::provider
 {
 
 /// One call to the platform: where, under which step name, until when.
@@ -65,6 +65,6 @@
 response_reader exchange(net::http_client& client, const json_call& call,
                          const boost::json::object& body);
 
-} // namespace pimentograde::platform
+} // namespace pimentograde::provider
 
 #endif
--- a/src/platform/kv_client.cpp
+++ b/src/provider/kv_client.cpp
@@ -1,14 +1,14 @@
-#include "platform/kv_client.hpp"
+#include "provider/kv_client.hpp"
 
 #include "base/error.hpp"
-#include "platform/json_exchange.hpp"
+#include "provider/json_exchange.hpp"
 
 #include <boost/json.hpp>
 
 #include <algorithm>
 #include <utility>
 
-namespace pimentograde::platform
+namespace pimentograde::provider
 {
 
 namespace json = boost::json;
@@ -263,4 +263,4 @@
         hook(self, &impl::put_leased)};
 }
 
-} // namespace pimentograde::platform
+} // namespace pimentograde::provider
--- a/src/platform/kv_client.hpp
+++ b/src/provider/kv_client.hpp
@@ -1,14 +1,14 @@
-#ifndef PIMENTOGRADE_PLATFORM_KV_CLIENT_HPP
-#define PIMENTOGRADE_PLATFORM_KV_CLIENT_HPP
+#ifndef PIMENTOGRADE_PROVIDER_KV_CLIENT_HPP
+#define PIMENTOGRADE_PROVIDER_KV_CLIENT_HPP
 
 #include "net/endpoint.hpp"
-#include "platform/kv_operations.hpp"
+#include "provider/kv_operations.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <memory>
 
-namespace pimentograde::platform
+namespace pimentograde::provider
 {
 
 /// Calls sent to the store since the start, by operation. A pending watch
@@ -65,6 +65,6 @@
     std::unique_ptr<impl> impl_;
 };
 
-} // namespace pimentograde::platform
+} // namespace pimentograde::provider
 
 #endif
--- a/src/platform/kv_operations.hpp
+++ b/src/provider/kv_operations.hpp
@@ -1,5 +1,5 @@
-#ifndef PIMENTOGRADE_PLATFORM_KV_OPERATIONS_HPP
-#define PIMENTOGRADE_PLATFORM_KV_OPERATIONS_HPP
+#ifndef PIMENTOGRADE_PROVIDER_KV_OPERATIONS_HPP
+#define PIMENTOGRADE_PROVIDER_KV_OPERATIONS_HPP
 
 #include "base/time.hpp"
 
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-namespace pimentograde::platform
+namespace pimentograde::provider
 {
 
 /// Largest value that the store holds.
@@ -83,6 +83,6 @@
         put_leased;
 };
 
-} // namespace pimentograde::platform
+} // namespace pimentograde::provider
 
 #endif
--- a/src/platform/worker_operations.hpp
+++ b/src/provider/worker_operations.hpp
@@ -1,5 +1,5 @@
-#ifndef PIMENTOGRADE_PLATFORM_WORKER_OPERATIONS_HPP
-#define PIMENTOGRADE_PLATFORM_WORKER_OPERATIONS_HPP
+#ifndef PIMENTOGRADE_PROVIDER_WORKER_OPERATIONS_HPP
+#define PIMENTOGRADE_PROVIDER_WORKER_OPERATIONS_HPP
 
 #include "base/strong_id.hpp"
 #include "base/task_size.hpp"
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace pimentograde::platform
+namespace pimentograde::provider
 {
 
 struct worker_endpoint
@@ -170,6 +170,6 @@
     std::function<std::vector<listed_instance>(base::time_point deadline)> list;
 };
 
-} // namespace pimentograde::platform
+} // namespace pimentograde::provider
 
 #endif
--- a/src/records/record_shard.cpp
+++ b/src/records/record_shard.cpp
@@ -238,7 +238,7 @@
 {
     const auto start = env.time.steady();
     const auto value = staged.finish();
-    platform::swap_result written;
+    provider::swap_result written;
     try
     {
         written = env.store.compare_and_swap(key, version, value,
@@ -257,7 +257,7 @@
         }
         throw;
     }
-    if (written.outcome == platform::swap_outcome::conflict)
+    if (written.outcome == provider::swap_outcome::conflict)
     {
         valid = false;
         version = std::max(version, written.version);
--- a/src/records/record_shard.hpp
+++ b/src/records/record_shard.hpp
@@ -2,7 +2,7 @@
 #define PIMENTOGRADE_RECORDS_RECORD_SHARD_HPP
 
 #include "base/random_source.hpp"
-#include "platform/kv_operations.hpp"
+#include "provider/kv_operations.hpp"
 #include "records/record.hpp"
 #include "records/write_budget.hpp"
 
@@ -73,7 +73,7 @@
 struct shard_environment
 {
     shard_timing timing;
-    platform::kv_operations store;
+    provider::kv_operations store;
     clocks time;
     std::shared_ptr<write_budget> budget;
     std::shared_ptr<base::random_source> random;
--- a/src/records/record_table.cpp
+++ b/src/records/record_table.cpp
@@ -62,7 +62,7 @@
 };
 
 record_table::builder&
-record_table::builder::store(platform::kv_operations operations)
+record_table::builder::store(provider::kv_operations operations)
 {
     environment_.store = std::move(operations);
     return *this;
--- a/src/records/record_table.hpp
+++ b/src/records/record_table.hpp
@@ -35,7 +35,7 @@
     class builder
     {
     public:
-        builder& store(platform::kv_operations operations);
+        builder& store(provider::kv_operations operations);
         /// Writes a second that this member may send; read at each write.
         builder& writes_per_second(std::function<double()> rate);
         builder& time(clocks source);
--- a/src/rollout/document_service.cpp
+++ b/src/rollout/document_service.cpp
@@ -33,18 +33,18 @@
     return "out_of_contact";
 }
 
-std::uint64_t envelope_version(const platform::kv_entry& entry)
+std::uint64_t envelope_version(const provider::kv_entry& entry)
 {
     return parse_envelope(entry.value).version;
 }
 
-std::uint64_t stored_version(const platform::kv_entry& entry)
+std::uint64_t stored_version(const provider::kv_entry& entry)
 {
     return entry.version;
 }
 
 document_service::builder&
-document_service::builder::store(platform::kv_operations operations)
+document_service::builder::store(provider::kv_operations operations)
 {
     store_ = std::move(operations);
     return *this;
--- a/src/rollout/document_service.hpp
+++ b/src/rollout/document_service.hpp
@@ -4,7 +4,7 @@
 #include "base/strong_id.hpp"
 #include "base/time.hpp"
 #include "peer/messages.hpp"
-#include "platform/kv_operations.hpp"
+#include "provider/kv_operations.hpp"
 #include "rollout/versioned_document.hpp"
 
 #include <cstdint>
@@ -65,12 +65,12 @@
 public:
     /// Version of a document in the store. Throws `base::error` with `invalid`.
     using version_reader =
-        std::function<std::uint64_t(const platform::kv_entry&)>;
+        std::function<std::uint64_t(const provider::kv_entry&)>;
 
     class builder
     {
     public:
-        builder& store(platform::kv_operations operations);
+        builder& store(provider::kv_operations operations);
         builder& calls(document_calls hooks);
         /// `document` has to outlive the service. The first one added is
         /// watched in the store and has to be present before work is taken.
@@ -89,7 +89,7 @@
             std::string store_key;
             version_reader version;
         };
-        platform::kv_operations store_;
+        provider::kv_operations store_;
         document_calls calls_;
         std::vector<entry> documents_;
         std::optional<std::uint64_t> seed_;
@@ -146,9 +146,9 @@
 };
 
 /// Version inside a stored bundle envelope.
-std::uint64_t envelope_version(const platform::kv_entry& entry);
+std::uint64_t envelope_version(const provider::kv_entry& entry);
 /// The store's own version of the key.
-std::uint64_t stored_version(const platform::kv_entry& entry);
+std::uint64_t stored_version(const provider::kv_entry& entry);
 
 } // namespace pimentograde::rollout
 
--- a/src/rollout/document_service_impl.hpp
+++ b/src/rollout/document_service_impl.hpp
@@ -24,7 +24,7 @@
         bool fetching = false;
     };
 
-    platform::kv_operations store;
+    provider::kv_operations store;
     document_calls calls;
     std::function<void()> cancel_watch;
     std::vector<entry> documents;
@@ -44,7 +44,7 @@
     entry& find(std::string_view name);
     void observe(base::time_point now);
     void contacted(base::time_point now);
-    void offer(entry& target, const platform::kv_entry& stored);
+    void offer(entry& target, const provider::kv_entry& stored);
     bool read_store(base::time_point deadline);
     bool fetch(entry& target, const base::member_id& member,
                base::time_point deadline);
--- a/src/rollout/document_service_loops.cpp
+++ b/src/rollout/document_service_loops.cpp
@@ -56,7 +56,7 @@
 }
 
 void document_service::impl::offer(entry& target,
-                                   const platform::kv_entry& stored)
+                                   const provider::kv_entry& stored)
 {
     // The documents may be gone when a watch outlives the service.
     if (stopping.is_set())
--- a/src/rollout/draft_store.cpp
+++ b/src/rollout/draft_store.cpp
@@ -134,7 +134,7 @@
     return json::serialize(json::object{{"drafts", std::move(list)}});
 }
 
-draft_store::draft_store(platform::kv_operations store, pacing pace,
+draft_store::draft_store(provider::kv_operations store, pacing pace,
                          base::random_source random)
     : store_(std::move(store)), pace_(std::move(pace)), random_(random)
 {
--- a/src/rollout/draft_store.hpp
+++ b/src/rollout/draft_store.hpp
@@ -3,7 +3,7 @@
 
 #include "base/random_source.hpp"
 #include "base/time.hpp"
-#include "platform/kv_operations.hpp"
+#include "provider/kv_operations.hpp"
 #include "rollout/pacing.hpp"
 
 #include <cstdint>
@@ -47,7 +47,7 @@
 class draft_store
 {
 public:
-    draft_store(platform::kv_operations store, pacing pace,
+    draft_store(provider::kv_operations store, pacing pace,
                 base::random_source random);
 
     /// Adds a draft and returns it with its id. Throws `invalid`, listing every
@@ -68,7 +68,7 @@
     void remove(std::string_view id, base::time_point deadline);
 
 private:
-    platform::kv_operations store_;
+    provider::kv_operations store_;
     pacing pace_;
     base::random_source random_;
 };
--- a/src/rollout/sign_off.cpp
+++ b/src/rollout/sign_off.cpp
@@ -19,7 +19,7 @@
 class attempt
 {
 public:
-    attempt(const platform::kv_operations& store,
+    attempt(const provider::kv_operations& store,
             const sign_off_request& request, const pacing& pace,
             base::random_source& random, base::time_point deadline)
         : store_(store), request_(request), pace_(pace), random_(random),
@@ -43,9 +43,9 @@
 private:
     std::optional<sign_off_result> step();
     std::optional<sign_off_result> judge(const bundle_envelope& found,
-                                         const platform::kv_entry& entry) const;
+                                         const provider::kv_entry& entry) const;
     std::optional<sign_off_result> write(const bundle_envelope& found,
-                                         const platform::kv_entry& entry);
+                                         const provider::kv_entry& entry);
     void wait();
     [[nodiscard]] base::time_point call_deadline() const
     {
@@ -53,7 +53,7 @@
                         pace_.now() + base::duration(store_call_limit));
     }
 
-    const platform::kv_operations& store_;
+    const provider::kv_operations& store_;
     const sign_off_request& request_;
     const pacing& pace_;
     base::random_source& random_;
@@ -99,7 +99,7 @@
 
 std::optional<sign_off_result>
 attempt::judge(const bundle_envelope& found,
-               const platform::kv_entry& entry) const
+               const provider::kv_entry& entry) const
 {
     sign_off_result result;
     if (const sign_off_entry* own = found.find_id(request_.id))
@@ -128,7 +128,7 @@
 }
 
 std::optional<sign_off_result> attempt::write(const bundle_envelope& found,
-                                              const platform::kv_entry& entry)
+                                              const provider::kv_entry& entry)
 {
     const bundle_envelope next =
         found.with(request_.bundle, {0, request_.id, request_.author,
@@ -141,7 +141,7 @@
             store_.compare_and_swap(bundle_key, entry.version, text, deadline);
         // After a conflict the next read shows who won, or that it was this
         // one's earlier write.
-        if (swapped.outcome == platform::swap_outcome::conflict)
+        if (swapped.outcome == provider::swap_outcome::conflict)
             return std::nullopt;
     }
     catch (const base::error& failure)
@@ -159,14 +159,14 @@
 
 } // namespace
 
-sign_off_result sign_off(const platform::kv_operations& store,
+sign_off_result sign_off(const provider::kv_operations& store,
                          const sign_off_request& request, const pacing& pace,
                          base::random_source& random, base::time_point deadline)
 {
     return attempt(store, request, pace, random, deadline).run();
 }
 
-bool install_first_bundle(const platform::kv_operations& store,
+bool install_first_bundle(const provider::kv_operations& store,
                           const std::string& bundle, base::wall_time at,
                           const pacing& pace, base::random_source& random,
                           base::time_point deadline)
--- a/src/rollout/sign_off.hpp
+++ b/src/rollout/sign_off.hpp
@@ -3,7 +3,7 @@
 
 #include "base/random_source.hpp"
 #include "base/time.hpp"
-#include "platform/kv_operations.hpp"
+#include "provider/kv_operations.hpp"
 #include "rollout/bundle_envelope.hpp"
 #include "rollout/pacing.hpp"
 
@@ -64,7 +64,7 @@
 /// be, applied: call again with the same request. Throws `base::error` when
 /// nothing was written: `unavailable`, or `conflict` for a base version that
 /// does not exist.
-sign_off_result sign_off(const platform::kv_operations& store,
+sign_off_result sign_off(const provider::kv_operations& store,
                          const sign_off_request& request, const pacing& pace,
                          base::random_source& random,
                          base::time_point deadline);
@@ -72,7 +72,7 @@
 /// Writes version 1 when the store holds no bundle yet. Returns whether this
 /// call's bundle is version 1. Throws `base::error` when the store cannot be
 /// reached or the bundle is invalid.
-bool install_first_bundle(const platform::kv_operations& store,
+bool install_first_bundle(const provider::kv_operations& store,
                           const std::string& bundle, base::wall_time at,
                           const pacing& pace, base::random_source& random,
                           base::time_point deadline);
--- a/src/rollout/sign_off_service.cpp
+++ b/src/rollout/sign_off_service.cpp
@@ -32,7 +32,7 @@
 
 struct sign_off_service::impl
 {
-    platform::kv_operations store;
+    provider::kv_operations store;
     pacing pace;
     base::random_source random;
     accepted_hook accepted;
@@ -41,7 +41,7 @@
     net::stop_signal stopping;
     net::task_group fibers;
 
-    impl(platform::kv_operations operations, pacing given_pace,
+    impl(provider::kv_operations operations, pacing given_pace,
          base::random_source source, accepted_hook hook)
         : store(operations), pace(given_pace), random(source),
           accepted(std::move(hook)),
@@ -107,7 +107,7 @@
     }
 }
 
-sign_off_service::sign_off_service(platform::kv_operations store, pacing pace,
+sign_off_service::sign_off_service(provider::kv_operations store, pacing pace,
                                    base::random_source random,
                                    accepted_hook accepted)
     : impl_(std::make_unique<impl>(std::move(store), std::move(pace), random,
--- a/src/rollout/sign_off_service.hpp
+++ b/src/rollout/sign_off_service.hpp
@@ -3,7 +3,7 @@
 
 #include "base/time.hpp"
 #include "config/bundle.hpp"
-#include "platform/kv_operations.hpp"
+#include "provider/kv_operations.hpp"
 #include "rollout/draft_store.hpp"
 #include "rollout/pacing.hpp"
 #include "rollout/sign_off.hpp"
@@ -35,7 +35,7 @@
     using accepted_hook =
         std::function<void(std::uint64_t version, const std::string& text)>;
 
-    sign_off_service(platform::kv_operations store, pacing pace,
+    sign_off_service(provider::kv_operations store, pacing pace,
                      base::random_source random, accepted_hook accepted);
     ~sign_off_service();
     sign_off_service(const sign_off_service&) = delete;
--- a/src/rollout/store_update.cpp
+++ b/src/rollout/store_update.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-void update_value(const platform::kv_operations& store, std::string_view key,
+void update_value(const provider::kv_operations& store, std::string_view key,
                   const value_change& change, const pacing& pace,
                   base::random_source& random, base::time_point deadline)
 {
@@ -43,7 +43,7 @@
             writing = true;
             const auto swapped = store.compare_and_swap(key, entry.version,
                                                         *next, call_deadline);
-            if (swapped.outcome == platform::swap_outcome::applied)
+            if (swapped.outcome == provider::swap_outcome::applied)
                 return;
             cause = "conflicting writes";
         }
--- a/src/rollout/store_update.hpp
+++ b/src/rollout/store_update.hpp
@@ -3,7 +3,7 @@
 
 #include "base/random_source.hpp"
 #include "base/time.hpp"
-#include "platform/kv_operations.hpp"
+#include "provider/kv_operations.hpp"
 #include "rollout/pacing.hpp"
 
 #include <functional>
@@ -22,7 +22,7 @@
 /// Applies `change` to the value of `key` by compare-and-swap, again after a
 /// conflict or a failure. Throws `base::error` at the deadline: `timeout` when
 /// the change may have been made, otherwise `unavailable`.
-void update_value(const platform::kv_operations& store, std::string_view key,
+void update_value(const provider::kv_operations& store, std::string_view key,
                   const value_change& change, const pacing& pace,
                   base::random_source& random, base::time_point deadline);
 
--- a/tools/load/record_benchmark.hpp
+++ b/tools/load/record_benchmark.hpp
@@ -34,12 +34,12 @@
 /// Store in memory that answers after `benchmark_store_latency`.
 struct benchmark_store
 {
-    std::map<std::string, platform::kv_entry, std::less<>> entries;
+    std::map<std::string, provider::kv_entry, std::less<>> entries;
     std::size_t writes = 0;
 
-    platform::kv_operations operations()
+    provider::kv_operations operations()
     {
-        platform::kv_operations out;
+        provider::kv_operations out;
         out.get = [this](std::string_view key, base::time_point)
         {
             boost::this_fiber::sleep_for(benchmark_store_latency);
@@ -53,10 +53,10 @@
             ++writes;
             auto& entry = entries[std::string(key)];
             if (entry.version != expected)
-                return platform::swap_result{platform::swap_outcome::conflict,
+                return provider::swap_result{provider::swap_outcome::conflict,
                                              entry.version};
             entry = {std::string(value), expected + 1};
-            return platform::swap_result{platform::swap_outcome::applied,
+            return provider::swap_result{provider::swap_outcome::applied,
                                          entry.version};
         };
         return out;
--- a/tools/sanitize.sh
+++ b/tools/sanitize.sh
@@ -12,6 +12,7 @@
 done
 [ -z "$targets" ] && exit 0
 cmake -S . -B "$build" -G Ninja -DPIMENTOGRADE_SANITIZE=address,undefined \
+    -DPIMENTOGRADE_WERROR=ON \
     >/dev/null
 # shellcheck disable=SC2086
 cmake --build "$build" -j "$jobs" --target $targets
--- a/tools/standin/fake_worker.hpp
+++ b/tools/standin/fake_worker.hpp
@@ -20,7 +20,7 @@
     fake_worker(const fake_worker&) = delete;
     fake_worker& operator=(const fake_worker&) = delete;
 
-    [[nodiscard]] platform::worker_endpoint endpoint() const;
+    [[nodiscard]] provider::worker_endpoint endpoint() const;
     worker_model& model();
     /// Whether the worker serves, as opposed to being killed or rebooting.
     [[nodiscard]] bool is_up() const;
--- a/tools/standin/platform_standin.cpp
+++ b/tools/standin/platform_standin.cpp
@@ -30,11 +30,11 @@
 struct list_snapshot
 {
     base::time_point since;
-    std::vector<platform::listed_instance> instances;
+    std::vector<provider::listed_instance> instances;
 };
 
-bool equal(const std::vector<platform::listed_instance>& left,
-           const std::vector<platform::listed_instance>& right)
+bool equal(const std::vector<provider::listed_instance>& left,
+           const std::vector<provider::listed_instance>& right)
 {
     return std::equal(left.begin(), left.end(), right.begin(), right.end(),
                       [](const auto& one, const auto& other) {
@@ -63,7 +63,7 @@
     void apply_faults(base::time_point now);
     void expire_store_leases(base::time_point now);
     void take_snapshot(base::time_point now);
-    [[nodiscard]] std::vector<platform::listed_instance>
+    [[nodiscard]] std::vector<provider::listed_instance>
     listed(base::time_point now) const;
     reply serve_list(const net::http_request& request);
 };
@@ -81,13 +81,13 @@
 
 void platform_standin::impl::take_snapshot(base::time_point now)
 {
-    std::vector<platform::listed_instance> current;
+    std::vector<provider::listed_instance> current;
     for (const auto& worker : workers)
         if (worker->is_up())
             current.push_back({worker->model().settings().id,
                                worker->model().leaving()
-                                   ? platform::listed_state::leaving
-                                   : platform::listed_state::live});
+                                   ? provider::listed_state::leaving
+                                   : provider::listed_state::live});
     if (snapshots.empty() || !equal(snapshots.back().instances, current))
         snapshots.push_back({now, std::move(current)});
     while (snapshots.size() > 1 && snapshots[1].since < now - list_history)
@@ -107,7 +107,7 @@
         list_server->open();
 }
 
-std::vector<platform::listed_instance>
+std::vector<provider::listed_instance>
 platform_standin::impl::listed(base::time_point now) const
 {
     base::duration lag = list_lag;
@@ -132,7 +132,7 @@
     for (const auto& instance : listed(now))
         instances.push_back(json::object{
             {"id", instance.id.str()},
-            {"state", instance.state == platform::listed_state::live
+            {"state", instance.state == provider::listed_state::live
                           ? "live"
                           : "leaving"}});
     const json::object body{{"instances", std::move(instances)}};
@@ -249,10 +249,10 @@
     return impl_->control->local_endpoint();
 }
 
-std::vector<platform::worker_endpoint>
+std::vector<provider::worker_endpoint>
 platform_standin::worker_endpoints() const
 {
-    std::vector<platform::worker_endpoint> endpoints;
+    std::vector<provider::worker_endpoint> endpoints;
     for (const auto& worker : impl_->workers)
         endpoints.push_back(worker->endpoint());
     return endpoints;
@@ -302,7 +302,7 @@
     return impl_->log;
 }
 
-std::vector<platform::listed_instance> platform_standin::listed() const
+std::vector<provider::listed_instance> platform_standin::listed() const
 {
     return impl_->listed(base::steady_now());
 }
--- a/tools/standin/platform_standin.hpp
+++ b/tools/standin/platform_standin.hpp
@@ -2,7 +2,7 @@
 #define PIMENTOGRADE_STANDIN_PLATFORM_STANDIN_HPP
 
 #include "net/endpoint.hpp"
-#include "platform/worker_operations.hpp"
+#include "provider/worker_operations.hpp"
 #include "standin/execution_log.hpp"
 #include "standin/fake_store.hpp"
 #include "standin/fault_board.hpp"
@@ -57,7 +57,7 @@
     [[nodiscard]] net::endpoint store_endpoint() const;
     [[nodiscard]] net::endpoint list_endpoint() const;
     [[nodiscard]] net::endpoint control_endpoint() const;
-    [[nodiscard]] std::vector<platform::worker_endpoint>
+    [[nodiscard]] std::vector<provider::worker_endpoint>
     worker_endpoints() const;
 
     /// Takes effect at once. Returns the fault's id.
@@ -71,7 +71,7 @@
     fake_worker& worker(std::string_view id);
     [[nodiscard]] const execution_log& log() const;
     /// The instance list as it is reported now.
-    [[nodiscard]] std::vector<platform::listed_instance> listed() const;
+    [[nodiscard]] std::vector<provider::listed_instance> listed() const;
 
 private:
     struct impl;
--- a/tools/standin/store_model.cpp
+++ b/tools/standin/store_model.cpp
@@ -48,12 +48,12 @@
         drop_lease(std::string(leases_.begin()->first), now);
 }
 
-platform::kv_entry store_model::get(std::string_view key, base::time_point now)
+provider::kv_entry store_model::get(std::string_view key, base::time_point now)
 {
     return get_stale(key, {}, now);
 }
 
-platform::kv_entry store_model::get_stale(std::string_view key,
+provider::kv_entry store_model::get_stale(std::string_view key,
                                           base::duration age,
                                           base::time_point now)
 {
@@ -71,7 +71,7 @@
     return {*seen->value, seen->version};
 }
 
-platform::swap_result
+provider::swap_result
 store_model::compare_and_swap(std::string_view key,
                               std::uint64_t expected_version,
                               std::string_view value, base::time_point now)
@@ -81,30 +81,30 @@
     const std::uint64_t version =
         found == slots_.end() ? 0 : found->second.current.version;
     if (version != expected_version)
-        return {platform::swap_outcome::conflict, version};
+        return {provider::swap_outcome::conflict, version};
     slot& target = slots_[std::string(key)];
     replace(target,
             {std::make_shared<std::string>(value), ++last_version_, now});
-    return {platform::swap_outcome::applied, last_version_};
+    return {provider::swap_outcome::applied, last_version_};
 }
 
-std::vector<platform::kv_item> store_model::list(std::string_view prefix,
+std::vector<provider::kv_item> store_model::list(std::string_view prefix,
                                                  base::duration age,
                                                  base::time_point now)
 {
     expire(now);
-    std::vector<platform::kv_item> items;
+    std::vector<provider::kv_item> items;
     for (auto at = slots_.lower_bound(prefix);
          at != slots_.end() && at->first.starts_with(prefix); ++at)
     {
-        platform::kv_entry seen = get_stale(at->first, age, now);
+        provider::kv_entry seen = get_stale(at->first, age, now);
         if (seen.version != 0)
             items.push_back({at->first, std::move(seen)});
     }
     return items;
 }
 
-platform::lease_grant store_model::acquire_lease(std::string_view name,
+provider::lease_grant store_model::acquire_lease(std::string_view name,
                                                  std::string_view holder,
                                                  base::duration ttl,
                                                  base::time_point now)
--- a/tools/standin/store_model.hpp
+++ b/tools/standin/store_model.hpp
@@ -1,7 +1,7 @@
 #ifndef PIMENTOGRADE_STANDIN_STORE_MODEL_HPP
 #define PIMENTOGRADE_STANDIN_STORE_MODEL_HPP
 
-#include "platform/kv_operations.hpp"
+#include "provider/kv_operations.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -21,18 +21,18 @@
 class store_model
 {
 public:
-    [[nodiscard]] platform::kv_entry get(std::string_view key,
+    [[nodiscard]] provider::kv_entry get(std::string_view key,
                                          base::time_point now);
     /// The entry as it was `age` ago, as far as the last versions are kept.
-    [[nodiscard]] platform::kv_entry
+    [[nodiscard]] provider::kv_entry
     get_stale(std::string_view key, base::duration age, base::time_point now);
-    platform::swap_result compare_and_swap(std::string_view key,
+    provider::swap_result compare_and_swap(std::string_view key,
                                            std::uint64_t expected_version,
                                            std::string_view value,
                                            base::time_point now);
-    [[nodiscard]] std::vector<platform::kv_item>
+    [[nodiscard]] std::vector<provider::kv_item>
     list(std::string_view prefix, base::duration age, base::time_point now);
-    platform::lease_grant acquire_lease(std::string_view name,
+    provider::lease_grant acquire_lease(std::string_view name,
                                         std::string_view holder,
                                         base::duration ttl,
                                         base::time_point now);
