Carry out maintenance waves and move idle machines between pools

Ruled out: orders by each pool's owner (two holders for one machine). Change: the role fleet gives orders to machines under its fence; pools release workers first; the watch of workers batches changes for 600 ms.

--- /dev/null
+++ b/src/fleet/wave_progress.cpp
@@ -0,0 +1,155 @@
+#include "fleet/wave_progress.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace pimentograde::fleet
+{
+
+namespace
+{
+
+// Work that waits for longer than this keeps a pool's machines from being
+// chosen while the wave has time.
+constexpr double quiet_backlog_seconds = 0.5;
+// Time to free a machine besides its maintenance: the longest usual task.
+constexpr std::chrono::seconds preparation_time{3};
+// A list may still show a machine as up that has just been ordered down.
+constexpr double listing_margin = 1.25;
+
+} // namespace
+
+wave_progress::wave_progress(maintenance_wave wave, base::time_point seen_at)
+    : wave_(std::move(wave)), seen_at_(seen_at)
+{
+    for (const std::string& machine : wave_.machines)
+        machines_.emplace(machine, entry{});
+}
+
+void wave_progress::restore_done(std::span<const std::string> machines)
+{
+    for (const std::string& machine : machines)
+        if (const auto found = machines_.find(machine);
+            found != machines_.end())
+            found->second.stage = maintenance_stage::done;
+}
+
+int wave_progress::count(maintenance_stage stage) const
+{
+    return static_cast<int>(
+        std::count_if(machines_.begin(), machines_.end(), [&](const auto& item)
+                      { return item.second.stage == stage; }));
+}
+
+bool wave_progress::is_urgent(base::duration maintenance_time,
+                              base::time_point now) const
+{
+    const int cap = std::max(wave_.max_down, 1);
+    const int rounds = (count(maintenance_stage::pending) + cap - 1) / cap + 1;
+    const base::duration needed =
+        rounds * (maintenance_time + preparation_time);
+    return now + needed >= seen_at_ + wave_.time_limit;
+}
+
+void wave_progress::choose(
+    const std::function<std::optional<machine_load>(const std::string&)>&
+        load_of,
+    base::duration maintenance_time, base::time_point now)
+{
+    int room = wave_.max_down - count(maintenance_stage::preparing) -
+               count(maintenance_stage::ordered);
+    if (room <= 0)
+        return;
+    const bool is_hurried = is_urgent(maintenance_time, now);
+    using candidate = std::tuple<bool, std::int64_t, std::int64_t, std::string>;
+    std::vector<candidate> candidates;
+    for (const auto& [name, state] : machines_)
+    {
+        if (state.stage != maintenance_stage::pending)
+            continue;
+        const auto load = load_of(name);
+        if (!load)
+            continue;
+        const bool is_busy = load->pool_backlog > quiet_backlog_seconds;
+        if (!is_busy || is_hurried)
+            candidates.emplace_back(is_busy, load->long_running, load->runs,
+                                    name);
+    }
+    std::sort(candidates.begin(), candidates.end());
+    for (const auto& chosen : candidates)
+    {
+        if (room-- == 0)
+            return;
+        machines_[std::get<std::string>(chosen)] = {
+            maintenance_stage::preparing, now, false};
+    }
+}
+
+std::vector<std::string>
+wave_progress::machines_in(maintenance_stage stage) const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, state] : machines_)
+        if (state.stage == stage)
+            names.push_back(name);
+    return names;
+}
+
+void wave_progress::note_ordered(const std::string& machine,
+                                 base::time_point now)
+{
+    machines_[machine] = {maintenance_stage::ordered, now, false};
+}
+
+void wave_progress::note_acknowledged(const std::string& machine,
+                                      base::time_point now)
+{
+    machines_[machine] = {maintenance_stage::ordered, now, true};
+}
+
+std::vector<std::string> wave_progress::unacknowledged() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, state] : machines_)
+        if (state.stage == maintenance_stage::ordered && !state.is_acknowledged)
+            names.push_back(name);
+    return names;
+}
+
+void wave_progress::note_refused(const std::string& machine)
+{
+    machines_[machine] = {maintenance_stage::pending, {}, false};
+}
+
+void wave_progress::note_gone(const std::string& machine)
+{
+    machines_[machine].stage = maintenance_stage::done;
+}
+
+void wave_progress::note_listed(const machine& entry,
+                                base::duration maintenance_time,
+                                base::time_point now)
+{
+    const auto found = machines_.find(entry.id);
+    if (found == machines_.end() ||
+        found->second.stage != maintenance_stage::ordered ||
+        entry.status != machine_status::up)
+        return;
+    const auto shortest = std::chrono::duration_cast<base::duration>(
+        maintenance_time * listing_margin);
+    // An order without an acknowledgement is sent again.
+    if (found->second.is_acknowledged && now - found->second.since >= shortest)
+        found->second.stage = maintenance_stage::done;
+}
+
+bool wave_progress::is_complete() const
+{
+    return count(maintenance_stage::done) == static_cast<int>(machines_.size());
+}
+
+std::vector<std::string> wave_progress::done() const
+{
+    return machines_in(maintenance_stage::done);
+}
+
+} // namespace pimentograde::fleet
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -365,9 +365,40 @@
             entry->active->state != run_state::running)
             continue;
         const step_spec& part = subject->spec_of(subject->position_of(name));
-        if (part.is_long_running || part.is_checkpointing)
+        const bool is_draining = worker.description.is_draining;
+        if (part.is_long_running && (is_draining || may_interrupt(*subject, name)))
+            stop_run(name, *entry, "the worker is leaving", now);
+        else if (part.is_checkpointing && is_draining)
             stop_run(name, *entry, "the worker is draining", now);
     }
 }
 
+bool pool_state::may_interrupt(const job& subject, const task_id& id)
+{
+    const std::size_t position = subject.position_of(id);
+    const auto& tasks = subject.steps[position].tasks;
+    int away = 0;
+    for (std::size_t index = 0; index < tasks.size(); ++index)
+    {
+        const auto& run = tasks[index].active;
+        const bool is_at_work = run && run->state == run_state::running &&
+                                run->percent == full_percent;
+        if (static_cast<int>(index) != id.index && !is_at_work)
+            ++away;
+    }
+    return away < std::max(subject.spec_of(position).max_unavailable, 1);
+}
+
+bool pool_state::prepare_leave(std::string_view id, base::time_point until,
+                               base::time_point now)
+{
+    worker_view* worker = find_worker(id);
+    if (worker == nullptr)
+        return true;
+    worker->leaving_until = std::max(worker->leaving_until, until);
+    evacuate(*worker, now);
+    return worker->runs.empty() &&
+           (worker->has_reported || !worker->is_listed);
+}
+
 } // namespace pimentograde::jobs
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -100,6 +100,11 @@
     /// Nothing of the worker's runs can exist any more.
     void lose_runs(std::string_view id, base::time_point now);
     void forget_worker(std::string_view id);
+    /// Keeps new runs off the worker until `until` and moves long-running tasks
+    /// elsewhere, as far as the availability of their steps allows. Returns
+    /// whether nothing runs on it any more.
+    bool prepare_leave(std::string_view id, base::time_point until,
+                       base::time_point now);
     void set_reachable(std::string_view id, bool is_reachable);
     /// `sent_at` is when the worker was asked.
     void apply_report(std::string_view id, const worker_report& report,
@@ -189,6 +194,8 @@
     int same_step_count(const worker_view& worker, const job& subject,
                         std::size_t position) const;
     void evacuate(worker_view& worker, base::time_point now);
+    [[nodiscard]] static bool may_interrupt(const job& subject,
+                                            const task_id& id);
     void tell(decision entry) const;
 
     std::string pool_;
--- a/src/jobs/worker_view.cpp
+++ b/src/jobs/worker_view.cpp
@@ -71,7 +71,8 @@
 bool worker_view::accepts_starts(base::time_point now) const
 {
     return is_listed && has_reported && is_reachable &&
-           !description.is_draining && now >= no_room_until &&
+           !description.is_draining && now >= leaving_until &&
+           now >= no_room_until &&
            !health.is_quarantined(now);
 }
 
--- a/src/jobs/worker_view.hpp
+++ b/src/jobs/worker_view.hpp
@@ -69,6 +69,9 @@
     /// Highest end that has been applied.
     std::int64_t applied_end = 0;
     worker_health health;
+    /// It takes no new runs until then, since its instance is to be maintained
+    /// or moved.
+    base::time_point leaving_until{};
     /// Set after the worker rejected a start for want of room.
     base::time_point no_room_until{};
 
--- /dev/null
+++ b/src/node/fleet_manager.cpp
@@ -0,0 +1,445 @@
+#include "node/fleet_manager.hpp"
+
+#include "base/error.hpp"
+#include "log/event.hpp"
+#include "node/events.hpp"
+#include "node/pool_claims.hpp"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace pimentograde::node
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr std::string_view role = "fleet";
+constexpr std::chrono::milliseconds tick_interval{250};
+constexpr std::chrono::milliseconds listing_interval{500};
+constexpr std::chrono::milliseconds call_timeout{1200};
+constexpr std::chrono::milliseconds load_timeout{400};
+// A worker that is being freed stays without new runs this long after each
+// request, and after its order until it has left the list.
+constexpr std::chrono::milliseconds release_hold{1500};
+constexpr std::chrono::seconds departure_hold{10};
+// A machine that has just moved gets the time to be used.
+constexpr std::chrono::seconds move_rest{3};
+// Added to the pause between two holders for orders on their way.
+constexpr std::chrono::milliseconds holder_slack{400};
+constexpr double millis = 1000.0;
+
+std::string wave_record_key(std::int64_t number)
+{
+    return "pimentograde-fleet/wave/" + std::to_string(number);
+}
+
+std::string wave_status_key(std::int64_t number)
+{
+    return "status/wave/" + std::to_string(number);
+}
+
+std::string_view to_string(platform::machine_answer answer)
+{
+    switch (answer)
+    {
+    case platform::machine_answer::done:
+        return "done";
+    case platform::machine_answer::busy:
+        return "busy";
+    case platform::machine_answer::fenced_off:
+        return "fenced_off";
+    case platform::machine_answer::not_in_wave:
+        return "not_in_wave";
+    case platform::machine_answer::invalid:
+        break;
+    }
+    return "invalid";
+}
+
+} // namespace
+
+fleet_manager::fleet_manager(session& members, pool_gateway& gateway,
+                             platform::store_client& store,
+                             net::http_client& http,
+                             net::endpoint machine_service, timing times)
+    : session_(members), gateway_(gateway), store_(store),
+      machines_client_(http, std::move(machine_service)), times_(times)
+{
+}
+
+fleet_manager::~fleet_manager()
+{
+    stop();
+}
+
+void fleet_manager::start()
+{
+    fibers_.spawn([this] { run(); });
+}
+
+void fleet_manager::stop()
+{
+    stop_.set();
+    fibers_.join();
+}
+
+void fleet_manager::set_configuration(const platform::configuration& current)
+{
+    pools_ = current.pools;
+}
+
+void fleet_manager::set_wave(const fleet::maintenance_wave& wave,
+                             base::time_point now)
+{
+    known_waves_.insert_or_assign(wave.number, wave);
+    wave_seen_.emplace(wave.number, now);
+}
+
+void fleet_manager::run()
+{
+    while (!stop_.wait_for(tick_interval))
+    {
+        const base::time_point now = base::steady_now();
+        try
+        {
+            if (hold_role(now))
+                tick(now);
+            if (!std::exchange(service_answers_, true))
+                log::write(event_machine_service_failed,
+                           {{"state", "answers again"}});
+        }
+        catch (const std::exception& failure)
+        {
+            if (std::exchange(service_answers_, false))
+                log::write(event_machine_service_failed,
+                           {{"reason", failure.what()}});
+        }
+    }
+}
+
+bool fleet_manager::hold_role(base::time_point now)
+{
+    const holder* current = session_.holder_of(role);
+    if (!session_.is_registered() || pools_.empty())
+    {
+        release_role();
+        return false;
+    }
+    if (current != nullptr && session_.is_own(*current))
+    {
+        if (fence_ != current->revision)
+        {
+            release_role();
+            fence_ = current->revision;
+            order_after_ = now + times_.holder_pause + holder_slack;
+            log::write(event_pool_claimed,
+                       {{"pool", "fleet"}, {"fence", *fence_}});
+        }
+        return true;
+    }
+    release_role();
+    if (current != nullptr && current->node != session_.own().name)
+    {
+        free_since_ = {};
+        return false;
+    }
+    if (free_since_ == base::time_point{})
+        free_since_ = now;
+    if (now - free_since_ >=
+        claim_delay(session_.members(), session_.own().name, pools_.size()))
+        session_.claim(role);
+    return false;
+}
+
+void fleet_manager::release_role()
+{
+    fence_.reset();
+    waves_.clear();
+    recorded_.clear();
+    completed_.clear();
+    moves_.clear();
+}
+
+bool fleet_manager::may_order(base::time_point now) const
+{
+    const holder* current = session_.holder_of(role);
+    return fence_ && current != nullptr && current->revision == *fence_ &&
+           now >= order_after_ && !stop_.is_set() &&
+           session_.holds_lease(base::suspend_aware_now());
+}
+
+platform::machine_authority fleet_manager::authority() const
+{
+    return {session_.own().name, *fence_};
+}
+
+void fleet_manager::refresh(base::time_point now)
+{
+    if (now - listed_at_ < listing_interval)
+        return;
+    listed_at_ = now;
+    const auto listed = machines_client_.list(now + call_timeout);
+    machines_.clear();
+    for (const fleet::machine& entry : listed)
+        machines_[entry.id] = entry;
+    for (const auto& pool : pools_)
+        if (!pool.is_standby)
+            loads_[pool.name] = gateway_.load(
+                pool.name, base::steady_now() + load_timeout);
+}
+
+void fleet_manager::tick(base::time_point now)
+{
+    refresh(now);
+    for (const auto& [number, wave] : known_waves_)
+    {
+        if (completed_.contains(number))
+            continue;
+        auto found = waves_.find(number);
+        if (found == waves_.end())
+        {
+            found = waves_
+                        .emplace(number, fleet::wave_progress(
+                                             wave, wave_seen_[number]))
+                        .first;
+            restore_wave(found->second);
+        }
+        work_wave(found->second, now);
+        record_wave(found->second);
+    }
+    work_moves(now);
+}
+
+std::optional<fleet::machine_load>
+fleet_manager::load_of(const std::string& machine) const
+{
+    const auto found = machines_.find(machine);
+    if (found == machines_.end() ||
+        found->second.status != fleet::machine_status::up)
+        return std::nullopt;
+    fleet::machine_load load;
+    const auto pool = loads_.find(found->second.pool);
+    if (pool == loads_.end() || !pool->second.is_known)
+        return load;
+    const double cores =
+        std::max(static_cast<double>(pool->second.usable_millis), millis);
+    load.pool_backlog =
+        static_cast<double>(pool->second.backlog_core_ms) / cores;
+    for (const auto& worker : pool->second.workers)
+        if (worker.worker == found->second.worker)
+        {
+            load.runs = worker.runs;
+            load.long_running = worker.long_running;
+        }
+    return load;
+}
+
+void fleet_manager::work_wave(fleet::wave_progress& wave, base::time_point now)
+{
+    using stage = fleet::maintenance_stage;
+    for (const std::string& name : wave.wave().machines)
+    {
+        const auto found = machines_.find(name);
+        if (found != machines_.end())
+            wave.note_listed(found->second, times_.maintenance_time,
+                             listed_at_);
+        else if (!machines_.empty())
+            wave.note_gone(name);
+    }
+    if (!may_order(now))
+        return;
+    wave.choose([this](const std::string& machine) { return load_of(machine); },
+                times_.maintenance_time, now);
+    for (const std::string& name : wave.machines_in(stage::preparing))
+    {
+        const auto found = machines_.find(name);
+        if (found == machines_.end())
+            continue;
+        const fleet::machine entry = found->second;
+        const bool is_free =
+            entry.worker.empty() ||
+            gateway_.release_worker(entry.pool, entry.worker, release_hold,
+                                    base::steady_now() + load_timeout);
+        if (is_free && may_order(base::steady_now()))
+            order_maintenance(wave, name);
+    }
+    for (const std::string& name : wave.unacknowledged())
+        if (may_order(base::steady_now()))
+            order_maintenance(wave, name);
+}
+
+void fleet_manager::order_maintenance(fleet::wave_progress& wave,
+                                      const std::string& machine)
+{
+    const fleet::machine entry = machines_[machine];
+    const auto pending = wave.unacknowledged();
+    const bool is_repeated =
+        std::find(pending.begin(), pending.end(), machine) != pending.end();
+    wave.note_ordered(machine, base::steady_now());
+    const auto answer = machines_client_.maintain(
+        authority(), machine, wave.wave().number,
+        base::steady_now() + call_timeout);
+    log::write(event_machine_order, {{"order", "maintain"},
+                                     {"machine", machine},
+                                     {"worker", entry.worker},
+                                     {"wave", wave.wave().number},
+                                     {"fence", *fence_},
+                                     {"answer", to_string(answer)}});
+    if (answer == platform::machine_answer::done)
+    {
+        wave.note_acknowledged(machine, base::steady_now());
+        gateway_.release_worker(entry.pool, entry.worker, departure_hold,
+                                base::steady_now() + load_timeout);
+    }
+    else if (answer == platform::machine_answer::invalid ||
+             answer == platform::machine_answer::not_in_wave)
+        wave.note_gone(machine);
+    else if (!is_repeated)
+        wave.note_refused(machine);
+}
+
+void fleet_manager::restore_wave(fleet::wave_progress& wave)
+{
+    const auto stored = store_.get(wave_record_key(wave.wave().number));
+    if (!stored)
+        return;
+    boost::system::error_code failure;
+    const json::value parsed = json::parse(stored->value, failure);
+    if (failure || !parsed.is_array())
+        return;
+    std::vector<std::string> done;
+    for (const json::value& row : parsed.get_array())
+        if (row.is_string())
+            done.emplace_back(row.get_string());
+    wave.restore_done(done);
+}
+
+void fleet_manager::record_wave(fleet::wave_progress& wave)
+{
+    const std::int64_t number = wave.wave().number;
+    const auto done = wave.done();
+    const auto recorded = recorded_.find(number);
+    if ((recorded != recorded_.end() && recorded->second == done.size()) ||
+        !fence_)
+        return;
+    const bool is_complete = wave.is_complete();
+    const auto result = store_.commit(
+        {{{session::role_key(role), *fence_}},
+         {{wave_record_key(number), json::serialize(json::value_from(done)), 0},
+          {wave_status_key(number), platform::write_wave_status(is_complete),
+           0}},
+         {}});
+    if (result.outcome != platform::commit_result::kind::committed)
+        return;
+    recorded_[number] = done.size();
+    log::write(event_wave, {{"wave", number},
+                            {"done", done.size()},
+                            {"machines", wave.wave().machines.size()},
+                            {"state", is_complete ? "completed" : "running"}});
+    if (is_complete)
+        completed_.insert(number);
+}
+
+bool fleet_manager::is_in_wave(const std::string& machine) const
+{
+    using stage = fleet::maintenance_stage;
+    for (const auto& [number, wave] : waves_)
+    {
+        if (completed_.contains(number))
+            continue;
+        for (const stage current : {stage::preparing, stage::ordered})
+        {
+            const auto names = wave.machines_in(current);
+            if (std::find(names.begin(), names.end(), machine) != names.end())
+                return true;
+        }
+    }
+    return false;
+}
+
+std::vector<fleet::pool_demand>
+fleet_manager::demands(base::time_point now) const
+{
+    std::vector<fleet::pool_demand> result;
+    for (const auto& pool : pools_)
+    {
+        fleet::pool_demand demand;
+        demand.pool = pool.name;
+        demand.is_standby = pool.is_standby;
+        const auto load = loads_.find(pool.name);
+        if (load != loads_.end())
+        {
+            demand.backlog =
+                static_cast<double>(load->second.backlog_core_ms) / millis;
+            demand.cores =
+                static_cast<double>(load->second.usable_millis) / millis;
+        }
+        for (const auto& [id, entry] : machines_)
+        {
+            const auto moved = moves_.find(id);
+            const bool is_resting =
+                moved != moves_.end() && now - moved->second.at < move_rest;
+            // A machine on its way counts at its target.
+            if (is_resting && moved->second.to == pool.name &&
+                entry.status != fleet::machine_status::up)
+                demand.cores +=
+                    static_cast<double>(entry.capacity.cpu_millis) / millis;
+            if (entry.pool != pool.name || is_resting || is_in_wave(id))
+                continue;
+            const auto machine = load_of(id);
+            const bool is_idle = pool.is_standby ||
+                                 (machine && machine->runs == 0 &&
+                                  !entry.worker.empty() &&
+                                  load != loads_.end() &&
+                                  load->second.is_known);
+            if (is_idle)
+                demand.idle_machines.push_back(id);
+        }
+        result.push_back(std::move(demand));
+    }
+    return result;
+}
+
+void fleet_manager::work_moves(base::time_point now)
+{
+    if (!may_order(now) || machines_.empty())
+        return;
+    const double cores_per_machine =
+        static_cast<double>(machines_.begin()->second.capacity.cpu_millis) /
+        millis;
+    for (const auto& move :
+         fleet::plan_moves(demands(now), cores_per_machine))
+        if (may_order(base::steady_now()))
+            order_move(move);
+}
+
+void fleet_manager::order_move(const fleet::machine_move& move)
+{
+    const fleet::machine entry = machines_[move.machine];
+    const bool is_free =
+        entry.worker.empty() ||
+        gateway_.release_worker(entry.pool, entry.worker, release_hold,
+                                base::steady_now() + load_timeout);
+    if (!is_free || !may_order(base::steady_now()))
+        return;
+    moves_[move.machine] = {move.to, base::steady_now()};
+    const auto answer = machines_client_.move(
+        authority(), move.machine, move.to, base::steady_now() + call_timeout);
+    log::write(event_machine_order, {{"order", "move"},
+                                     {"machine", move.machine},
+                                     {"worker", entry.worker},
+                                     {"from", move.from},
+                                     {"to", move.to},
+                                     {"fence", *fence_},
+                                     {"answer", to_string(answer)}});
+    if (answer == platform::machine_answer::done && !entry.worker.empty())
+        gateway_.release_worker(entry.pool, entry.worker, departure_hold,
+                                base::steady_now() + load_timeout);
+}
+
+} // namespace pimentograde::node
--- /dev/null
+++ b/src/node/fleet_manager.hpp
@@ -0,0 +1,102 @@
+#ifndef PIMENTOGRADE_NODE_FLEET_MANAGER_HPP
+#define PIMENTOGRADE_NODE_FLEET_MANAGER_HPP
+
+#include "base/time.hpp"
+#include "fleet/machine.hpp"
+#include "fleet/move_policy.hpp"
+#include "fleet/wave_progress.hpp"
+#include "net/http_client.hpp"
+#include "net/task_group.hpp"
+#include "node/pool_gateway.hpp"
+#include "node/session.hpp"
+#include "platform/configuration.hpp"
+#include "platform/machine_client.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace pimentograde::node
+{
+
+/// Gives orders to machines: maintenance waves and moves between pools. One
+/// instance at a time does so, under the role `fleet`.
+class fleet_manager
+{
+public:
+    struct timing
+    {
+        base::duration move_time{};
+        base::duration maintenance_time{};
+        /// Pause between two holders of the role.
+        base::duration holder_pause{};
+    };
+
+    fleet_manager(session& members, pool_gateway& gateway,
+                  platform::store_client& store, net::http_client& http,
+                  net::endpoint machine_service, timing times);
+    ~fleet_manager();
+    fleet_manager(const fleet_manager&) = delete;
+    fleet_manager& operator=(const fleet_manager&) = delete;
+
+    void start();
+    void stop();
+    void set_configuration(const platform::configuration& current);
+    void set_wave(const fleet::maintenance_wave& wave, base::time_point now);
+
+private:
+    /// A move that has been ordered.
+    struct recent_move
+    {
+        std::string to;
+        base::time_point at;
+    };
+
+    void run();
+    void tick(base::time_point now);
+    [[nodiscard]] bool hold_role(base::time_point now);
+    void release_role();
+    [[nodiscard]] bool may_order(base::time_point now) const;
+    void refresh(base::time_point now);
+    void work_wave(fleet::wave_progress& wave, base::time_point now);
+    void order_maintenance(fleet::wave_progress& wave,
+                           const std::string& machine);
+    void record_wave(fleet::wave_progress& wave);
+    void restore_wave(fleet::wave_progress& wave);
+    void work_moves(base::time_point now);
+    void order_move(const fleet::machine_move& move);
+    [[nodiscard]] std::vector<fleet::pool_demand>
+    demands(base::time_point now) const;
+    [[nodiscard]] std::optional<fleet::machine_load>
+    load_of(const std::string& machine) const;
+    [[nodiscard]] bool is_in_wave(const std::string& machine) const;
+    [[nodiscard]] platform::machine_authority authority() const;
+
+    session& session_;
+    pool_gateway& gateway_;
+    platform::store_client& store_;
+    platform::machine_client machines_client_;
+    timing times_;
+    std::vector<platform::pool_settings> pools_;
+    std::map<std::int64_t, fleet::maintenance_wave> known_waves_;
+    std::map<std::int64_t, base::time_point> wave_seen_;
+    std::map<std::int64_t, fleet::wave_progress> waves_;
+    std::map<std::int64_t, std::size_t> recorded_;
+    std::set<std::int64_t> completed_;
+    std::map<std::string, fleet::machine> machines_;
+    std::map<std::string, peer::pool_load> loads_;
+    std::map<std::string, recent_move> moves_;
+    std::optional<std::int64_t> fence_;
+    base::time_point order_after_{};
+    base::time_point free_since_{};
+    base::time_point listed_at_{};
+    bool service_answers_ = true;
+    net::stop_signal stop_;
+    net::task_group fibers_;
+};
+
+} // namespace pimentograde::node
+
+#endif
--- a/src/node/node_instance.cpp
+++ b/src/node/node_instance.cpp
@@ -9,6 +9,7 @@
 #include "net/task_group.hpp"
 #include "node/caller_front.hpp"
 #include "node/events.hpp"
+#include "node/fleet_manager.hpp"
 #include "node/pool_claims.hpp"
 #include "node/pool_gateway.hpp"
 #include "node/prefix_watch.hpp"
@@ -29,12 +30,18 @@
 
 constexpr std::string_view operator_prefix = "op/";
 constexpr std::string_view configuration_key = "op/config";
+constexpr std::string_view wave_prefix = "op/wave/";
 // The platform takes an instance out of rotation after two missed checks, one
 // a second; until then new connections still arrive.
 constexpr std::chrono::milliseconds rotation_time{2300};
 // Calls in progress may take this long at a planned stop.
 constexpr std::chrono::milliseconds stop_reserve{1200};
 constexpr std::chrono::milliseconds secret_poll{50};
+// Workers write about every second and a half each; a drain has to be known
+// within 2 s.
+constexpr std::chrono::milliseconds worker_batching{600};
+constexpr std::chrono::milliseconds member_batching{30};
+constexpr std::chrono::milliseconds operator_batching{50};
 constexpr std::chrono::seconds caller_idle_timeout{60};
 constexpr std::size_t max_caller_connections = 3000;
 
@@ -57,12 +64,16 @@
           claims(members, directory, *store, *worker_http,
                  settings.longest_worker_lease),
           gateway(members, claims, *store), front(gateway, metrics),
-          member_watch(std::string(session::prefix()), *store,
+          fleet(members, gateway, *store, *worker_http,
+                settings.machine_service,
+                {settings.move_time, settings.maintenance_time,
+                 settings.machine_holder_pause}),
+          member_watch(std::string(session::prefix()), *store, member_batching,
                        member_hooks()),
           operator_watch(std::string(operator_prefix), *store,
-                         operator_hooks()),
+                         operator_batching, operator_hooks()),
           worker_watch(std::string(worker_directory::prefix()), *store,
-                       worker_hooks())
+                       worker_batching, worker_hooks())
     {
     }
 
@@ -75,6 +86,7 @@
     pool_claims claims;
     pool_gateway gateway;
     caller_front front;
+    fleet_manager fleet;
     prefix_watch member_watch;
     prefix_watch operator_watch;
     prefix_watch worker_watch;
@@ -92,6 +104,7 @@
     prefix_watch::hooks worker_hooks();
     void note_exchange(bool is_ok);
     void adopt(const platform::store_item& item);
+    void adopt_configuration(const platform::store_item& item);
     void open_listeners();
     void open_peer_listener();
     [[nodiscard]] bool is_ready() const;
@@ -113,14 +126,12 @@
     return {[this](std::span<const platform::store_item> items)
             {
                 for (const auto& item : items)
-                    if (item.key == configuration_key)
-                        adopt(item);
+                    adopt(item);
             },
             [this](std::span<const platform::store_event> events)
             {
                 for (const auto& event : events)
-                    if (event.item.key == configuration_key &&
-                        !event.is_deleted)
+                    if (!event.is_deleted)
                         adopt(event.item);
             },
             [](bool) {}};
@@ -151,18 +162,11 @@
 {
     try
     {
-        const auto current = platform::read_configuration(item.value);
-        // A listing after an outage may be answered by an older watch.
-        if (current.version <= version)
-            return;
-        version = current.version;
-        front.set_configuration(current);
-        claims.set_configuration(current);
-        log::write(event_configuration_adopted,
-                   {{"version", version},
-                    {"revision", item.revision},
-                    {"queues", current.queues.size()},
-                    {"pools", current.pools.size()}});
+        if (item.key == configuration_key)
+            adopt_configuration(item);
+        else if (item.key.starts_with(wave_prefix))
+            fleet.set_wave(platform::read_wave(item.value),
+                           base::steady_now());
     }
     catch (const std::exception& failure)
     {
@@ -171,6 +175,23 @@
     }
 }
 
+void node_instance::impl::adopt_configuration(const platform::store_item& item)
+{
+    const auto current = platform::read_configuration(item.value);
+    // A listing after an outage may be answered by an older watch.
+    if (current.version <= version)
+        return;
+    version = current.version;
+    front.set_configuration(current);
+    claims.set_configuration(current);
+    fleet.set_configuration(current);
+    log::write(event_configuration_adopted,
+               {{"version", version},
+                {"revision", item.revision},
+                {"queues", current.queues.size()},
+                {"pools", current.pools.size()}});
+}
+
 bool node_instance::impl::is_ready() const
 {
     return !is_stopping && front.has_configuration() && peers != nullptr;
@@ -237,6 +258,7 @@
     worker_watch.start();
     members.start();
     claims.start();
+    fleet.start();
     fibers.spawn([this] { open_peer_listener(); });
     log::write(event_started,
                {{"callers", net::to_string(settings.caller_listen)},
@@ -252,6 +274,7 @@
                                          rotation_time);
     is_stopping = true;
     log::write(event_stopping);
+    fleet.stop();
     claims.quiesce();
     members.stop();
     callers->close_after_responses();
--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -78,6 +78,31 @@
                                : jobs::reported_status::queued;
 }
 
+peer::pool_load load_of(const pools::pool_owner& owner)
+{
+    constexpr double millis = 1000.0;
+    const jobs::pool_state& state = owner.state();
+    peer::pool_load load;
+    load.is_known = owner.is_loaded();
+    load.backlog_core_ms = static_cast<std::int64_t>(state.backlog() * millis);
+    load.usable_millis = static_cast<std::int64_t>(
+        state.usable_cores(base::steady_now()) * millis);
+    for (const auto& [id, worker] : state.workers())
+    {
+        peer::worker_load entry{id, static_cast<std::int64_t>(
+                                        worker.runs.size()),
+                                0};
+        for (const auto& [task, run] : worker.runs)
+        {
+            const jobs::job* subject = state.find_job(task.job);
+            if (subject != nullptr && subject->spec.is_long_running())
+                ++entry.long_running;
+        }
+        load.workers.push_back(std::move(entry));
+    }
+    return load;
+}
+
 base::duration time_left(base::time_point deadline)
 {
     return std::max<base::duration>(deadline - reply_reserve -
@@ -234,6 +259,49 @@
     return std::nullopt;
 }
 
+peer::pool_load pool_gateway::load(const std::string& pool,
+                                   base::time_point deadline)
+{
+    if (const auto owner = claims_.find(pool))
+        return load_of(*owner);
+    const holder* current = session_.holder_of(role_of(pool));
+    if (current == nullptr)
+        return {};
+    try
+    {
+        return client_of(current->address)
+            .send(peer::query_load{pool}, deadline);
+    }
+    catch (const base::error&)
+    {
+        // The next round asks again.
+        return {};
+    }
+}
+
+bool pool_gateway::release_worker(const std::string& pool,
+                                  const std::string& worker,
+                                  base::duration hold,
+                                  base::time_point deadline)
+{
+    if (const auto owner = claims_.find(pool))
+        return owner->release_worker(worker, hold);
+    const holder* current = session_.holder_of(role_of(pool));
+    if (current == nullptr)
+        return false;
+    try
+    {
+        return client_of(current->address)
+            .send(peer::release_worker{pool, worker, hold}, deadline)
+            .is_released;
+    }
+    catch (const base::error&)
+    {
+        // The next round asks again.
+        return false;
+    }
+}
+
 void pool_gateway::add_handlers(peer::peer_server::builder& server)
 {
     server.handle<peer::submit_job>(
@@ -278,6 +346,20 @@
                 owner == nullptr ? std::nullopt : owner->pending(message.queue);
             return peer::pending_reply{count.has_value(), count.value_or(0)};
         });
+    server.handle<peer::query_load>(
+        [this](const peer::call_context&, const peer::query_load& message)
+        {
+            const auto owner = claims_.find(message.pool);
+            return owner == nullptr ? peer::pool_load{} : load_of(*owner);
+        });
+    server.handle<peer::release_worker>(
+        [this](const peer::call_context&, const peer::release_worker& message)
+        {
+            const auto owner = claims_.find(message.pool);
+            return peer::release_worker_reply{
+                owner != nullptr &&
+                owner->release_worker(message.worker, message.hold)};
+        });
 }
 
 } // namespace pimentograde::node
--- a/src/node/pool_gateway.hpp
+++ b/src/node/pool_gateway.hpp
@@ -36,6 +36,12 @@
     std::optional<std::int64_t> pending(const jobs::queue_policy& queue,
                                         base::time_point deadline);
 
+    /// Load of a pool; `is_known` is false when the owner cannot be asked.
+    peer::pool_load load(const std::string& pool, base::time_point deadline);
+    /// Asks the owner to free a worker; false also when it cannot be asked.
+    bool release_worker(const std::string& pool, const std::string& worker,
+                        base::duration hold, base::time_point deadline);
+
     /// Answers what other instances ask of the pools owned here.
     void add_handlers(peer::peer_server::builder& server);
 
--- a/src/node/prefix_watch.cpp
+++ b/src/node/prefix_watch.cpp
@@ -20,8 +20,9 @@
 } // namespace
 
 prefix_watch::prefix_watch(std::string prefix, platform::store_client& store,
-                           hooks functions)
-    : prefix_(std::move(prefix)), store_(store), hooks_(std::move(functions))
+                           base::duration batching, hooks functions)
+    : prefix_(std::move(prefix)), store_(store), batching_(batching),
+      hooks_(std::move(functions))
 {
 }
 
@@ -77,8 +78,10 @@
         return;
     }
     revision_ = changes.revision;
-    if (!changes.events.empty())
-        hooks_.changed(changes.events);
+    if (changes.events.empty())
+        return;
+    hooks_.changed(changes.events);
+    stop_.wait_for(batching_);
 }
 
 } // namespace pimentograde::node
--- a/src/node/prefix_watch.hpp
+++ b/src/node/prefix_watch.hpp
@@ -26,8 +26,10 @@
         std::function<void(bool is_ok)> exchanged;
     };
 
+    /// After each answer with changes the watch pauses for `batching`, so that
+    /// frequent changes arrive together; each call is priced.
     prefix_watch(std::string prefix, platform::store_client& store,
-                 hooks functions);
+                 base::duration batching, hooks functions);
     ~prefix_watch();
     prefix_watch(const prefix_watch&) = delete;
     prefix_watch& operator=(const prefix_watch&) = delete;
@@ -42,6 +44,7 @@
 
     std::string prefix_;
     platform::store_client& store_;
+    base::duration batching_;
     hooks hooks_;
     bool is_listed_ = false;
     std::int64_t revision_ = 0;
--- a/src/node/session.cpp
+++ b/src/node/session.cpp
@@ -25,6 +25,8 @@
 // for an answer when it is slow, and a renewal may be lost.
 constexpr std::chrono::milliseconds lease_length{2500};
 constexpr std::chrono::milliseconds renewal_interval{800};
+// Time for an order to arrive before the lease ends.
+constexpr std::chrono::milliseconds lease_margin{400};
 constexpr std::chrono::milliseconds retry_delay{150};
 // Orders go on this long without a renewal, so that an outage of the store
 // does not stop accepted work. New owners wait for it, see pools/pool_owner.
@@ -94,6 +96,11 @@
     return lease_ != 0 && now - renewed_at_ < order_limit;
 }
 
+bool session::holds_lease(base::time_point now) const
+{
+    return lease_ != 0 && now - renewed_at_ < lease_length - lease_margin;
+}
+
 void session::lease_loop()
 {
     while (!stop_.is_set())
--- a/src/node/session.hpp
+++ b/src/node/session.hpp
@@ -82,6 +82,10 @@
     /// `now` is on the clock that also runs during a suspension.
     [[nodiscard]] bool may_order(base::time_point now) const;
 
+    /// Whether the lease is certainly in force, so that no other instance can
+    /// hold a role of this one.
+    [[nodiscard]] bool holds_lease(base::time_point now) const;
+
     /// Claims a role that nobody holds, or that an earlier life of this
     /// instance held. Returns the claim's revision, or nothing when another
     /// instance was faster.
--- a/src/peer/pool_messages.cpp
+++ b/src/peer/pool_messages.cpp
@@ -111,4 +111,78 @@
     return {fields.text("pool"), fields.text("queue")};
 }
 
+Json::Value worker_load::to_json() const
+{
+    Json::Value value(Json::objectValue);
+    value["worker"] = text_value(worker);
+    value["runs"] = Json::Int64(runs);
+    value["long_running"] = Json::Int64(long_running);
+    return value;
+}
+
+worker_load worker_load::from_json(const Json::Value& source)
+{
+    const message_fields fields(source);
+    return {fields.text("worker"), fields.signed_number("runs"),
+            fields.signed_number("long_running")};
+}
+
+Json::Value pool_load::to_json() const
+{
+    Json::Value value(Json::objectValue);
+    value["known"] = is_known;
+    value["backlog_core_ms"] = Json::Int64(backlog_core_ms);
+    value["usable_millis"] = Json::Int64(usable_millis);
+    value["workers"] = list_value(workers);
+    return value;
+}
+
+pool_load pool_load::from_json(const Json::Value& source)
+{
+    const message_fields fields(source);
+    return {fields.flag("known"), fields.signed_number("backlog_core_ms"),
+            fields.signed_number("usable_millis"),
+            read_list<worker_load>(fields.array("workers"))};
+}
+
+Json::Value query_load::to_json() const
+{
+    Json::Value value(Json::objectValue);
+    value["pool"] = text_value(pool);
+    return value;
+}
+
+query_load query_load::from_json(const Json::Value& source)
+{
+    return {message_fields(source).text("pool")};
+}
+
+Json::Value release_worker_reply::to_json() const
+{
+    Json::Value value(Json::objectValue);
+    value["released"] = is_released;
+    return value;
+}
+
+release_worker_reply release_worker_reply::from_json(const Json::Value& source)
+{
+    return {message_fields(source).flag("released")};
+}
+
+Json::Value release_worker::to_json() const
+{
+    Json::Value value(Json::objectValue);
+    value["pool"] = text_value(pool);
+    value["worker"] = text_value(worker);
+    value["hold_us"] = length_value(hold);
+    return value;
+}
+
+release_worker release_worker::from_json(const Json::Value& source)
+{
+    const message_fields fields(source);
+    return {fields.text("pool"), fields.text("worker"),
+            fields.length("hold_us")};
+}
+
 } // namespace pimentograde::peer
--- a/src/peer/pool_messages.hpp
+++ b/src/peer/pool_messages.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace pimentograde::peer
 {
@@ -101,6 +102,67 @@
     static count_pending from_json(const Json::Value& source);
 };
 
+/// Load of one worker.
+struct worker_load
+{
+    std::string worker;
+    std::int64_t runs = 0;
+    std::int64_t long_running = 0;
+
+    [[nodiscard]] Json::Value to_json() const;
+    static worker_load from_json(const Json::Value& source);
+};
+
+/// Load of a pool, as its owner knows it.
+struct pool_load
+{
+    bool is_known = false;
+    /// Work that waits or runs, core-milliseconds.
+    std::int64_t backlog_core_ms = 0;
+    /// Cores that accept work, in thousandths.
+    std::int64_t usable_millis = 0;
+    std::vector<worker_load> workers;
+
+    [[nodiscard]] Json::Value to_json() const;
+    static pool_load from_json(const Json::Value& source);
+};
+
+struct query_load
+{
+    static constexpr const char* method = "query_load";
+    using reply_type = pool_load;
+
+    std::string pool;
+
+    [[nodiscard]] Json::Value to_json() const;
+    static query_load from_json(const Json::Value& source);
+};
+
+struct release_worker_reply
+{
+    /// Nothing runs on the worker and nothing will be started there.
+    bool is_released = false;
+
+    [[nodiscard]] Json::Value to_json() const;
+    static release_worker_reply from_json(const Json::Value& source);
+};
+
+/// Asks the pool's owner to free a worker whose instance is to be maintained
+/// or moved.
+struct release_worker
+{
+    static constexpr const char* method = "release_worker";
+    using reply_type = release_worker_reply;
+
+    std::string pool;
+    std::string worker;
+    /// How long the worker stays without new runs.
+    base::duration hold{};
+
+    [[nodiscard]] Json::Value to_json() const;
+    static release_worker from_json(const Json::Value& source);
+};
+
 } // namespace pimentograde::peer
 
 #endif
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -453,6 +453,17 @@
     return impl_->state.pending(queue);
 }
 
+bool pool_owner::release_worker(std::string_view worker, base::duration hold)
+{
+    if (!impl_->is_loaded || impl_->is_stopping)
+        return false;
+    const base::time_point now = base::steady_now();
+    const bool is_released =
+        impl_->state.prepare_leave(worker, now + hold, now);
+    impl_->plan_wakeup.notify();
+    return is_released;
+}
+
 const std::string& pool_owner::pool() const
 {
     return impl_->pool;
--- a/src/pools/pool_owner.hpp
+++ b/src/pools/pool_owner.hpp
@@ -113,6 +113,10 @@
     /// Empty while the pool is not loaded.
     [[nodiscard]] std::optional<int> pending(std::string_view queue) const;
 
+    /// Frees a worker for maintenance or a move; see
+    /// `jobs::pool_state::prepare_leave`. False while the pool is not loaded.
+    bool release_worker(std::string_view worker, base::duration hold);
+
     [[nodiscard]] const std::string& pool() const;
     [[nodiscard]] std::int64_t fence() const;
     [[nodiscard]] bool is_loaded() const;
