Record the workers of a pool, so that a new owner knows whom to ask

Each blind look at a crashed worker moved the end of its lease, so its runs were never lost; a task at a worker that had stopped answering counted as at work; a new owner waited 10 s for workers it could not know. Ruled out: the takeover itself (the run was lost 25 s before it). Change: looks at a silent worker extend nothing; availability counts only workers that have reported lately; the roster of workers is stored, and only its members are waited for.

--- a/src/jobs/pool_planner.cpp
+++ b/src/jobs/pool_planner.cpp
@@ -21,9 +21,12 @@
         return false;
     if (!subject.is_inherited || now >= inherit_until_)
         return true;
-    return roster_is_complete_ &&
-           std::all_of(workers_.begin(), workers_.end(), [](const auto& entry)
-                       { return entry.second.has_reported; });
+    return std::none_of(workers_.begin(), workers_.end(),
+                        [](const auto& entry)
+                        {
+                            return entry.second.is_inherited &&
+                                   !entry.second.has_reported;
+                        });
 }
 
 std::vector<pool_state::waiting_job>
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -24,6 +24,9 @@
 // once a second while tasks run.
 constexpr std::chrono::milliseconds stall_limit{2500};
 constexpr int full_percent = 100;
+// A worker that has not reported for this long may be gone; calm workers
+// report about every 2 s.
+constexpr std::chrono::milliseconds report_validity{2800};
 // A stop that has not shown an end for this long is sent again.
 constexpr std::chrono::milliseconds stop_repeat{2000};
 
@@ -102,6 +105,7 @@
         settle_unlisted(*worker, report, sent_at, now);
     worker->has_reported = worker->has_reported || !report.is_truncated;
     worker->is_reachable = true;
+    worker->reported_at = now;
     if (worker->description.is_draining)
         evacuate(*worker, now);
 }
@@ -366,14 +370,16 @@
             continue;
         const step_spec& part = subject->spec_of(subject->position_of(name));
         const bool is_draining = worker.description.is_draining;
-        if (part.is_long_running && (is_draining || may_interrupt(*subject, name)))
+        if (part.is_long_running &&
+            (is_draining || may_interrupt(*subject, name, now)))
             stop_run(name, *entry, "the worker is leaving", now);
         else if (part.is_checkpointing && is_draining)
             stop_run(name, *entry, "the worker is draining", now);
     }
 }
 
-bool pool_state::may_interrupt(const job& subject, const task_id& id)
+bool pool_state::may_interrupt(const job& subject, const task_id& id,
+                               base::time_point now) const
 {
     const std::size_t position = subject.position_of(id);
     const auto& tasks = subject.steps[position].tasks;
@@ -381,8 +387,15 @@
     for (std::size_t index = 0; index < tasks.size(); ++index)
     {
         const auto& run = tasks[index].active;
-        const bool is_at_work = run && run->state == run_state::running &&
-                                run->percent == full_percent;
+        bool is_at_work = run && run->state == run_state::running &&
+                          run->percent == full_percent;
+        if (is_at_work)
+        {
+            const auto worker = workers_.find(run->worker);
+            is_at_work = worker != workers_.end() &&
+                         worker->second.is_reachable &&
+                         now - worker->second.reported_at < report_validity;
+        }
         if (static_cast<int>(index) != id.index && !is_at_work)
             ++away;
     }
--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -260,10 +260,34 @@
     return std::exchange(stops_, {});
 }
 
-void pool_state::inherit_until(base::time_point moment, bool roster_is_complete)
+void pool_state::inherit_worker(const worker_description& description,
+                                base::time_point moment)
 {
     inherit_until_ = moment;
-    roster_is_complete_ = roster_is_complete;
+    const auto [entry, is_new] =
+        workers_.try_emplace(description.id, worker_view{});
+    entry->second.is_inherited = true;
+    entry->second.is_recorded = true;
+    if (!is_new)
+        return;
+    entry->second.description = description;
+    entry->second.is_listed = false;
+}
+
+std::vector<worker_description> pool_state::roster() const
+{
+    std::vector<worker_description> result;
+    for (const auto& [id, worker] : workers_)
+        if (worker.is_listed || worker.is_inherited || !worker.runs.empty())
+            result.push_back(worker.description);
+    return result;
+}
+
+void pool_state::note_recorded(std::span<const worker_description> workers)
+{
+    for (const worker_description& entry : workers)
+        if (worker_view* worker = find_worker(entry.id))
+            worker->is_recorded = true;
 }
 
 double pool_state::backlog() const
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -120,9 +120,14 @@
         return workers_;
     }
 
-    /// Runs of an earlier owner may be unknown until `moment`, or until every
-    /// listed worker has reported.
-    void inherit_until(base::time_point moment, bool roster_is_complete);
+    /// Adds a worker that an earlier owner may have used. Runs of that owner
+    /// may be unknown until `moment`, or until all such workers have reported.
+    void inherit_worker(const worker_description& description,
+                        base::time_point moment);
+    /// Workers that may be used, and those that may still run something.
+    [[nodiscard]] std::vector<worker_description> roster() const;
+    /// The roster with these workers is stored.
+    void note_recorded(std::span<const worker_description> workers);
     /// Decides which tasks start now and where.
     std::vector<start_order> plan(base::time_point now, base::wall_time wall);
     std::vector<stop_order> take_stops();
@@ -194,8 +199,8 @@
     int same_step_count(const worker_view& worker, const job& subject,
                         std::size_t position) const;
     void evacuate(worker_view& worker, base::time_point now);
-    [[nodiscard]] static bool may_interrupt(const job& subject,
-                                            const task_id& id);
+    [[nodiscard]] bool may_interrupt(const job& subject, const task_id& id,
+                                     base::time_point now) const;
     void tell(decision entry) const;
 
     std::string pool_;
@@ -205,7 +210,6 @@
     std::map<std::string, queue_statistics, std::less<>> statistics_;
     std::vector<stop_order> stops_;
     base::time_point inherit_until_{};
-    bool roster_is_complete_ = true;
     std::uint64_t changes_ = 0;
     decision_hook decided_;
 };
--- a/src/jobs/worker_view.cpp
+++ b/src/jobs/worker_view.cpp
@@ -70,7 +70,7 @@
 
 bool worker_view::accepts_starts(base::time_point now) const
 {
-    return is_listed && has_reported && is_reachable &&
+    return is_listed && is_recorded && has_reported && is_reachable &&
            !description.is_draining && now >= leaving_until &&
            now >= no_room_until &&
            !health.is_quarantined(now);
--- a/src/jobs/worker_view.hpp
+++ b/src/jobs/worker_view.hpp
@@ -62,6 +62,12 @@
     bool is_listed = true;
     /// It has reported its runs under this owner's fence.
     bool has_reported = false;
+    /// An earlier owner may have started runs on it.
+    bool is_inherited = false;
+    /// It is in the stored roster, so that the next owner asks it.
+    bool is_recorded = false;
+    /// When it last reported.
+    base::time_point reported_at{};
     /// The last exchange with it succeeded.
     bool is_reachable = false;
     resource_amount used;
--- a/src/node/node_instance.cpp
+++ b/src/node/node_instance.cpp
@@ -141,12 +141,12 @@
 {
     return {[this](std::span<const platform::store_item> items)
             {
-                directory.apply_listing(items, base::steady_now());
+                directory.apply_listing(items);
                 claims.notify();
             },
             [this](std::span<const platform::store_event> events)
             {
-                directory.apply_changes(events, base::steady_now());
+                directory.apply_changes(events);
                 claims.notify();
             },
             [](bool) {}};
--- a/src/node/pool_claims.cpp
+++ b/src/node/pool_claims.cpp
@@ -153,7 +153,7 @@
     if (current != nullptr && session_.is_own(*current))
     {
         // A claim that got no answer has taken effect.
-        open(pool, current->revision, now);
+        open(pool, current->revision);
         return;
     }
     const bool is_free =
@@ -171,7 +171,7 @@
     try
     {
         if (const auto revision = session_.claim(role_of(pool)))
-            open(pool, *revision, now);
+            open(pool, *revision);
     }
     catch (const base::error& failure)
     {
@@ -180,8 +180,7 @@
     }
 }
 
-void pool_claims::open(const std::string& pool, std::int64_t revision,
-                       base::time_point now)
+void pool_claims::open(const std::string& pool, std::int64_t revision)
 {
     log::write(event_pool_claimed, {{"pool", pool}, {"fence", revision}});
     std::shared_ptr<pools::pool_owner> owner =
@@ -191,8 +190,6 @@
             .store(store_)
             .http(http_)
             .worker_lease(worker_lease_)
-            .departed(directory_.departed_of(pool, now))
-            .roster_is_complete(directory_.is_complete(now))
             .may_order([this]
                        { return session_.may_order(base::suspend_aware_now()); })
             .on_lost(
--- a/src/node/pool_claims.hpp
+++ b/src/node/pool_claims.hpp
@@ -59,8 +59,7 @@
     void check(base::time_point now);
     void check_pool(const std::string& pool, std::size_t index,
                     base::time_point now);
-    void open(const std::string& pool, std::int64_t revision,
-              base::time_point now);
+    void open(const std::string& pool, std::int64_t revision);
     void close_lost();
     void update_owners();
 
--- a/src/node/worker_directory.cpp
+++ b/src/node/worker_directory.cpp
@@ -15,9 +15,6 @@
 {
 
 constexpr std::string_view key_prefix = "servers/";
-// A worker that an earlier owner used may run on for its lease of 6 s after
-// the owner's last order, up to 6 s after its last renewal.
-constexpr std::chrono::seconds departure_memory{14};
 
 } // namespace
 
@@ -27,11 +24,8 @@
 }
 
 void worker_directory::apply_listing(
-    std::span<const platform::store_item> items, base::time_point now)
+    std::span<const platform::store_item> items)
 {
-    if (!is_followed_)
-        followed_since_ = now;
-    is_followed_ = true;
     std::set<std::string, std::less<>> present;
     for (const auto& item : items)
         present.insert(item.key.substr(key_prefix.size()));
@@ -40,26 +34,24 @@
         if (!present.contains(id))
             gone.push_back(id);
     for (const std::string& id : gone)
-        remove(id, now);
+        remove(id);
     for (const auto& item : items)
-        apply_item(item, now);
+        apply_item(item);
 }
 
 void worker_directory::apply_changes(
-    std::span<const platform::store_event> events, base::time_point now)
+    std::span<const platform::store_event> events)
 {
     for (const auto& event : events)
     {
         if (event.is_deleted)
-            remove(std::string_view(event.item.key).substr(key_prefix.size()),
-                   now);
+            remove(std::string_view(event.item.key).substr(key_prefix.size()));
         else
-            apply_item(event.item, now);
+            apply_item(event.item);
     }
 }
 
-void worker_directory::apply_item(const platform::store_item& item,
-                                  base::time_point now)
+void worker_directory::apply_item(const platform::store_item& item)
 {
     const std::string id = item.key.substr(key_prefix.size());
     try
@@ -71,19 +63,15 @@
     {
         log::write(platform::event_foreign_entry,
                    {{"key", item.key}, {"reason", failure.what()}});
-        remove(id, now);
+        remove(id);
     }
 }
 
-void worker_directory::remove(std::string_view id, base::time_point now)
+void worker_directory::remove(std::string_view id)
 {
     const auto found = workers_.find(id);
-    if (found == workers_.end())
-        return;
-    departures_.push_back({found->second, now});
-    workers_.erase(found);
-    std::erase_if(departures_, [&](const departure& entry)
-                  { return now - entry.at > departure_memory; });
+    if (found != workers_.end())
+        workers_.erase(found);
 }
 
 std::vector<jobs::worker_description>
@@ -96,20 +84,4 @@
     return result;
 }
 
-std::vector<jobs::worker_description>
-worker_directory::departed_of(std::string_view pool, base::time_point now) const
-{
-    std::vector<jobs::worker_description> result;
-    for (const departure& entry : departures_)
-        if (entry.worker.pool == pool && now - entry.at <= departure_memory &&
-            !workers_.contains(entry.worker.id))
-            result.push_back(entry.worker);
-    return result;
-}
-
-bool worker_directory::is_complete(base::time_point now) const
-{
-    return is_followed_ && now - followed_since_ >= departure_memory;
-}
-
 } // namespace pimentograde::node
--- a/src/pools/events.hpp
+++ b/src/pools/events.hpp
@@ -27,6 +27,9 @@
 inline constexpr log::event event_worker_reborn{
     3210, log::severity::info, "worker has started again"};
 
+inline constexpr log::event event_load_failed{
+    3211, log::severity::warning, "loading a pool failed"};
+
 } // namespace pimentograde::pools
 
 #endif
--- a/src/pools/job_writer.cpp
+++ b/src/pools/job_writer.cpp
@@ -5,6 +5,7 @@
 #include "pools/events.hpp"
 
 #include <boost/fiber/operations.hpp>
+#include <boost/json.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -12,6 +13,8 @@
 namespace pimentograde::pools
 {
 
+namespace json = boost::json;
+
 namespace
 {
 
@@ -34,6 +37,56 @@
     return "pimentograde-jobs/" + std::string(pool) + "/";
 }
 
+std::string roster_key(std::string_view pool)
+{
+    return "pimentograde-rosters/" + std::string(pool);
+}
+
+std::string encode_roster(std::span<const jobs::worker_description> workers)
+{
+    json::array rows;
+    for (const auto& worker : workers)
+        rows.push_back(json::object{{"id", worker.id},
+                                    {"address", worker.address},
+                                    {"zone", worker.zone},
+                                    {"born_ms", worker.born_ms},
+                                    {"labels", json::value_from(worker.labels)},
+                                    {"cpu", worker.capacity.cpu_millis},
+                                    {"memory", worker.capacity.memory_mb},
+                                    {"gpus", worker.capacity.gpus}});
+    return json::serialize(rows);
+}
+
+std::vector<jobs::worker_description> decode_roster(std::string_view text)
+{
+    std::vector<jobs::worker_description> workers;
+    try
+    {
+        const json::value parsed = json::parse(text);
+        for (const json::value& row : parsed.as_array())
+        {
+            const json::object& source = row.as_object();
+            jobs::worker_description worker;
+            worker.id = std::string(source.at("id").as_string());
+            worker.address = std::string(source.at("address").as_string());
+            worker.zone = std::string(source.at("zone").as_string());
+            worker.born_ms = source.at("born_ms").to_number<std::int64_t>();
+            worker.labels = json::value_to<std::vector<std::string>>(
+                source.at("labels"));
+            worker.capacity = {source.at("cpu").to_number<std::int64_t>(),
+                               source.at("memory").to_number<std::int64_t>(),
+                               source.at("gpus").to_number<std::int64_t>()};
+            workers.push_back(std::move(worker));
+        }
+    }
+    catch (const std::exception& failure)
+    {
+        throw base::error(base::error_code::invalid, "decode roster", "",
+                          failure.what());
+    }
+    return workers;
+}
+
 job_writer::job_writer(std::string pool, std::string owner_key,
                        std::int64_t owner_revision, jobs::pool_state& state,
                        platform::store_client& store, hooks functions)
@@ -47,6 +100,8 @@
 {
     while (!hooks_.is_stopping() || state_.change_number() > stored_)
     {
+        if (!hooks_.is_stopping() && has_new_worker())
+            write_roster();
         if (state_.change_number() == stored_)
         {
             work_.wait_until(base::steady_now() + idle_wait);
@@ -67,6 +122,39 @@
     }
 }
 
+bool job_writer::has_new_worker() const
+{
+    const auto& workers = state_.workers();
+    return std::any_of(workers.begin(), workers.end(),
+                       [](const auto& entry)
+                       {
+                           return entry.second.is_listed &&
+                                  !entry.second.is_recorded;
+                       });
+}
+
+void job_writer::write_roster()
+{
+    const auto roster = state_.roster();
+    try
+    {
+        const auto result =
+            store_.commit({{{owner_key_, owner_revision_}},
+                           {{roster_key(pool_), encode_roster(roster), 0}},
+                           {}});
+        if (result.outcome == platform::commit_result::kind::committed)
+            state_.note_recorded(roster);
+        else
+            hooks_.lost("the store holds another owner");
+    }
+    catch (const base::error& failure)
+    {
+        log::write(event_write_failed,
+                   {{"pool", pool_}, {"reason", failure.what()}});
+        boost::this_fiber::sleep_for(retry_delay);
+    }
+}
+
 bool job_writer::wait_stored(std::uint64_t change, base::time_point deadline)
 {
     while (stored_ < change)
--- a/src/pools/job_writer.hpp
+++ b/src/pools/job_writer.hpp
@@ -8,13 +8,21 @@
 
 #include <cstdint>
 #include <functional>
+#include <span>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace pimentograde::pools
 {
 
 /// Key prefix of a pool's job records.
 std::string record_prefix(std::string_view pool);
+/// Key of the workers that the pool's owner may use.
+std::string roster_key(std::string_view pool);
+std::string encode_roster(std::span<const jobs::worker_description> workers);
+/// Throws `base::error` with `invalid`.
+std::vector<jobs::worker_description> decode_roster(std::string_view text);
 
 /// Keeps a pool's job records in the store, in transactions that hold only
 /// while the pool's ownership does. Run `run` on a fiber of its own.
@@ -43,6 +51,8 @@
 
 private:
     void write_all();
+    void write_roster();
+    [[nodiscard]] bool has_new_worker() const;
     void write_batch(const std::vector<jobs::record_change>& changes);
     void apply_conflict(const std::vector<jobs::record_change>& changes,
                         const platform::commit_result& result);
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -44,8 +44,7 @@
     explicit impl(const builder& parts)
         : pool(parts.pool_), fence(parts.revision_), store(*parts.store_),
           http(*parts.http_), lease(parts.lease_), may_order(parts.may_order_),
-          lost_hook(parts.lost_), departed(parts.departed_),
-          roster_is_complete(parts.roster_is_complete_), state(parts.pool_),
+          lost_hook(parts.lost_), state(parts.pool_),
           writer(parts.pool_, parts.key_, parts.revision_, state,
                  *parts.store_,
                  {[this](std::string_view reason) { lose(reason); },
@@ -61,8 +60,6 @@
     base::duration lease;
     std::function<bool()> may_order;
     std::function<void(std::string_view)> lost_hook;
-    std::vector<jobs::worker_description> departed;
-    bool roster_is_complete;
     base::time_point inherit_until{};
     bool is_loaded = false;
     bool is_stopping = false;
@@ -87,6 +84,7 @@
     void changed();
     void load();
     bool load_records();
+    bool load_roster();
     void plan_loop();
     void plan_once();
     void apply_workers();
@@ -114,25 +112,20 @@
     writer.notify();
 }
 
+// The records come first: what workers list is compared with them.
 void pool_owner::impl::load()
 {
     while (!is_stopping && !load_records())
         boost::this_fiber::sleep_for(load_retry);
+    while (!is_stopping && !load_roster())
+        boost::this_fiber::sleep_for(load_retry);
     if (is_stopping)
         return;
     is_loaded = true;
-    inherit_until = base::steady_now() + inheritance_wait;
-    state.inherit_until(inherit_until, roster_is_complete);
-    for (const auto& worker : departed)
-    {
-        state.update_worker(worker);
-        state.unlist_worker(worker.id);
-        link_of(worker);
-    }
     log::write(event_pool_loaded, {{"pool", pool},
                                    {"fence", fence},
                                    {"jobs", state.job_count()},
-                                   {"roster_complete", roster_is_complete}});
+                                   {"inherited_workers", links.size()}});
     apply_workers();
     fibers.spawn([this] { writer.run(); });
     fibers.spawn([this] { plan_loop(); });
@@ -164,7 +157,30 @@
     }
     catch (const std::exception& failure)
     {
-        log::write(event_write_failed,
+        log::write(event_load_failed,
+                   {{"pool", pool}, {"reason", failure.what()}});
+        return false;
+    }
+}
+
+bool pool_owner::impl::load_roster()
+{
+    try
+    {
+        const auto stored = store.get(roster_key(pool));
+        if (!stored)
+            return true;
+        inherit_until = base::steady_now() + inheritance_wait;
+        for (const auto& worker : decode_roster(stored->value))
+        {
+            state.inherit_worker(worker, inherit_until);
+            link_of(worker);
+        }
+        return true;
+    }
+    catch (const std::exception& failure)
+    {
+        log::write(event_load_failed,
                    {{"pool", pool}, {"reason", failure.what()}});
         return false;
     }
@@ -326,19 +342,6 @@
     return *this;
 }
 
-pool_owner::builder& pool_owner::builder::departed(
-    std::vector<jobs::worker_description> workers)
-{
-    departed_ = std::move(workers);
-    return *this;
-}
-
-pool_owner::builder& pool_owner::builder::roster_is_complete(bool is_complete)
-{
-    roster_is_complete_ = is_complete;
-    return *this;
-}
-
 std::unique_ptr<pool_owner> pool_owner::builder::build()
 {
     return std::unique_ptr<pool_owner>(
--- a/src/pools/pool_owner.hpp
+++ b/src/pools/pool_owner.hpp
@@ -70,12 +70,6 @@
         builder& may_order(std::function<bool()> check);
         /// Called once when the ownership has ended.
         builder& on_lost(std::function<void(std::string_view reason)> hook);
-        /// Workers of the pool that have left the store's list lately, but
-        /// may still run what an earlier owner started.
-        builder& departed(std::vector<jobs::worker_description> workers);
-        /// Whether this instance has followed the workers for long enough to
-        /// know all that an earlier owner may have used.
-        builder& roster_is_complete(bool is_complete);
         std::unique_ptr<pool_owner> build();
 
     private:
@@ -88,8 +82,6 @@
         base::duration lease_{};
         std::function<bool()> may_order_;
         std::function<void(std::string_view)> lost_;
-        std::vector<jobs::worker_description> departed_;
-        bool roster_is_complete_ = false;
     };
 
     ~pool_owner();
--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -151,7 +151,9 @@
     platform::listing_request request;
     request.stored_end = stored_end_;
     request.wait = look_wait();
-    if (clock_ms_ > 0)
+    // A worker that does not answer must be able to lapse: extensions that
+    // are sent blindly would move the moment from which its runs are lost.
+    if (clock_ms_ > 0 && !has_failed_)
         request.lease_until_ms = extend_lease(now, lease_);
     try
     {
@@ -318,10 +320,8 @@
         }
         catch (const base::error& failure)
         {
-            if (!std::exchange(has_failed_, true))
-                log::write(event_worker_unreachable,
-                           {{"worker", worker_.id},
-                            {"reason", failure.what()}});
+            log::write(event_worker_unreachable,
+                       {{"worker", worker_.id}, {"reason", failure.what()}});
         }
     }
     if (!is_stopping_)
