--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -10,7 +10,7 @@
 
 // A result later than this multiple of the objective is of no use to callers;
 // the users' pages count three times the objective as the end of lateness.
-constexpr double useful_multiple = 3.0;
+constexpr double useful_multiple = 6.0;
 constexpr std::chrono::seconds shortest_retry{1};
 constexpr std::chrono::seconds longest_retry{20};
 
--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -17,6 +17,8 @@
 // A restored job counts as at most this old on the steady clock: the time of
 // day may have jumped.
 constexpr std::chrono::minutes max_restored_age{10};
+// Callers that return later than this count as new.
+constexpr std::chrono::seconds refusal_memory{20};
 
 reported_status to_reported(const job& subject)
 {
@@ -91,6 +93,15 @@
     ++changes_;
 }
 
+base::time_point pool_state::first_seen(std::string_view id,
+                                        base::time_point now)
+{
+    std::erase_if(refused_, [&](const auto& entry)
+                  { return now - entry.second > refusal_memory; });
+    const auto found = refused_.find(id);
+    return found == refused_.end() ? now : found->second;
+}
+
 submit_result pool_state::submit(std::string_view id, job_spec spec,
                                  std::string_view queue, base::time_point now,
                                  base::wall_time wall)
@@ -105,7 +116,7 @@
     subject.id = std::string(id);
     subject.queue = std::string(queue);
     subject.spec = std::move(spec);
-    subject.accepted_at = now;
+    subject.accepted_at = first_seen(id, now);
     subject.accepted_wall = wall;
     subject.prepare_steps();
     const queue_policy& policy = policy_of(subject);
@@ -121,8 +132,10 @@
     if (!result.admission.is_accepted)
     {
         result.outcome = submit_result::kind::refused;
+        refused_.emplace(subject.id, subject.accepted_at);
         return result;
     }
+    refused_.erase(subject.id);
     if (!inputs.is_long_running)
         statistics.note_job(estimated_work(subject, false));
     mark_dirty(subject);
@@ -306,6 +319,25 @@
     return work;
 }
 
+double pool_state::timely_backlog(base::time_point now) const
+{
+    static const queue_statistics no_statistics;
+    double work = 0;
+    for (const auto& [id, subject] : jobs_)
+    {
+        if (subject.status != job_status::open ||
+            subject.spec.is_long_running())
+            continue;
+        const auto found = statistics_.find(subject.queue);
+        const queue_statistics& statistics =
+            found == statistics_.end() ? no_statistics : found->second;
+        if (rank_of(subject, policy_of(subject), statistics, now)
+                .can_meet_objective)
+            work += estimated_work(subject, true) * statistics.pace();
+    }
+    return work;
+}
+
 double pool_state::usable_cores(base::time_point now) const
 {
     double cores = 0;
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -153,6 +153,8 @@
     [[nodiscard]] std::size_t job_count() const { return jobs_.size(); }
     /// Remaining work of open jobs that end by themselves, core-seconds.
     [[nodiscard]] double backlog() const;
+    /// The part of it that can still meet its objective.
+    [[nodiscard]] double timely_backlog(base::time_point now) const;
     /// Cores of workers that accept starts, without those that long-running
     /// tasks hold.
     [[nodiscard]] double usable_cores(base::time_point now) const;
@@ -161,6 +163,7 @@
     struct waiting_job;
 
     job* find(std::string_view id);
+    base::time_point first_seen(std::string_view id, base::time_point now);
     worker_view* find_worker(std::string_view id);
     [[nodiscard]] const queue_policy& policy_of(const job& subject) const;
     queue_statistics& statistics_of(const job& subject);
@@ -208,6 +211,9 @@
     std::map<std::string, worker_view, std::less<>> workers_;
     std::map<std::string, queue_policy, std::less<>> policies_;
     std::map<std::string, queue_statistics, std::less<>> statistics_;
+    /// When refused jobs were first handed in: their callers return, and
+    /// their objectives count from there.
+    std::map<std::string, base::time_point, std::less<>> refused_;
     std::vector<stop_order> stops_;
     base::time_point inherit_until_{};
     std::uint64_t changes_ = 0;
--- a/src/node/fleet_manager.cpp
+++ b/src/node/fleet_manager.cpp
@@ -19,8 +19,8 @@
 {
 
 constexpr std::string_view role = "fleet";
-constexpr std::chrono::milliseconds tick_interval{250};
-constexpr std::chrono::milliseconds listing_interval{500};
+constexpr std::chrono::milliseconds tick_interval{200};
+constexpr std::chrono::milliseconds listing_interval{250};
 constexpr std::chrono::milliseconds call_timeout{1200};
 constexpr std::chrono::milliseconds load_timeout{400};
 // A worker that is being freed stays without new runs this long after each
--- a/src/node/node_instance.cpp
+++ b/src/node/node_instance.cpp
@@ -39,7 +39,7 @@
 constexpr std::chrono::milliseconds secret_poll{50};
 // Workers write about every second and a half each; a drain has to be known
 // within 2 s.
-constexpr std::chrono::milliseconds worker_batching{600};
+constexpr std::chrono::milliseconds worker_batching{300};
 constexpr std::chrono::milliseconds member_batching{30};
 constexpr std::chrono::milliseconds operator_batching{50};
 constexpr std::chrono::seconds caller_idle_timeout{60};
--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -84,9 +84,11 @@
     const jobs::pool_state& state = owner.state();
     peer::pool_load load;
     load.is_known = owner.is_loaded();
-    load.backlog_core_ms = static_cast<std::int64_t>(state.backlog() * millis);
-    load.usable_millis = static_cast<std::int64_t>(
-        state.usable_cores(base::steady_now()) * millis);
+    const base::time_point now = base::steady_now();
+    load.backlog_core_ms =
+        static_cast<std::int64_t>(state.timely_backlog(now) * millis);
+    load.usable_millis =
+        static_cast<std::int64_t>(state.usable_cores(now) * millis);
     for (const auto& [id, worker] : state.workers())
     {
         peer::worker_load entry{id, static_cast<std::int64_t>(
--- a/src/peer/pool_messages.hpp
+++ b/src/peer/pool_messages.hpp
@@ -117,7 +117,7 @@
 struct pool_load
 {
     bool is_known = false;
-    /// Work that waits or runs, core-milliseconds.
+    /// Work that can still meet its objective, core-milliseconds.
     std::int64_t backlog_core_ms = 0;
     /// Cores that accept work, in thousandths.
     std::int64_t usable_millis = 0;
--- a/src/pools/job_writer.cpp
+++ b/src/pools/job_writer.cpp
@@ -104,6 +104,9 @@
             write_roster();
         if (state_.change_number() == stored_)
         {
+            // With nothing left to write, the next submission finds out
+            // whether the store is back.
+            is_failing_ = false;
             work_.wait_until(base::steady_now() + idle_wait);
             if (base::steady_now() >= next_removal_)
                 remove_expired(base::wall_now());
