Play the pool's state against faulty workers in random histories

Change: tests/jobs drives pool_state with workers that lose answers, carry orders out late, restart, lapse behind cuts and are taken over.

--- /dev/null
+++ b/tests/jobs/pool_history_test.cpp
@@ -0,0 +1,100 @@
+#include "jobs/pool_world.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace pimentograde;
+using tests::fault_odds;
+using tests::pool_world;
+
+namespace
+{
+
+std::string first_violation(const pool_world& world)
+{
+    return world.violations().empty() ? std::string{}
+                                      : world.violations().front();
+}
+
+// Returns the first violation, or that work was left.
+std::string play(std::uint64_t seed, fault_odds odds)
+{
+    constexpr int faulty_steps = 300;
+    constexpr int calm_steps = 600;
+    pool_world world(seed, 4, odds);
+    world.step();
+    for (int index = 0; index < faulty_steps; ++index)
+    {
+        if (index % 25 == 0)
+            world.submit(1 + index % 5, 1 + index % 3);
+        world.step();
+    }
+    world.stop_faults();
+    for (int index = 0; index < calm_steps && !world.all_completed(); ++index)
+        world.step();
+    if (!world.violations().empty())
+        return first_violation(world);
+    if (world.accepted() == 0)
+        return "no job was accepted";
+    return world.all_completed() ? std::string{} : "a job was left";
+}
+
+void check(const char* name, fault_odds odds)
+{
+    CHECK(rc::check(name,
+                    [odds](std::uint64_t seed)
+                    {
+                        const std::string found = play(seed, odds);
+                        RC_LOG() << found;
+                        RC_ASSERT(found.empty());
+                    }));
+}
+
+} // namespace
+
+// Each guards against two runs of a task at once, a start after its end was
+// taken note of, and a job that never ends.
+TEST_CASE("calm workers run every task once")
+{
+    check("calm", {});
+}
+
+TEST_CASE("start and stop orders lose their answers")
+{
+    check("lost answers", {.lost_answer = 30});
+}
+
+TEST_CASE("orders are carried out late")
+{
+    check("late orders", {.lost_answer = 10, .late_order = 30});
+}
+
+TEST_CASE("workers start again and forget what they ran")
+{
+    check("restarts", {.late_order = 10, .restart = 2});
+}
+
+TEST_CASE("workers are cut off until their leases lapse")
+{
+    check("cuts", {.lost_answer = 10, .late_order = 10, .cut = 2});
+}
+
+TEST_CASE("a new owner takes over while orders are on their way")
+{
+    check("takeovers", {.lost_answer = 10, .late_order = 20, .takeover = 2});
+}
+
+TEST_CASE("runs fail and are started again")
+{
+    check("failures", {.lost_answer = 5, .failure = 20});
+}
+
+TEST_CASE("all faults together")
+{
+    check("all", {.lost_answer = 10,
+                  .late_order = 10,
+                  .restart = 1,
+                  .cut = 1,
+                  .takeover = 1,
+                  .failure = 10});
+}
--- /dev/null
+++ b/tests/jobs/pool_world.cpp
@@ -0,0 +1,321 @@
+#include "jobs/pool_world.hpp"
+
+#include "jobs/job_record.hpp"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace pimentograde::tests
+{
+
+namespace
+{
+
+constexpr auto step_length = 50ms;
+constexpr auto lease_length = 2s;
+constexpr auto order_validity = 500ms;
+constexpr auto wall = base::wall_time(1'000'000s);
+
+jobs::worker_description describe(const true_worker& worker)
+{
+    jobs::worker_description result;
+    result.id = worker.id;
+    result.address = "10.0.0.1:80";
+    result.pool = "pool";
+    result.labels = {"a", "r1"};
+    result.capacity = {8000, 64'000, 0};
+    return result;
+}
+
+} // namespace
+
+void true_worker::end(const jobs::task_id& task, int run, jobs::end_kind how)
+{
+    ended.push_back({++last_number, task, run, how, {}});
+    refused_up_to[task] = std::max(refused_up_to[task], run);
+}
+
+void true_worker::advance(base::time_point now)
+{
+    const bool has_lapsed = now >= lease_until;
+    for (auto entry = running.begin(); entry != running.end();)
+    {
+        const live_run run = entry->second;
+        if (!has_lapsed && now < run.ends_at)
+        {
+            ++entry;
+            continue;
+        }
+        const auto task = entry->first;
+        entry = running.erase(entry);
+        end(task, run.run,
+            has_lapsed  ? jobs::end_kind::lapsed
+            : run.fails ? jobs::end_kind::failed
+                        : jobs::end_kind::done);
+    }
+}
+
+void true_worker::restart()
+{
+    const std::string name = id;
+    const std::int64_t born = born_ms + 1;
+    *this = {};
+    id = name;
+    born_ms = born;
+}
+
+bool true_worker::start(const jobs::task_id& task, int run,
+                        std::int64_t order_fence, base::time_point until,
+                        base::time_point now, base::duration length, bool fails)
+{
+    if (order_fence < fence || now >= until)
+        return false;
+    fence = order_fence;
+    const auto refused = refused_up_to.find(task);
+    if (refused != refused_up_to.end() && run <= refused->second)
+        return false;
+    lease_until = std::max(lease_until, until);
+    if (const auto found = running.find(task); found != running.end())
+        return found->second.run == run;
+    running[task] = {run, now + length, fails};
+    return true;
+}
+
+bool true_worker::stop(const jobs::task_id& task, int run,
+                       std::int64_t order_fence)
+{
+    if (order_fence < fence)
+        return false;
+    fence = order_fence;
+    refused_up_to[task] = std::max(refused_up_to[task], run);
+    const auto found = running.find(task);
+    if (found != running.end() && found->second.run == run)
+    {
+        running.erase(found);
+        end(task, run, jobs::end_kind::stopped);
+    }
+    return true;
+}
+
+pool_world::pool_world(std::uint64_t seed, int workers, fault_odds odds)
+    : random_(seed), odds_(odds),
+      state_(std::make_unique<jobs::pool_state>("pool"))
+{
+    state_->set_policy({"queue", "pool", 0, 1'000'000, 1.5, 600ms});
+    for (int index = 0; index < workers; ++index)
+    {
+        true_worker worker;
+        worker.id = "w" + std::to_string(index);
+        known_born_[worker.id] = worker.born_ms;
+        state_->update_worker(describe(worker));
+        state_->note_recorded(std::vector{describe(worker)});
+        workers_.push_back(std::move(worker));
+    }
+}
+
+bool pool_world::chance(int odds)
+{
+    return static_cast<int>(random_() % 100) < odds;
+}
+
+true_worker& pool_world::worker_of(const std::string& id)
+{
+    for (true_worker& worker : workers_)
+        if (worker.id == id)
+            return worker;
+    throw std::logic_error("order to an unknown worker");
+}
+
+void pool_world::submit(int tasks_per_step, int steps)
+{
+    jobs::job_spec spec;
+    for (int index = 0; index < steps; ++index)
+    {
+        jobs::step_spec part;
+        part.task_count = tasks_per_step;
+        part.need = {1000, 1000, 0};
+        part.estimate = 200ms;
+        if (index > 0)
+            part.after = {index - 1};
+        spec.steps.push_back(part);
+    }
+    const std::string id = "job" + std::to_string(next_job_++);
+    const auto result = state_->submit(id, spec, "queue", now_, wall);
+    if (result.outcome == jobs::submit_result::kind::accepted)
+        accepted_.push_back(id);
+    store();
+}
+
+void pool_world::carry_out(true_worker& worker, const jobs::start_order& order,
+                           std::int64_t fence, base::time_point until)
+{
+    const bool was_running = worker.running.contains(order.task);
+    const auto length = 100ms + std::chrono::milliseconds(random_() % 300);
+    if (!worker.start(order.task, order.run, fence, until, now_, length,
+                      chance(odds_.failure)) ||
+        was_running)
+        return;
+    for (const true_worker& other : workers_)
+        if (other.id != worker.id && other.running.contains(order.task))
+            violations_.push_back("two runs of " + to_string(order.task));
+    if (noted_.contains(order.task))
+        violations_.push_back("start after the end of " +
+                              to_string(order.task));
+}
+
+void pool_world::deliver(const jobs::start_order& order)
+{
+    using jobs::start_answer;
+    true_worker& worker = worker_of(order.worker);
+    const auto until = now_ + order_validity;
+    auto& extended = extended_until_[worker.id];
+    extended = std::max(extended, until);
+    if (worker.is_cut)
+    {
+        state_->apply_start_answer(order, start_answer::not_sent, now_);
+        return;
+    }
+    if (chance(odds_.late_order))
+    {
+        const auto delay = 100ms * (random_() % 20);
+        late_.push_back({static_cast<std::size_t>(&worker - workers_.data()),
+                         order, fence_, until, now_ + delay});
+        state_->apply_start_answer(order, start_answer::unknown, now_);
+        return;
+    }
+    carry_out(worker, order, fence_, until);
+    const auto found = worker.running.find(order.task);
+    const bool is_there =
+        found != worker.running.end() && found->second.run == order.run;
+    if (chance(odds_.lost_answer))
+        state_->apply_start_answer(order, start_answer::unknown, now_);
+    else
+        state_->apply_start_answer(order,
+                                   is_there ? start_answer::started
+                                            : start_answer::outdated_run,
+                                   now_);
+}
+
+void pool_world::look(true_worker& worker)
+{
+    if (worker.is_cut)
+    {
+        state_->set_reachable(worker.id, false);
+        if (now_ >= extended_until_[worker.id] + 100ms)
+            state_->lose_runs(worker.id, now_);
+        return;
+    }
+    if (worker.fence > fence_)
+        return;
+    worker.fence = fence_;
+    if (known_born_[worker.id] != worker.born_ms)
+    {
+        known_born_[worker.id] = worker.born_ms;
+        stored_end_[worker.id] = 0;
+        state_->lose_runs(worker.id, now_);
+    }
+    worker.lease_until = std::max(worker.lease_until, now_ + lease_length);
+    auto& extended = extended_until_[worker.id];
+    extended = std::max(extended, worker.lease_until);
+    std::erase_if(worker.ended,
+                  [&](const jobs::listed_end& row)
+                  {
+                      const bool is_noted =
+                          row.number <= stored_end_[worker.id];
+                      if (is_noted && row.how == jobs::end_kind::done)
+                          noted_.insert(row.task);
+                      return is_noted;
+                  });
+    jobs::worker_report report;
+    report.born_ms = worker.born_ms;
+    for (const auto& [task, run] : worker.running)
+        report.running.push_back({task, run.run, {}, 50});
+    report.ended = worker.ended;
+    // Asked a little earlier than the last order, as on a real network.
+    state_->apply_report(worker.id, report, now_, now_, wall);
+    store();
+    if (!report.ended.empty())
+        stored_end_[worker.id] = report.ended.back().number;
+}
+
+void pool_world::store()
+{
+    for (const auto& change : state_->take_changes(1000))
+    {
+        stored_[change.job] = change.value;
+        state_->note_stored(change.job, ++revision_);
+    }
+}
+
+// The earlier owner's orders may still be on their way.
+void pool_world::take_over()
+{
+    ++fence_;
+    state_ = std::make_unique<jobs::pool_state>("pool");
+    state_->set_policy({"queue", "pool", 0, 1'000'000, 1.5, 600ms});
+    for (const auto& [id, value] : stored_)
+        state_->restore(jobs::decode_record(id, value), now_, wall);
+    for (const true_worker& worker : workers_)
+    {
+        state_->inherit_worker(describe(worker), now_ + 6s);
+        state_->update_worker(describe(worker));
+        stored_end_[worker.id] = 0;
+        known_born_[worker.id] = worker.born_ms;
+        extended_until_[worker.id] = now_ + lease_length;
+    }
+}
+
+void pool_world::step()
+{
+    now_ += step_length;
+    for (true_worker& worker : workers_)
+        worker.advance(now_);
+    std::vector<late_order> due;
+    std::erase_if(late_,
+                  [&](const late_order& entry)
+                  {
+                      if (entry.at > now_)
+                          return false;
+                      due.push_back(entry);
+                      return true;
+                  });
+    for (const late_order& entry : due)
+        carry_out(workers_[entry.worker], entry.order, entry.fence,
+                  entry.until);
+    for (true_worker& worker : workers_)
+    {
+        if (chance(odds_.restart))
+            worker.restart();
+        worker.is_cut = worker.is_cut ? !chance(5) && odds_.cut > 0
+                                      : chance(odds_.cut);
+    }
+    if (chance(odds_.takeover))
+        take_over();
+    store();
+    for (true_worker& worker : workers_)
+        if (chance(60))
+            look(worker);
+    for (const auto& order : state_->take_stops())
+    {
+        true_worker& worker = worker_of(order.worker);
+        const bool is_sent = !worker.is_cut && !chance(odds_.lost_answer);
+        const bool is_done =
+            is_sent && worker.stop(order.task, order.run, fence_);
+        state_->apply_stop_answer(order, is_done, now_);
+    }
+    for (const auto& order : state_->plan(now_, wall))
+        deliver(order);
+    store();
+}
+
+bool pool_world::all_completed() const
+{
+    return std::all_of(accepted_.begin(), accepted_.end(),
+                       [this](const std::string& id)
+                       {
+                           return state_->status_of(id) ==
+                                  jobs::reported_status::completed;
+                       });
+}
+
+} // namespace pimentograde::tests
--- /dev/null
+++ b/tests/jobs/pool_world.hpp
@@ -0,0 +1,118 @@
+#ifndef PIMENTOGRADE_TESTS_JOBS_POOL_WORLD_HPP
+#define PIMENTOGRADE_TESTS_JOBS_POOL_WORLD_HPP
+
+#include "jobs/pool_state.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pimentograde::tests
+{
+
+using namespace std::chrono_literals;
+
+/// One worker as it really is, with the rules of the platform: fences, leases,
+/// runs that are refused after a stop, and orders that arrive late.
+struct true_worker
+{
+    struct live_run
+    {
+        int run = 0;
+        base::time_point ends_at;
+        bool fails = false;
+    };
+
+    std::string id;
+    std::int64_t born_ms = 1;
+    std::int64_t fence = 0;
+    base::time_point lease_until{};
+    bool is_cut = false;
+    std::map<jobs::task_id, live_run> running;
+    std::map<jobs::task_id, int> refused_up_to;
+    std::vector<jobs::listed_end> ended;
+    std::int64_t last_number = 0;
+
+    void end(const jobs::task_id& task, int run, jobs::end_kind how);
+    void advance(base::time_point now);
+    void restart();
+    /// Returns whether the order was taken.
+    bool start(const jobs::task_id& task, int run, std::int64_t order_fence,
+               base::time_point until, base::time_point now,
+               base::duration length, bool fails);
+    bool stop(const jobs::task_id& task, int run, std::int64_t order_fence);
+};
+
+/// Odds of faults, in hundredths.
+struct fault_odds
+{
+    int lost_answer = 0;
+    int late_order = 0;
+    int restart = 0;
+    int cut = 0;
+    int takeover = 0;
+    int failure = 0;
+};
+
+/// A pool's state driven against workers with faults, in steps of simulated
+/// time. Records the violations that the workers see.
+class pool_world
+{
+public:
+    pool_world(std::uint64_t seed, int workers, fault_odds odds);
+
+    void submit(int tasks_per_step, int steps);
+    void step();
+    void stop_faults() { odds_ = {}; }
+    [[nodiscard]] bool all_completed() const;
+    [[nodiscard]] std::size_t accepted() const { return accepted_.size(); }
+    [[nodiscard]] const std::vector<std::string>& violations() const
+    {
+        return violations_;
+    }
+
+private:
+    struct late_order
+    {
+        std::size_t worker = 0;
+        jobs::start_order order;
+        std::int64_t fence = 0;
+        base::time_point until;
+        base::time_point at;
+    };
+
+    bool chance(int odds);
+    void deliver(const jobs::start_order& order);
+    void carry_out(true_worker& worker, const jobs::start_order& order,
+                   std::int64_t fence, base::time_point until);
+    void look(true_worker& worker);
+    void store();
+    void take_over();
+    true_worker& worker_of(const std::string& id);
+
+    std::mt19937_64 random_;
+    fault_odds odds_;
+    base::time_point now_ = base::time_point(100s);
+    std::vector<true_worker> workers_;
+    std::unique_ptr<jobs::pool_state> state_;
+    std::int64_t fence_ = 1;
+    std::vector<late_order> late_;
+    std::map<std::string, std::string> stored_;
+    std::map<std::string, base::time_point> extended_until_;
+    std::map<std::string, std::int64_t> known_born_;
+    std::map<std::string, std::int64_t> stored_end_;
+    /// Tasks whose end `done` was taken note of.
+    std::set<jobs::task_id> noted_;
+    int next_job_ = 0;
+    std::vector<std::string> accepted_;
+    std::int64_t revision_ = 1;
+    std::vector<std::string> violations_;
+};
+
+} // namespace pimentograde::tests
+
+#endif
