Keep the roster exact, count failed runs by number and lapsed runs as attempts

Change: the owner is told of ended workers; failed runs are kept by number; a lapsed run counts against the limit until its worker tells or is gone.

--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -52,9 +52,10 @@
 struct task
 {
     int last_run = 0;
-    int failures = 0;
-    /// The last run that is counted in `failures`.
-    int last_failed_run = 0;
+    /// Numbers of the runs that have failed.
+    std::vector<int> failed_runs;
+    /// Runs whose outcome a silent worker may still tell.
+    int unresolved_runs = 0;
     bool is_done = false;
     /// The newest checkpoint that a worker reported; empty for none.
     std::string checkpoint;
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -95,12 +95,12 @@
 
 bool has_progress(const task& entry)
 {
-    return entry.is_done || entry.failures > 0 || entry.last_run > 0 ||
+    return entry.is_done || !entry.failed_runs.empty() || entry.last_run > 0 ||
            !entry.checkpoint.empty();
 }
 
-// Rows of position, index, last run, failures, last failed run, done,
-// checkpoint; only for tasks with progress.
+// Rows of position, index, last run, failed runs, done, checkpoint; only for
+// tasks with progress.
 json::array encode_progress(const job& subject)
 {
     json::array rows;
@@ -112,9 +112,9 @@
             const task& entry = tasks[index];
             if (has_progress(entry))
                 rows.push_back(json::array{
-                    position, index, entry.last_run, entry.failures,
-                    entry.last_failed_run, entry.is_done ? 1 : 0,
-                    entry.checkpoint});
+                    position, index, entry.last_run,
+                    json::value_from(entry.failed_runs),
+                    entry.is_done ? 1 : 0, entry.checkpoint});
         }
     }
     return rows;
@@ -131,10 +131,9 @@
             subject.steps.at(static_cast<std::size_t>(cell(0)));
         task& entry = target.tasks.at(static_cast<std::size_t>(cell(1)));
         entry.last_run = cell(2);
-        entry.failures = cell(3);
-        entry.last_failed_run = cell(4);
-        entry.is_done = cell(5) != 0;
-        entry.checkpoint = std::string(cells.at(6).as_string());
+        entry.failed_runs = json::value_to<std::vector<int>>(cells.at(3));
+        entry.is_done = cell(4) != 0;
+        entry.checkpoint = std::string(cells.at(5).as_string());
         target.done += entry.is_done ? 1 : 0;
     }
 }
--- a/src/jobs/pool_planner.cpp
+++ b/src/jobs/pool_planner.cpp
@@ -8,6 +8,21 @@
 namespace pimentograde::jobs
 {
 
+namespace
+{
+
+// A run that lapsed at a silent worker may have failed before: it counts until
+// the worker tells, since attempts must not exceed the limit.
+bool has_attempts_left(const task& entry, const step_spec& part,
+                       const queue_policy& policy)
+{
+    return part.is_long_running || entry.unresolved_runs == 0 ||
+           static_cast<int>(entry.failed_runs.size()) + entry.unresolved_runs <
+               policy.max_attempts;
+}
+
+} // namespace
+
 struct pool_state::waiting_job
 {
     job* subject = nullptr;
@@ -104,7 +119,8 @@
     for (std::size_t index = 0; index < tasks.size(); ++index)
     {
         task& entry = tasks[index];
-        if (entry.is_done || entry.active || now < entry.not_before)
+        if (entry.is_done || entry.active || now < entry.not_before ||
+            !has_attempts_left(entry, part, policy_of(subject)))
             continue;
         const placement_request request{
             &part, entry.failed_on, [&](const worker_view& worker)
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -51,7 +51,8 @@
         worker->is_listed = false;
 }
 
-void pool_state::lose_runs(std::string_view id, base::time_point now)
+void pool_state::lose_runs(std::string_view id, run_loss loss,
+                           base::time_point now)
 {
     worker_view* worker = find_worker(id);
     if (worker == nullptr)
@@ -67,17 +68,38 @@
               "the worker or its lease has ended"});
         clear_run(*subject, name, *entry);
         entry->not_before = now;
+        if (loss == run_loss::lapsed)
+        {
+            ++entry->unresolved_runs;
+            worker->unresolved.push_back(name);
+        }
         release_if_idle(*subject);
     }
-    worker->applied_end = 0;
     worker->has_reported = false;
+    if (loss == run_loss::lapsed)
+        return;
+    worker->applied_end = 0;
+    resolve_runs(*worker);
+}
+
+void pool_state::resolve_runs(worker_view& worker)
+{
+    for (const task_id& name : worker.unresolved)
+    {
+        job* subject = find(name.job);
+        if (task* entry = subject == nullptr ? nullptr : subject->find(name))
+            --entry->unresolved_runs;
+    }
+    worker.unresolved.clear();
 }
 
 void pool_state::forget_worker(std::string_view id)
 {
     const auto found = workers_.find(id);
-    if (found != workers_.end() && found->second.runs.empty())
-        workers_.erase(found);
+    if (found == workers_.end() || !found->second.runs.empty())
+        return;
+    resolve_runs(found->second);
+    workers_.erase(found);
 }
 
 void pool_state::set_reachable(std::string_view id, bool is_reachable)
@@ -103,6 +125,8 @@
         apply_listed(*worker, row, now);
     if (!report.is_truncated)
         settle_unlisted(*worker, report, sent_at, now);
+    if (!report.is_truncated)
+        resolve_runs(*worker);
     worker->has_reported = worker->has_reported || !report.is_truncated;
     worker->is_reachable = true;
     worker->reported_at = now;
@@ -266,17 +290,17 @@
 void pool_state::apply_failure(job& subject, const listed_end& row, task& entry,
                                base::time_point now, base::wall_time wall)
 {
-    if (row.run <= entry.last_failed_run)
+    auto& failed = entry.failed_runs;
+    if (std::find(failed.begin(), failed.end(), row.run) != failed.end())
         return;
-    entry.last_failed_run = row.run;
-    ++entry.failures;
+    failed.push_back(row.run);
     entry.not_before = now + failure_pause;
     mark_dirty(subject);
     const int limit = policy_of(subject).max_attempts;
-    if (entry.is_done || entry.failures < limit)
+    if (entry.is_done || static_cast<int>(failed.size()) < limit)
         return;
     tell({"job_failed", subject.id, to_string(row.task), row.run, {},
-          "failures=" + std::to_string(entry.failures)});
+          "failures=" + std::to_string(failed.size())});
     end_job(subject, job_status::failed, wall);
 }
 
--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -154,6 +154,10 @@
     subject.is_inherited = true;
     if (subject.status == job_status::open)
         statistics_of(subject).note_job(estimated_work(subject, false));
+    // An earlier owner may have used the next number without a trace.
+    for (step& part : subject.steps)
+        for (task& entry : part.tasks)
+            ++entry.last_run;
     jobs_.insert_or_assign(subject.id, std::move(subject));
 }
 
@@ -291,7 +295,7 @@
 {
     std::vector<worker_description> result;
     for (const auto& [id, worker] : workers_)
-        if (worker.is_listed || worker.is_inherited || !worker.runs.empty())
+        if (worker.is_listed || !worker.has_reported || !worker.runs.empty())
             result.push_back(worker.description);
     return result;
 }
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -44,6 +44,15 @@
     cancelled
 };
 
+/// Why a worker's runs are lost.
+enum class run_loss
+{
+    /// Its lease ran out; it may still tell how its runs had ended.
+    lapsed,
+    /// This life of the worker is over, and with it what it knew.
+    ended
+};
+
 /// A decision of the pool, for the log.
 struct decision
 {
@@ -98,7 +107,7 @@
     /// The store no longer lists the worker; its runs may go on.
     void unlist_worker(std::string_view id);
     /// Nothing of the worker's runs can exist any more.
-    void lose_runs(std::string_view id, base::time_point now);
+    void lose_runs(std::string_view id, run_loss loss, base::time_point now);
     void forget_worker(std::string_view id);
     /// Keeps new runs off the worker until `until` and moves long-running tasks
     /// elsewhere, as far as the availability of their steps allows. Returns
@@ -201,6 +210,7 @@
                    std::vector<start_order>& orders);
     int same_step_count(const worker_view& worker, const job& subject,
                         std::size_t position) const;
+    void resolve_runs(worker_view& worker);
     void evacuate(worker_view& worker, base::time_point now);
     [[nodiscard]] bool may_interrupt(const job& subject, const task_id& id,
                                      base::time_point now) const;
--- a/src/jobs/worker_view.hpp
+++ b/src/jobs/worker_view.hpp
@@ -72,6 +72,8 @@
     bool is_reachable = false;
     resource_amount used;
     std::map<task_id, int> runs;
+    /// Tasks whose runs lapsed here without a report of how they ended.
+    std::vector<task_id> unresolved;
     /// Highest end that has been applied.
     std::int64_t applied_end = 0;
     worker_health health;
--- a/src/node/fleet_manager.cpp
+++ b/src/node/fleet_manager.cpp
@@ -24,9 +24,8 @@
 constexpr std::chrono::milliseconds call_timeout{1200};
 constexpr std::chrono::milliseconds load_timeout{400};
 // A worker that is being freed stays without new runs this long after each
-// request, and after its order until it has left the list.
-constexpr std::chrono::milliseconds release_hold{1500};
-constexpr std::chrono::seconds departure_hold{10};
+// request; an order may take until its time limit.
+constexpr std::chrono::milliseconds release_hold{2500};
 // A machine that has just moved gets the time to be used.
 constexpr std::chrono::seconds move_rest{3};
 // Added to the pause between two holders for orders on their way.
@@ -293,7 +292,8 @@
     if (answer == platform::machine_answer::done)
     {
         wave.note_acknowledged(machine, base::steady_now());
-        gateway_.release_worker(entry.pool, entry.worker, departure_hold,
+        if (!entry.worker.empty())
+            gateway_.end_worker(entry.pool, entry.worker,
                                 base::steady_now() + load_timeout);
     }
     else if (answer == platform::machine_answer::invalid ||
@@ -438,8 +438,8 @@
                                      {"fence", *fence_},
                                      {"answer", to_string(answer)}});
     if (answer == platform::machine_answer::done && !entry.worker.empty())
-        gateway_.release_worker(entry.pool, entry.worker, departure_hold,
-                                base::steady_now() + load_timeout);
+        gateway_.end_worker(entry.pool, entry.worker,
+                            base::steady_now() + load_timeout);
 }
 
 } // namespace pimentograde::node
--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -105,6 +105,15 @@
     return load;
 }
 
+bool apply_release(pools::pool_owner& owner,
+                   const peer::release_worker& message)
+{
+    if (!message.has_ended)
+        return owner.release_worker(message.worker, message.hold);
+    owner.end_worker(message.worker);
+    return true;
+}
+
 base::duration time_left(base::time_point deadline)
 {
     return std::max<base::duration>(deadline - reply_reserve -
@@ -281,21 +290,17 @@
     }
 }
 
-bool pool_gateway::release_worker(const std::string& pool,
-                                  const std::string& worker,
-                                  base::duration hold,
-                                  base::time_point deadline)
+bool pool_gateway::send_release(const peer::release_worker& message,
+                                base::time_point deadline)
 {
-    if (const auto owner = claims_.find(pool))
-        return owner->release_worker(worker, hold);
-    const holder* current = session_.holder_of(role_of(pool));
+    if (const auto owner = claims_.find(message.pool))
+        return apply_release(*owner, message);
+    const holder* current = session_.holder_of(role_of(message.pool));
     if (current == nullptr)
         return false;
     try
     {
-        return client_of(current->address)
-            .send(peer::release_worker{pool, worker, hold}, deadline)
-            .is_released;
+        return client_of(current->address).send(message, deadline).is_released;
     }
     catch (const base::error&)
     {
@@ -304,6 +309,21 @@
     }
 }
 
+bool pool_gateway::release_worker(const std::string& pool,
+                                  const std::string& worker,
+                                  base::duration hold,
+                                  base::time_point deadline)
+{
+    return send_release({pool, worker, hold, false}, deadline);
+}
+
+void pool_gateway::end_worker(const std::string& pool,
+                              const std::string& worker,
+                              base::time_point deadline)
+{
+    send_release({pool, worker, base::duration::zero(), true}, deadline);
+}
+
 void pool_gateway::add_handlers(peer::peer_server::builder& server)
 {
     server.handle<peer::submit_job>(
@@ -359,8 +379,7 @@
         {
             const auto owner = claims_.find(message.pool);
             return peer::release_worker_reply{
-                owner != nullptr &&
-                owner->release_worker(message.worker, message.hold)};
+                owner != nullptr && apply_release(*owner, message)};
         });
 }
 
--- a/src/node/pool_gateway.hpp
+++ b/src/node/pool_gateway.hpp
@@ -41,11 +41,16 @@
     /// Asks the owner to free a worker; false also when it cannot be asked.
     bool release_worker(const std::string& pool, const std::string& worker,
                         base::duration hold, base::time_point deadline);
+    /// Tells the owner that the worker has ended with its instance's order.
+    void end_worker(const std::string& pool, const std::string& worker,
+                    base::time_point deadline);
 
     /// Answers what other instances ask of the pools owned here.
     void add_handlers(peer::peer_server::builder& server);
 
 private:
+    bool send_release(const peer::release_worker& message,
+                      base::time_point deadline);
     peer::peer_client& client_of(const net::endpoint& address);
     pools::job_answer stored_status(std::string_view pool,
                                     std::string_view id);
--- a/src/peer/pool_messages.cpp
+++ b/src/peer/pool_messages.cpp
@@ -175,6 +175,7 @@
     value["pool"] = text_value(pool);
     value["worker"] = text_value(worker);
     value["hold_us"] = length_value(hold);
+    value["ended"] = has_ended;
     return value;
 }
 
@@ -182,7 +183,7 @@
 {
     const message_fields fields(source);
     return {fields.text("pool"), fields.text("worker"),
-            fields.length("hold_us")};
+            fields.length("hold_us"), fields.flag("ended")};
 }
 
 } // namespace pimentograde::peer
--- a/src/peer/pool_messages.hpp
+++ b/src/peer/pool_messages.hpp
@@ -158,6 +158,9 @@
     std::string worker;
     /// How long the worker stays without new runs.
     base::duration hold{};
+    /// The order to its instance has been acknowledged: the worker has ended,
+    /// with all that it ran.
+    bool has_ended = false;
 
     [[nodiscard]] Json::Value to_json() const;
     static release_worker from_json(const Json::Value& source);
--- a/src/pools/job_writer.cpp
+++ b/src/pools/job_writer.cpp
@@ -100,7 +100,7 @@
 {
     while (!hooks_.is_stopping() || state_.change_number() > stored_)
     {
-        if (!hooks_.is_stopping() && has_new_worker())
+        if (!hooks_.is_stopping() && is_roster_outdated())
             write_roster();
         if (state_.change_number() == stored_)
         {
@@ -125,8 +125,11 @@
     }
 }
 
-bool job_writer::has_new_worker() const
+// Workers that are gone leave the roster too: a new owner would wait for them.
+bool job_writer::is_roster_outdated() const
 {
+    if (state_.roster().size() != recorded_workers_)
+        return true;
     const auto& workers = state_.workers();
     return std::any_of(workers.begin(), workers.end(),
                        [](const auto& entry)
@@ -146,7 +149,10 @@
                            {{roster_key(pool_), encode_roster(roster), 0}},
                            {}});
         if (result.outcome == platform::commit_result::kind::committed)
+        {
             state_.note_recorded(roster);
+            recorded_workers_ = roster.size();
+        }
         else
             hooks_.lost("the store holds another owner");
     }
--- a/src/pools/job_writer.hpp
+++ b/src/pools/job_writer.hpp
@@ -52,7 +52,7 @@
 private:
     void write_all();
     void write_roster();
-    [[nodiscard]] bool has_new_worker() const;
+    [[nodiscard]] bool is_roster_outdated() const;
     void write_batch(const std::vector<jobs::record_change>& changes);
     void apply_conflict(const std::vector<jobs::record_change>& changes,
                         const platform::commit_result& result);
@@ -72,6 +72,7 @@
     std::uint64_t rounds_ = 0;
     bool is_failing_ = false;
     base::time_point next_removal_{};
+    std::size_t recorded_workers_ = 0;
 };
 
 } // namespace pimentograde::pools
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -29,6 +29,9 @@
 // after its last renewal, and the leases of its workers end 6 s later.
 constexpr std::chrono::seconds inheritance_wait{10};
 constexpr std::chrono::seconds outage_retry{1};
+// The store lists a worker that has ended until three heartbeats of 1.5 s have
+// been missed.
+constexpr std::chrono::seconds ended_listing{6};
 
 std::string_view to_string(submission_answer::kind outcome)
 {
@@ -65,6 +68,8 @@
     bool is_stopping = false;
     bool is_lost = false;
     std::vector<jobs::worker_description> workers;
+    /// Workers whose instances were moved or maintained, and when.
+    std::map<std::string, base::time_point, std::less<>> ended;
     jobs::pool_state state;
     job_writer writer;
     std::map<std::string, std::unique_ptr<worker_link>> links;
@@ -209,6 +214,8 @@
     std::map<std::string_view, bool> listed;
     for (const auto& worker : workers)
     {
+        if (ended.contains(worker.id))
+            continue;
         listed[worker.id] = true;
         state.update_worker(worker);
         link_of(worker).update(worker);
@@ -216,6 +223,9 @@
     for (auto& [id, link] : links)
         if (!listed.contains(id))
             state.unlist_worker(id);
+    std::erase_if(ended,
+                  [now = base::steady_now()](const auto& entry)
+                  { return now - entry.second > ended_listing; });
     remove_idle_links();
     changed();
 }
@@ -230,7 +240,8 @@
         const bool is_over =
             found == state.workers().end() ||
             (!found->second.is_listed && found->second.runs.empty() &&
-             (found->second.has_reported || now >= inherit_until));
+             (found->second.has_reported || ended.contains(entry->first) ||
+              now >= inherit_until));
         if (!is_over)
         {
             ++entry;
@@ -467,6 +478,20 @@
     return is_released;
 }
 
+void pool_owner::end_worker(std::string_view worker)
+{
+    if (!impl_->is_loaded || impl_->is_stopping)
+        return;
+    const auto found = impl_->state.workers().find(worker);
+    // An order that had been carried out before leaves the worker as it is.
+    if (found == impl_->state.workers().end() || !found->second.runs.empty())
+        return;
+    const base::time_point now = base::steady_now();
+    impl_->ended.emplace(worker, now);
+    impl_->state.lose_runs(worker, jobs::run_loss::ended, now);
+    impl_->apply_workers();
+}
+
 const std::string& pool_owner::pool() const
 {
     return impl_->pool;
--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -184,7 +184,7 @@
     if (listing.outcome == kind::replaced)
     {
         // The named life of the worker is over, with all that it ran.
-        state_.lose_runs(worker_.id, now);
+        state_.lose_runs(worker_.id, jobs::run_loss::ended, now);
         note_unreachable("another worker answers at its address", now);
         hooks_.changed();
         look_wakeup_.wait_until(now + std::chrono::milliseconds(500));
@@ -230,7 +230,7 @@
 {
     log::write(event_worker_reborn,
                {{"worker", worker_.id}, {"born_ms", born_ms}});
-    state_.lose_runs(worker_.id, now);
+    state_.lose_runs(worker_.id, jobs::run_loss::ended, now);
     born_ms_ = born_ms;
     stored_end_ = 0;
     clock_ms_ = 0;
@@ -255,7 +255,7 @@
     if (clock_ms_ == 0 || now < lapse || found == state_.workers().end() ||
         found->second.runs.empty())
         return;
-    state_.lose_runs(worker_.id, now);
+    state_.lose_runs(worker_.id, jobs::run_loss::lapsed, now);
     hooks_.changed();
 }
 
