Admit submissions for the machines that a pool will get back

Cause: at the start of its turn a pool has lent its machines, so its backlog seemed to take long and submissions were refused while machines were free. Change: admission counts the largest size that the pool had in the last minute; the first instance in turn claims a free role at once after the common start.

--- a/src/fleet/move_policy.cpp
+++ b/src/fleet/move_policy.cpp
@@ -10,7 +10,7 @@
 
 // A backlog that takes longer is worth the 1.5 s that a move takes; see the
 // measurements of the users' days in docs/policy.md.
-constexpr double pressing_seconds = 0.8;
+constexpr double pressing_seconds = 0.5;
 // A pool with more to do than this keeps its idle machines.
 constexpr double giving_seconds = 0.3;
 // Machines that a giving pool keeps idle for its next jobs.
--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -17,6 +17,8 @@
 // A restored job counts as at most this old on the steady clock: the time of
 // day may have jumped.
 constexpr std::chrono::minutes max_restored_age{10};
+// The largest size of the pool counts for this long.
+constexpr std::chrono::seconds peak_memory{60};
 // Callers that return later than this count as new.
 constexpr std::chrono::seconds refusal_memory{20};
 
@@ -102,6 +104,18 @@
     return found == refused_.end() ? now : found->second;
 }
 
+// Machines that were lent to other pools return to a pool that needs them.
+double pool_state::expected_cores(base::time_point now)
+{
+    const double cores = usable_cores(now);
+    if (cores >= peak_cores_ || now - peak_at_ > peak_memory)
+    {
+        peak_cores_ = cores;
+        peak_at_ = now;
+    }
+    return cores > 0.0 ? peak_cores_ : 0.0;
+}
+
 submit_result pool_state::submit(std::string_view id, job_spec spec,
                                  std::string_view queue, base::time_point now,
                                  base::wall_time wall)
@@ -123,7 +137,7 @@
     queue_statistics& statistics = statistics_of(subject);
     admission_inputs inputs;
     inputs.backlog = backlog();
-    inputs.cores = usable_cores(now);
+    inputs.cores = expected_cores(now);
     inputs.chain = longest_chain(subject, false) * statistics.pace();
     inputs.objective =
         base::count_seconds(objective_of(subject, policy, statistics) - now);
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -173,6 +173,7 @@
 
     job* find(std::string_view id);
     base::time_point first_seen(std::string_view id, base::time_point now);
+    double expected_cores(base::time_point now);
     worker_view* find_worker(std::string_view id);
     [[nodiscard]] const queue_policy& policy_of(const job& subject) const;
     queue_statistics& statistics_of(const job& subject);
@@ -226,6 +227,8 @@
     std::map<std::string, base::time_point, std::less<>> refused_;
     std::vector<stop_order> stops_;
     base::time_point inherit_until_{};
+    double peak_cores_ = 0.0;
+    base::time_point peak_at_{};
     std::uint64_t changes_ = 0;
     decision_hook decided_;
 };
--- a/src/node/fleet_manager.cpp
+++ b/src/node/fleet_manager.cpp
@@ -150,7 +150,8 @@
     if (free_since_ == base::time_point{})
         free_since_ = now;
     if (now - free_since_ >=
-        claim_delay(session_.members(), session_.own().name, pools_.size()))
+        claim_delay(session_.members(), session_.own().name, pools_.size(),
+                    now - session_.registered_at()))
         session_.claim(role);
     return false;
 }
--- a/src/node/pool_claims.cpp
+++ b/src/node/pool_claims.cpp
@@ -15,9 +15,10 @@
 
 constexpr std::chrono::milliseconds check_interval{200};
 // The first in turn claims at once, the next after this long, and so on.
-constexpr std::chrono::milliseconds turn_delay{300};
+constexpr std::chrono::milliseconds turn_delay{200};
 // At a common start, members register before roles are dealt out.
 constexpr std::chrono::milliseconds settle_time{400};
+constexpr std::chrono::seconds common_start{2};
 
 std::string role_of(std::string_view pool)
 {
@@ -27,7 +28,8 @@
 } // namespace
 
 base::duration claim_delay(const std::map<std::string, member>& members,
-                           std::string_view own_name, std::size_t role_index)
+                           std::string_view own_name, std::size_t role_index,
+                           base::duration registered_for)
 {
     std::size_t position = 0;
     for (const auto& [name, entry] : members)
@@ -38,7 +40,10 @@
     }
     const std::size_t count = std::max<std::size_t>(members.size(), 1);
     const std::size_t turn = (position + count - role_index % count) % count;
-    return settle_time + turn_delay * static_cast<int>(turn);
+    const base::duration settle = registered_for < common_start
+                                      ? base::duration(settle_time)
+                                      : base::duration::zero();
+    return settle + turn_delay * static_cast<int>(turn);
 }
 
 pool_claims::pool_claims(session& members, worker_directory& directory,
@@ -165,7 +170,8 @@
     }
     const auto since = free_since_.emplace(pool, now).first->second;
     if (now - since <
-        claim_delay(session_.members(), session_.own().name, index))
+        claim_delay(session_.members(), session_.own().name, index,
+                    now - session_.registered_at()))
         return;
     free_since_.erase(pool);
     try
--- a/src/node/pool_claims.hpp
+++ b/src/node/pool_claims.hpp
@@ -22,9 +22,11 @@
 
 /// How long this instance waits before it claims a role that nobody holds.
 /// Instances take the roles in turn by their names, so that the roles spread
-/// evenly and two instances rarely claim at once.
+/// evenly and two instances rarely claim at once. `registered_for` is how long
+/// this instance has been registered: at a common start it waits for others.
 base::duration claim_delay(const std::map<std::string, member>& members,
-                           std::string_view own_name, std::size_t role_index);
+                           std::string_view own_name, std::size_t role_index,
+                           base::duration registered_for);
 
 /// Claims pools without an owner and runs the owners of this instance.
 class pool_claims
--- a/src/node/session.cpp
+++ b/src/node/session.cpp
@@ -153,6 +153,7 @@
         return;
     lease_ = lease;
     renewed_at_ = sent_at;
+    registered_at_ = base::steady_now();
     log::write(event_registered, {{"lease", lease}});
     hooks_.changed();
 }
--- a/src/node/session.hpp
+++ b/src/node/session.hpp
@@ -68,6 +68,10 @@
     void stop();
 
     [[nodiscard]] bool is_registered() const { return lease_ != 0; }
+    [[nodiscard]] base::time_point registered_at() const
+    {
+        return registered_at_;
+    }
     [[nodiscard]] const identity& own() const { return own_; }
     /// Members by name.
     [[nodiscard]] const std::map<std::string, member>& members() const
@@ -112,6 +116,7 @@
     hooks hooks_;
     std::int64_t lease_ = 0;
     base::time_point renewed_at_{};
+    base::time_point registered_at_{};
     std::string secret_;
     std::map<std::string, member> members_;
     std::map<std::string, holder, std::less<>> holders_;
