Handle SIGHUP; format

Change: SIGHUP reads the settings again and logs the outcome; addresses and bounds take effect at the next start.

--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -42,8 +42,8 @@
 
 log::severity severity_of(std::string_view word)
 {
-    for (const auto level : {log::severity::debug, log::severity::info,
-                             log::severity::warning})
+    for (const auto level :
+         {log::severity::debug, log::severity::info, log::severity::warning})
         if (log::to_string(level) == word)
             return level;
     return log::severity::error;
@@ -51,12 +51,16 @@
 
 exit_code run_node(command_input& input)
 {
-    const auto settings = platform::read_node_settings(
-        read_file(input.settings.find("settings")->second));
+    const std::string path = input.settings.find("settings")->second;
+    const auto read = [path]
+    {
+        return platform::read_node_settings(read_file(path));
+    };
+    const auto settings = read();
     log::configure(log::format::json,
                    severity_of(input.settings.find("log-level")->second),
                    settings.name);
-    node::node_instance instance(settings);
+    node::node_instance instance(settings, read);
     instance.run();
     return exit_code::ok;
 }
--- a/src/dispatch/lease_result.hpp
+++ b/src/dispatch/lease_result.hpp
@@ -2,8 +2,8 @@
 #define PIMENTOGRADE_DISPATCH_LEASE_RESULT_HPP
 
 #include "dispatch/record_changes.hpp"
-#include "provider/worker_operations.hpp"
 #include "policy/slot.hpp"
+#include "provider/worker_operations.hpp"
 
 namespace pimentograde::dispatch
 {
--- a/src/dispatch/runner_hooks.hpp
+++ b/src/dispatch/runner_hooks.hpp
@@ -2,8 +2,8 @@
 #define PIMENTOGRADE_DISPATCH_RUNNER_HOOKS_HPP
 
 #include "config/bundle.hpp"
-#include "provider/worker_operations.hpp"
 #include "policy/slot.hpp"
+#include "provider/worker_operations.hpp"
 #include "records/record_table.hpp"
 
 #include <cstddef>
--- a/src/dispatch/slot_service.hpp
+++ b/src/dispatch/slot_service.hpp
@@ -4,11 +4,11 @@
 #include "base/strong_id.hpp"
 #include "base/time.hpp"
 #include "config/bundle.hpp"
-#include "provider/worker_operations.hpp"
 #include "policy/leaving_registry.hpp"
 #include "policy/lending_policy.hpp"
 #include "policy/outlier_ejector.hpp"
 #include "policy/slot.hpp"
+#include "provider/worker_operations.hpp"
 
 #include <boost/json/object.hpp>
 
--- a/src/entry/signal_wait.cpp
+++ b/src/entry/signal_wait.cpp
@@ -10,12 +10,30 @@
 namespace pimentograde::entry
 {
 
-int wait_for_stop_signal()
+namespace
+{
+
+int wait_for(boost::asio::signal_set& signals)
 {
-    boost::asio::signal_set signals(net::this_thread_io(), SIGTERM, SIGINT);
     return net::await_io<int>([&](auto done)
                               { signals.async_wait(std::move(done)); })
         .value;
 }
 
+} // namespace
+
+int wait_for_stop_signal()
+{
+    boost::asio::signal_set signals(net::this_thread_io(), SIGTERM, SIGINT);
+    return wait_for(signals);
+}
+
+int wait_for_signal()
+{
+    // Kept, so that no signal meets the default action between two waits.
+    static boost::asio::signal_set signals(net::this_thread_io(), SIGTERM,
+                                           SIGINT, SIGHUP);
+    return wait_for(signals);
+}
+
 } // namespace pimentograde::entry
--- a/src/entry/signal_wait.hpp
+++ b/src/entry/signal_wait.hpp
@@ -8,6 +8,9 @@
 /// signal's number.
 int wait_for_stop_signal();
 
+/// Like `wait_for_stop_signal`, but returns for SIGHUP too.
+int wait_for_signal();
+
 } // namespace pimentograde::entry
 
 #endif
--- a/src/fleet/move_policy.cpp
+++ b/src/fleet/move_policy.cpp
@@ -78,12 +78,12 @@
     while (moves.size() < max_moves_at_once)
     {
         pool_balance* receiver = most_pressed(balances);
-        pool_balance* giver = receiver == nullptr ? nullptr
-                                                  : best_giver(balances);
+        pool_balance* giver =
+            receiver == nullptr ? nullptr : best_giver(balances);
         if (giver == nullptr || giver == receiver)
             return moves;
-        moves.push_back({giver->idle.back(), giver->demand->pool,
-                         receiver->demand->pool});
+        moves.push_back(
+            {giver->idle.back(), giver->demand->pool, receiver->demand->pool});
         giver->idle.pop_back();
         giver->cores -= cores_per_machine;
         receiver->cores += cores_per_machine;
--- a/src/fleet/wave_progress.cpp
+++ b/src/fleet/wave_progress.cpp
@@ -36,9 +36,9 @@
 
 int wave_progress::count(maintenance_stage stage) const
 {
-    return static_cast<int>(
-        std::count_if(machines_.begin(), machines_.end(), [&](const auto& item)
-                      { return item.second.stage == stage; }));
+    return static_cast<int>(std::count_if(
+        machines_.begin(), machines_.end(),
+        [&](const auto& item) { return item.second.stage == stage; }));
 }
 
 bool wave_progress::is_urgent(base::duration maintenance_time,
--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -39,9 +39,9 @@
     if (decision.expected_wait <= latest_wait)
         return decision;
     decision.is_accepted = false;
-    decision.retry_after =
-        std::clamp<base::duration>(seconds(decision.expected_wait - latest_wait),
-                                   shortest_retry, longest_retry);
+    decision.retry_after = std::clamp<base::duration>(
+        seconds(decision.expected_wait - latest_wait), shortest_retry,
+        longest_retry);
     return decision;
 }
 
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -57,11 +57,10 @@
     const int occurrence = occurrence_of(position);
     if (spec.repeat_count > 0)
     {
-        const auto due =
-            spec.first_due +
-            std::chrono::duration_cast<std::chrono::milliseconds>(
-                spec.repeat_interval) *
-                occurrence;
+        const auto due = spec.first_due +
+                         std::chrono::duration_cast<std::chrono::milliseconds>(
+                             spec.repeat_interval) *
+                             occurrence;
         if (now < due)
             return false;
     }
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -23,9 +23,12 @@
     if (!part.after.empty())
         value["after"] = json::value_from(part.after);
     const std::pair<const char*, bool> flags[] = {
-        {"checkpointing", part.is_checkpointing}, {"gang", part.is_gang},
-        {"same_rack", part.needs_same_rack}, {"speculative", part.is_speculative},
-        {"long_running", part.is_long_running}, {"filler", part.is_filler}};
+        {"checkpointing", part.is_checkpointing},
+        {"gang", part.is_gang},
+        {"same_rack", part.needs_same_rack},
+        {"speculative", part.is_speculative},
+        {"long_running", part.is_long_running},
+        {"filler", part.is_filler}};
     for (const auto& [name, is_set] : flags)
         if (is_set)
             value[name] = true;
@@ -111,10 +114,10 @@
         {
             const task& entry = tasks[index];
             if (has_progress(entry))
-                rows.push_back(json::array{
-                    position, index, entry.last_run,
-                    json::value_from(entry.failed_runs),
-                    entry.is_done ? 1 : 0, entry.checkpoint});
+                rows.push_back(json::array{position, index, entry.last_run,
+                                           json::value_from(entry.failed_runs),
+                                           entry.is_done ? 1 : 0,
+                                           entry.checkpoint});
         }
     }
     return rows;
@@ -126,9 +129,10 @@
     {
         const json::array& cells = row.as_array();
         const auto cell = [&](std::size_t column)
-        { return cells.at(column).to_number<int>(); };
-        step& target =
-            subject.steps.at(static_cast<std::size_t>(cell(0)));
+        {
+            return cells.at(column).to_number<int>();
+        };
+        step& target = subject.steps.at(static_cast<std::size_t>(cell(0)));
         task& entry = target.tasks.at(static_cast<std::size_t>(cell(1)));
         entry.last_run = cell(2);
         entry.failed_runs = json::value_to<std::vector<int>>(cells.at(3));
--- a/src/jobs/job_spec.cpp
+++ b/src/jobs/job_spec.cpp
@@ -65,7 +65,8 @@
 
 bool job_spec::is_long_running() const
 {
-    return std::any_of(steps.begin(), steps.end(), [](const step_spec& step)
+    return std::any_of(steps.begin(), steps.end(),
+                       [](const step_spec& step)
                        { return step.is_long_running; });
 }
 
--- a/src/jobs/ordering.cpp
+++ b/src/jobs/ordering.cpp
@@ -34,9 +34,9 @@
 {
     if (estimate <= base::duration::zero())
         return;
-    const double ratio = std::clamp(base::count_seconds(actual) /
-                                        base::count_seconds(estimate),
-                                    min_pace, max_pace);
+    const double ratio =
+        std::clamp(base::count_seconds(actual) / base::count_seconds(estimate),
+                   min_pace, max_pace);
     pace_ += learning_rate * (ratio - pace_);
 }
 
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -54,11 +54,10 @@
     {
         if (!is_allowed(*worker, request, now))
             continue;
-        const preference current{
-            worker->description.id == request.avoided,
-            !request.step->data_rack.empty() &&
-                worker->has_label(request.step->data_rack),
-            worker->free().cpu_millis};
+        const preference current{worker->description.id == request.avoided,
+                                 !request.step->data_rack.empty() &&
+                                     worker->has_label(request.step->data_rack),
+                                 worker->free().cpu_millis};
         if (best != nullptr && !current.better_than(best_preference))
             continue;
         best = worker;
--- a/src/jobs/pool_planner.cpp
+++ b/src/jobs/pool_planner.cpp
@@ -37,8 +37,7 @@
     if (!subject.is_inherited || now >= inherit_until_)
         return true;
     return std::none_of(workers_.begin(), workers_.end(),
-                        [](const auto& entry)
-                        {
+                        [](const auto& entry) {
                             return entry.second.is_inherited &&
                                    !entry.second.has_reported;
                         });
@@ -57,8 +56,8 @@
              ++position)
         {
             const step& part = subject.steps[position];
-            const int left = static_cast<int>(part.tasks.size()) - part.done -
-                             part.active;
+            const int left =
+                static_cast<int>(part.tasks.size()) - part.done - part.active;
             if (left > 0 && subject.is_step_ready(position, wall))
                 entry.positions.push_back(position);
         }
@@ -122,9 +121,12 @@
         if (entry.is_done || entry.active || now < entry.not_before ||
             !has_attempts_left(entry, part, policy_of(subject)))
             continue;
-        const placement_request request{
-            &part, entry.failed_on, [&](const worker_view& worker)
-            { return same_step_count(worker, subject, position); }};
+        const placement_request request{&part, entry.failed_on,
+                                        [&](const worker_view& worker)
+                                        {
+                                            return same_step_count(
+                                                worker, subject, position);
+                                        }};
         worker_view* worker = choose_worker(workers, request, now);
         // The tasks of a step are alike: the next one has no room either.
         if (worker == nullptr)
@@ -164,9 +166,12 @@
         // The first member's worker decides the rack of all.
         if (part.needs_same_rack && !rack.empty())
             wanted.required_label = rack;
-        const placement_request request{
-            &wanted, tasks[index].failed_on, [&](const worker_view& worker)
-            { return same_step_count(worker, subject, position); }};
+        const placement_request request{&wanted, tasks[index].failed_on,
+                                        [&](const worker_view& worker)
+                                        {
+                                            return same_step_count(
+                                                worker, subject, position);
+                                        }};
         worker_view* worker = choose_worker(workers, request, now);
         if (worker == nullptr)
             break;
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -40,7 +40,11 @@
     worker.is_listed = true;
     worker.description = description;
     if (begins_draining)
-        tell({"worker_draining", {}, {}, 0, description.id,
+        tell({"worker_draining",
+              {},
+              {},
+              0,
+              description.id,
               "remaining_ms=" +
                   std::to_string(base::count_millis(description.remaining))});
 }
@@ -143,8 +147,8 @@
     if (entry == nullptr || subject->status != job_status::open ||
         entry->is_done)
     {
-        const bool is_known = entry != nullptr && entry->active &&
-                              entry->active->worker == id;
+        const bool is_known =
+            entry != nullptr && entry->active && entry->active->worker == id;
         if (!is_known)
             request_stop(row.task, row.run, id, "the task has ended");
         else if (now - entry->active->since > stop_repeat)
@@ -299,7 +303,11 @@
     const int limit = policy_of(subject).max_attempts;
     if (entry.is_done || static_cast<int>(failed.size()) < limit)
         return;
-    tell({"job_failed", subject.id, to_string(row.task), row.run, {},
+    tell({"job_failed",
+          subject.id,
+          to_string(row.task),
+          row.run,
+          {},
           "failures=" + std::to_string(failed.size())});
     end_job(subject, job_status::failed, wall);
 }
@@ -434,8 +442,7 @@
         return true;
     worker->leaving_until = std::max(worker->leaving_until, until);
     evacuate(*worker, now);
-    return worker->runs.empty() &&
-           (worker->has_reported || !worker->is_listed);
+    return worker->runs.empty() && (worker->has_reported || !worker->is_listed);
 }
 
 } // namespace pimentograde::jobs
--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -268,8 +268,8 @@
     step& part = subject.steps[position];
     task& entry = part.tasks[static_cast<std::size_t>(index)];
     entry.last_run = std::max(entry.last_run, run);
-    entry.active = active_run{run, worker.description.id, state, now, now, 0,
-                              now};
+    entry.active =
+        active_run{run, worker.description.id, state, now, now, 0, now};
     ++part.active;
     worker.used += room_of(subject.spec_of(position));
     worker.runs.emplace(subject.id_of(position, index), run);
--- a/src/jobs/worker_view.cpp
+++ b/src/jobs/worker_view.cpp
@@ -72,8 +72,7 @@
 {
     return is_listed && is_recorded && has_reported && is_reachable &&
            !description.is_draining && now >= leaving_until &&
-           now >= no_room_until &&
-           !health.is_quarantined(now);
+           now >= no_room_until && !health.is_quarantined(now);
 }
 
 bool worker_view::has_label(const std::string& label) const
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -228,7 +228,8 @@
     if (read.failure)
         throw exchange_error(read.failure, where, step);
     auto& reply = parser.get();
-    http_response response{reply.result_int(), std::move(reply.body()),
+    http_response response{reply.result_int(),
+                           std::move(reply.body()),
                            std::string(reply[http::field::content_type]),
                            {}};
     for (const auto& field : reply)
--- a/src/node/caller_front.cpp
+++ b/src/node/caller_front.cpp
@@ -3,8 +3,8 @@
 #include "base/error.hpp"
 #include "log/event.hpp"
 #include "node/events.hpp"
-#include "platform/job_document.hpp"
 #include "platform/caller_protocol.hpp"
+#include "platform/job_document.hpp"
 
 #include <algorithm>
 
@@ -217,8 +217,7 @@
     return retry_later(outage_retry, current.reason);
 }
 
-void caller_front::note(const call& current,
-                        const net::http_response& response,
+void caller_front::note(const call& current, const net::http_response& response,
                         base::time_point begin)
 {
     const base::duration took = base::steady_now() - begin;
@@ -232,15 +231,14 @@
     // Readings that succeed decide nothing.
     if (method == "GET" && response.status == ok)
         return;
-    log::write(event_request,
-               {{"job", current.job},
-                {"method", method},
-                {"path", current.path},
-                {"status", response.status},
-                {"reason", current.reason},
-                {"config_version",
-                 configuration_ ? configuration_->version : 0},
-                {"took_ms", base::count_millis(took)}});
+    log::write(event_request, {{"job", current.job},
+                               {"method", method},
+                               {"path", current.path},
+                               {"status", response.status},
+                               {"reason", current.reason},
+                               {"config_version",
+                                configuration_ ? configuration_->version : 0},
+                               {"took_ms", base::count_millis(took)}});
 }
 
 } // namespace pimentograde::node
--- a/src/node/events.hpp
+++ b/src/node/events.hpp
@@ -16,8 +16,8 @@
                                              "store does not answer"};
 inline constexpr log::event event_store_regained{3305, log::severity::info,
                                                  "store answers again"};
-inline constexpr log::event event_lease_lost{
-    3306, log::severity::warning, "the instance's lease has ended"};
+inline constexpr log::event event_lease_lost{3306, log::severity::warning,
+                                             "the instance's lease has ended"};
 inline constexpr log::event event_registered{
     3307, log::severity::info, "instance registered in the store"};
 inline constexpr log::event event_configuration_adopted{
@@ -28,8 +28,8 @@
                                                "pool claimed"};
 inline constexpr log::event event_request{3311, log::severity::info,
                                           "request answered"};
-inline constexpr log::event event_claim_failed{
-    3312, log::severity::warning, "claiming a pool failed"};
+inline constexpr log::event event_claim_failed{3312, log::severity::warning,
+                                               "claiming a pool failed"};
 inline constexpr log::event event_wave{3313, log::severity::info,
                                        "maintenance wave"};
 inline constexpr log::event event_machine_order{3314, log::severity::info,
@@ -37,6 +37,11 @@
 inline constexpr log::event event_machine_service_failed{
     3315, log::severity::warning, "machine service does not answer"};
 
+inline constexpr log::event event_reloaded{3316, log::severity::info,
+                                           "settings read again"};
+inline constexpr log::event event_reload_failed{
+    3317, log::severity::error, "settings cannot be read again"};
+
 } // namespace pimentograde::node
 
 #endif
--- a/src/node/fleet_manager.cpp
+++ b/src/node/fleet_manager.cpp
@@ -149,9 +149,9 @@
     }
     if (free_since_ == base::time_point{})
         free_since_ = now;
-    if (now - free_since_ >=
-        claim_delay(session_.members(), session_.own().name, pools_.size(),
-                    now - session_.registered_at()))
+    if (now - free_since_ >= claim_delay(session_.members(),
+                                         session_.own().name, pools_.size(),
+                                         now - session_.registered_at()))
         session_.claim(role);
     return false;
 }
@@ -189,8 +189,8 @@
         machines_[entry.id] = entry;
     for (const auto& pool : pools_)
         if (!pool.is_standby)
-            loads_[pool.name] = gateway_.load(
-                pool.name, base::steady_now() + load_timeout);
+            loads_[pool.name] =
+                gateway_.load(pool.name, base::steady_now() + load_timeout);
 }
 
 void fleet_manager::tick(base::time_point now)
@@ -204,8 +204,8 @@
         if (found == waves_.end())
         {
             found = waves_
-                        .emplace(number, fleet::wave_progress(
-                                             wave, wave_seen_[number]))
+                        .emplace(number,
+                                 fleet::wave_progress(wave, wave_seen_[number]))
                         .first;
             restore_wave(found->second);
         }
@@ -281,9 +281,9 @@
     const bool is_repeated =
         std::find(pending.begin(), pending.end(), machine) != pending.end();
     wave.note_ordered(machine, base::steady_now());
-    const auto answer = machines_client_.maintain(
-        authority(), machine, wave.wave().number,
-        base::steady_now() + call_timeout);
+    const auto answer =
+        machines_client_.maintain(authority(), machine, wave.wave().number,
+                                  base::steady_now() + call_timeout);
     log::write(event_machine_order, {{"order", "maintain"},
                                      {"machine", machine},
                                      {"worker", entry.worker},
@@ -393,11 +393,10 @@
             if (entry.pool != pool.name || is_resting || is_in_wave(id))
                 continue;
             const auto machine = load_of(id);
-            const bool is_idle = pool.is_standby ||
-                                 (machine && machine->runs == 0 &&
-                                  !entry.worker.empty() &&
-                                  load != loads_.end() &&
-                                  load->second.is_known);
+            const bool is_idle =
+                pool.is_standby ||
+                (machine && machine->runs == 0 && !entry.worker.empty() &&
+                 load != loads_.end() && load->second.is_known);
             if (is_idle)
                 demand.idle_machines.push_back(id);
         }
@@ -413,8 +412,7 @@
     const double cores_per_machine =
         static_cast<double>(machines_.begin()->second.capacity.cpu_millis) /
         millis;
-    for (const auto& move :
-         fleet::plan_moves(demands(now), cores_per_machine))
+    for (const auto& move : fleet::plan_moves(demands(now), cores_per_machine))
         if (may_order(base::steady_now()))
             order_move(move);
 }
--- a/src/node/node_instance.cpp
+++ b/src/node/node_instance.cpp
@@ -20,6 +20,7 @@
 #include <boost/fiber/operations.hpp>
 
 #include <algorithm>
+#include <csignal>
 #include <utility>
 
 namespace pimentograde::node
@@ -50,17 +51,20 @@
 struct node_instance::impl
 {
     explicit impl(platform::node_settings own)
-        : settings(std::move(own)),
-          store(platform::store_client::builder{}
-                    .connect_to(settings.store)
-                    .build()),
+        : settings(std::move(own)), store(platform::store_client::builder{}
+                                              .connect_to(settings.store)
+                                              .build()),
           worker_http(net::http_client::builder{}.max_idle(2).build()),
           members({settings.name,
                    settings.zone,
                    base::random_source{}.bits(),
                    {settings.address, settings.first_internal_port}},
                   *store,
-                  {[this] { claims.notify(); }, [this] { claims.notify(); }}),
+                  {[this] { claims.notify(); },
+                   [this]
+                   {
+                       claims.notify();
+                   }}),
           claims(members, directory, *store, *worker_http,
                  settings.longest_worker_lease),
           gateway(members, claims, *store), front(gateway, metrics),
@@ -95,6 +99,7 @@
     std::unique_ptr<net::http_server> metrics_server;
     std::unique_ptr<peer::peer_server> peers;
     net::task_group fibers;
+    settings_reader read_settings;
     bool is_stopping = false;
     bool store_answers = true;
     std::int64_t version = 0;
@@ -109,6 +114,7 @@
     void open_peer_listener();
     [[nodiscard]] bool is_ready() const;
     void start();
+    void reload();
     void stop();
 };
 
@@ -118,7 +124,10 @@
             { members.apply_listing(items); },
             [this](std::span<const platform::store_event> events)
             { members.apply_changes(events); },
-            [this](bool is_ok) { note_exchange(is_ok); }};
+            [this](bool is_ok)
+            {
+                note_exchange(is_ok);
+            }};
 }
 
 prefix_watch::hooks node_instance::impl::operator_hooks()
@@ -134,7 +143,8 @@
                     if (!event.is_deleted)
                         adopt(event.item);
             },
-            [](bool) {}};
+            [](bool) {
+            }};
 }
 
 prefix_watch::hooks node_instance::impl::worker_hooks()
@@ -149,7 +159,8 @@
                 directory.apply_changes(events);
                 claims.notify();
             },
-            [](bool) {}};
+            [](bool) {
+            }};
 }
 
 void node_instance::impl::note_exchange(bool is_ok)
@@ -165,8 +176,7 @@
         if (item.key == configuration_key)
             adopt_configuration(item);
         else if (item.key.starts_with(wave_prefix))
-            fleet.set_wave(platform::read_wave(item.value),
-                           base::steady_now());
+            fleet.set_wave(platform::read_wave(item.value), base::steady_now());
     }
     catch (const std::exception& failure)
     {
@@ -185,11 +195,10 @@
     front.set_configuration(current);
     claims.set_configuration(current);
     fleet.set_configuration(current);
-    log::write(event_configuration_adopted,
-               {{"version", version},
-                {"revision", item.revision},
-                {"queues", current.queues.size()},
-                {"pools", current.pools.size()}});
+    log::write(event_configuration_adopted, {{"version", version},
+                                             {"revision", item.revision},
+                                             {"queues", current.queues.size()},
+                                             {"pools", current.pools.size()}});
 }
 
 bool node_instance::impl::is_ready() const
@@ -206,18 +215,17 @@
                   .idle_timeout(caller_idle_timeout)
                   .max_connections(max_caller_connections)
                   .build();
-    readiness =
-        net::http_server::builder{}
-            .listen_on(settings.readiness_listen)
-            .handle_with(
-                [this](const net::http_request&)
-                {
-                    constexpr unsigned ok = 200;
-                    constexpr unsigned service_unavailable = 503;
-                    return net::http_response{
-                        is_ready() ? ok : service_unavailable, "{}"};
-                })
-            .build();
+    readiness = net::http_server::builder{}
+                    .listen_on(settings.readiness_listen)
+                    .handle_with(
+                        [this](const net::http_request&)
+                        {
+                            constexpr unsigned ok = 200;
+                            constexpr unsigned service_unavailable = 503;
+                            return net::http_response{
+                                is_ready() ? ok : service_unavailable, "{}"};
+                        })
+                    .build();
     const auto metrics_port =
         static_cast<std::uint16_t>(settings.first_internal_port + 1);
     metrics_server =
@@ -243,9 +251,9 @@
         return;
     auto builder = peer::peer_server::builder{};
     builder.listen_on(members.own().address)
-        .authenticate_as({{base::member_id(settings.name),
-                           members.own().incarnation},
-                          members.peer_secret()});
+        .authenticate_as(
+            {{base::member_id(settings.name), members.own().incarnation},
+             members.peer_secret()});
     gateway.add_handlers(builder);
     peers = builder.build();
 }
@@ -266,12 +274,33 @@
                 {"store", net::to_string(settings.store)}});
 }
 
+// Addresses and bounds take effect at the next start, since connections and
+// leases depend on them; the reload shows whether the file can be read.
+void node_instance::impl::reload()
+{
+    try
+    {
+        const auto fresh = read_settings();
+        const bool needs_restart =
+            fresh.caller_listen != settings.caller_listen ||
+            fresh.store != settings.store ||
+            fresh.longest_worker_lease != settings.longest_worker_lease;
+        log::write(event_reloaded,
+                   {{"result", needs_restart ? "takes effect at a restart"
+                                             : "nothing to change"}});
+    }
+    catch (const std::exception& failure)
+    {
+        log::write(event_reload_failed, {{"reason", failure.what()}});
+    }
+}
+
 void node_instance::impl::stop()
 {
     const base::time_point begin = base::steady_now();
     const base::time_point deadline =
-        begin + std::max<base::duration>(settings.grace - stop_reserve,
-                                         rotation_time);
+        begin +
+        std::max<base::duration>(settings.grace - stop_reserve, rotation_time);
     is_stopping = true;
     log::write(event_stopping);
     fleet.stop();
@@ -287,9 +316,11 @@
     log::write(event_stopped, {{"all_answered", all_ended ? 1 : 0}});
 }
 
-node_instance::node_instance(platform::node_settings settings)
+node_instance::node_instance(platform::node_settings settings,
+                             settings_reader reader)
     : impl_(std::make_unique<impl>(std::move(settings)))
 {
+    impl_->read_settings = std::move(reader);
 }
 
 node_instance::~node_instance() = default;
@@ -297,7 +328,8 @@
 void node_instance::run()
 {
     impl_->start();
-    entry::wait_for_stop_signal();
+    while (entry::wait_for_signal() == SIGHUP)
+        impl_->reload();
     impl_->stop();
 }
 
--- a/src/node/node_instance.hpp
+++ b/src/node/node_instance.hpp
@@ -3,6 +3,7 @@
 
 #include "platform/node_settings.hpp"
 
+#include <functional>
 #include <memory>
 
 namespace pimentograde::node
@@ -12,7 +13,10 @@
 class node_instance
 {
 public:
-    explicit node_instance(platform::node_settings settings);
+    /// Reads the settings again after SIGHUP; throws `base::error`.
+    using settings_reader = std::function<platform::node_settings()>;
+
+    node_instance(platform::node_settings settings, settings_reader reader);
     ~node_instance();
     node_instance(const node_instance&) = delete;
     node_instance& operator=(const node_instance&) = delete;
--- a/src/node/pool_claims.cpp
+++ b/src/node/pool_claims.cpp
@@ -148,8 +148,7 @@
     const auto owner = owners_.find(pool);
     if (owner != owners_.end())
     {
-        if (current == nullptr ||
-            current->revision != owner->second->fence())
+        if (current == nullptr || current->revision != owner->second->fence())
             lost_.insert(pool);
         return;
     }
@@ -169,9 +168,8 @@
         return;
     }
     const auto since = free_since_.emplace(pool, now).first->second;
-    if (now - since <
-        claim_delay(session_.members(), session_.own().name, index,
-                    now - session_.registered_at()))
+    if (now - since < claim_delay(session_.members(), session_.own().name,
+                                  index, now - session_.registered_at()))
         return;
     free_since_.erase(pool);
     try
@@ -196,8 +194,9 @@
             .store(store_)
             .http(http_)
             .worker_lease(worker_lease_)
-            .may_order([this]
-                       { return session_.may_order(base::suspend_aware_now()); })
+            .may_order(
+                [this]
+                { return session_.may_order(base::suspend_aware_now()); })
             .on_lost(
                 [this, pool](std::string_view)
                 {
--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -91,9 +91,8 @@
         static_cast<std::int64_t>(state.usable_cores(now) * millis);
     for (const auto& [id, worker] : state.workers())
     {
-        peer::worker_load entry{id, static_cast<std::int64_t>(
-                                        worker.runs.size()),
-                                0};
+        peer::worker_load entry{
+            id, static_cast<std::int64_t>(worker.runs.size()), 0};
         for (const auto& [task, run] : worker.runs)
         {
             const jobs::job* subject = state.find_job(task.job);
@@ -116,9 +115,8 @@
 
 base::duration time_left(base::time_point deadline)
 {
-    return std::max<base::duration>(deadline - reply_reserve -
-                                        base::steady_now(),
-                                    base::duration::zero());
+    return std::max<base::duration>(
+        deadline - reply_reserve - base::steady_now(), base::duration::zero());
 }
 
 } // namespace
@@ -133,19 +131,19 @@
 {
     auto& client = clients_[address];
     if (!client)
-        client =
-            peer::peer_client::builder{}
-                .connect_to(address)
-                .authenticate_as({{base::member_id(session_.own().name),
-                                   session_.own().incarnation},
-                                  session_.peer_secret()})
-                .build();
+        client = peer::peer_client::builder{}
+                     .connect_to(address)
+                     .authenticate_as({{base::member_id(session_.own().name),
+                                        session_.own().incarnation},
+                                       session_.peer_secret()})
+                     .build();
     return *client;
 }
 
-pools::submission_answer
-pool_gateway::submit(const jobs::queue_policy& queue, std::string_view id,
-                     jobs::job_spec spec, base::time_point deadline)
+pools::submission_answer pool_gateway::submit(const jobs::queue_policy& queue,
+                                              std::string_view id,
+                                              jobs::job_spec spec,
+                                              base::time_point deadline)
 {
     if (const auto owner = claims_.find(queue.pool))
         return owner->submit(id, std::move(spec), queue.name,
@@ -162,8 +160,7 @@
                                    time_left(deadline)};
     try
     {
-        const auto reply =
-            client_of(current->address).send(message, deadline);
+        const auto reply = client_of(current->address).send(message, deadline);
         return {value_of<submission_kind>(reply.outcome, submission_words),
                 reply.retry_after, reply.reason};
     }
@@ -232,11 +229,11 @@
         return {job_kind::unavailable, {}};
     try
     {
-        return from_reply(client_of(current->address)
-                              .send(peer::cancel_job{queue.pool,
-                                                     std::string(id),
-                                                     time_left(deadline)},
-                                    deadline));
+        return from_reply(
+            client_of(current->address)
+                .send(peer::cancel_job{queue.pool, std::string(id),
+                                       time_left(deadline)},
+                      deadline));
     }
     catch (const base::error&)
     {
@@ -338,9 +335,8 @@
             const auto answer = owner->submit(
                 message.job, std::move(subject.spec), message.queue,
                 base::steady_now() + message.time_left);
-            return peer::submit_reply{
-                word_of(answer.outcome, submission_words), answer.retry_after,
-                answer.reason};
+            return peer::submit_reply{word_of(answer.outcome, submission_words),
+                                      answer.retry_after, answer.reason};
         });
     server.handle<peer::query_job>(
         [this](const peer::call_context&, const peer::query_job& message)
@@ -378,8 +374,8 @@
         [this](const peer::call_context&, const peer::release_worker& message)
         {
             const auto owner = claims_.find(message.pool);
-            return peer::release_worker_reply{
-                owner != nullptr && apply_release(*owner, message)};
+            return peer::release_worker_reply{owner != nullptr &&
+                                              apply_release(*owner, message)};
         });
 }
 
--- a/src/node/pool_gateway.hpp
+++ b/src/node/pool_gateway.hpp
@@ -52,8 +52,7 @@
     bool send_release(const peer::release_worker& message,
                       base::time_point deadline);
     peer::peer_client& client_of(const net::endpoint& address);
-    pools::job_answer stored_status(std::string_view pool,
-                                    std::string_view id);
+    pools::job_answer stored_status(std::string_view pool, std::string_view id);
 
     session& session_;
     pool_claims& claims_;
--- a/src/node/session.cpp
+++ b/src/node/session.cpp
@@ -116,8 +116,8 @@
         catch (const std::exception& failure)
         {
             if (!stop_.is_set())
-                log::write(event_store_lost, {{"step", "lease"},
-                                              {"reason", failure.what()}});
+                log::write(event_store_lost,
+                           {{"step", "lease"}, {"reason", failure.what()}});
             pause = retry_delay;
         }
         stop_.wait_for(pause);
@@ -144,11 +144,10 @@
     const std::int64_t lease = store_.grant_lease(lease_length);
     const json::object value{{"zone", own_.zone},
                              {"address", net::to_string(own_.address)}};
-    const auto result = store_.commit(
-        {{},
-         {{std::string(member_prefix) + own_.name, json::serialize(value),
-           lease}},
-         {}});
+    const auto result = store_.commit({{},
+                                       {{std::string(member_prefix) + own_.name,
+                                         json::serialize(value), lease}},
+                                       {}});
     if (result.outcome != platform::commit_result::kind::committed)
         return;
     lease_ = lease;
@@ -184,8 +183,8 @@
     const std::string key = role_key(role);
     const holder* current = holder_of(role);
     const std::int64_t revision = current == nullptr ? 0 : current->revision;
-    const auto result = store_.commit(
-        {{{key, revision}}, {{key, holder_value(), lease_}}, {}});
+    const auto result =
+        store_.commit({{{key, revision}}, {{key, holder_value(), lease_}}, {}});
     if (result.outcome != platform::commit_result::kind::committed)
         return std::nullopt;
     holders_[std::string(role)] = {own_.name, own_.incarnation, own_.address,
--- a/src/platform/configuration.cpp
+++ b/src/platform/configuration.cpp
@@ -68,9 +68,9 @@
                                 read_flag(entry, "EnforcesCapacity")});
     }
     const json::object& limits = read_object(source, "Limits");
-    result.max_body_bytes = static_cast<std::size_t>(read_integer(
-        limits, "MaxBodyBytes",
-        static_cast<std::int64_t>(result.max_body_bytes)));
+    result.max_body_bytes = static_cast<std::size_t>(
+        read_integer(limits, "MaxBodyBytes",
+                     static_cast<std::int64_t>(result.max_body_bytes)));
     return result;
 }
 
--- a/src/platform/json_call.cpp
+++ b/src/platform/json_call.cpp
@@ -47,8 +47,7 @@
     constexpr unsigned service_unavailable = 503;
     const bool is_refusal =
         status == too_many_requests || status == service_unavailable;
-    return {is_refusal ? base::error_code::refused
-                       : base::error_code::cut_off,
+    return {is_refusal ? base::error_code::refused : base::error_code::cut_off,
             std::string(step), net::to_string(where),
             "unexpected status " + std::to_string(status)};
 }
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -178,8 +178,8 @@
         "/-/kv-watch?Prefix=" + encode_query(prefix) +
         "&After=" + std::to_string(revision) +
         "&WaitMs=" + std::to_string(base::count_millis(wait));
-    const json_response response = impl_->call({"GET", target, nullptr, {}},
-                                               wait + watch_slack, "watch");
+    const json_response response =
+        impl_->call({"GET", target, nullptr, {}}, wait + watch_slack, "watch");
     store_changes changes;
     if (response.status == gone)
     {
@@ -190,16 +190,15 @@
         throw impl_->unexpected(response, "watch");
     changes.revision = read_integer(response.body, "AsOf", revision);
     for (const json::value& row : read_array(response.body, "events"))
-        changes.events.push_back({to_item(row.as_object()),
-                                  read_flag(row.as_object(), "Deleted")});
+        changes.events.push_back(
+            {to_item(row.as_object()), read_flag(row.as_object(), "Deleted")});
     return changes;
 }
 
 commit_result store_client::commit(const store_transaction& change)
 {
-    const json_response response =
-        impl_->call({"POST", "/-/kv-txn", to_body(change), {}},
-                    impl_->timeout, "commit");
+    const json_response response = impl_->call(
+        {"POST", "/-/kv-txn", to_body(change), {}}, impl_->timeout, "commit");
     commit_result result;
     if (response.status == ok)
     {
@@ -222,12 +221,12 @@
 
 std::int64_t store_client::grant_lease(base::duration time_to_live)
 {
-    const json_response response = impl_->call(
-        {"POST",
-         "/-/kv-lease",
-         json::object{{"TtlMs", base::count_millis(time_to_live)}},
-         {}},
-        impl_->timeout, "grant lease");
+    const json_response response =
+        impl_->call({"POST",
+                     "/-/kv-lease",
+                     json::object{{"TtlMs", base::count_millis(time_to_live)}},
+                     {}},
+                    impl_->timeout, "grant lease");
     if (response.status != ok)
         throw impl_->unexpected(response, "grant lease");
     return read_integer(response.body, "Lease");
@@ -263,10 +262,10 @@
 {
     // 4 characters for each 3 bytes, and the terminator that OpenSSL writes.
     std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
-    const int length = EVP_EncodeBlock(
-        reinterpret_cast<unsigned char*>(text.data()),
-        reinterpret_cast<const unsigned char*>(bytes.data()),
-        static_cast<int>(bytes.size()));
+    const int length =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                        reinterpret_cast<const unsigned char*>(bytes.data()),
+                        static_cast<int>(bytes.size()));
     text.resize(static_cast<std::size_t>(length));
     return text;
 }
@@ -276,10 +275,10 @@
     if (text.empty())
         return {};
     std::string bytes(text.size() / 4 * 3 + 3, '\0');
-    const int length = EVP_DecodeBlock(
-        reinterpret_cast<unsigned char*>(bytes.data()),
-        reinterpret_cast<const unsigned char*>(text.data()),
-        static_cast<int>(text.size()));
+    const int length =
+        EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                        reinterpret_cast<const unsigned char*>(text.data()),
+                        static_cast<int>(text.size()));
     if (length < 0)
         throw base::error(base::error_code::invalid, "decode base64", "",
                           "not base64 text");
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -90,8 +90,8 @@
 {
 public:
     /// Called with the step, the outcome and the time that a call took.
-    using call_hook = std::function<void(std::string_view, bool is_ok,
-                                         base::duration)>;
+    using call_hook =
+        std::function<void(std::string_view, bool is_ok, base::duration)>;
 
     class builder
     {
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -40,8 +40,8 @@
 {
     using jobs::end_kind;
     for (const end_kind kind :
-         {end_kind::done, end_kind::failed, end_kind::stopped,
-          end_kind::lapsed, end_kind::broken, end_kind::alone})
+         {end_kind::done, end_kind::failed, end_kind::stopped, end_kind::lapsed,
+          end_kind::broken, end_kind::alone})
         if (to_string(kind) == word)
             return kind;
     throw base::error(base::error_code::invalid, "read ends", "",
@@ -137,10 +137,10 @@
                       {"UntilMs", lease_until_ms}};
     if (!order.checkpoint.empty())
         body["Checkpoint"] = order.checkpoint;
-    const json_response response = call_json(
-        client_, target.where,
-        to_request("/-/run-start", target, std::move(body)), deadline,
-        "start task");
+    const json_response response =
+        call_json(client_, target.where,
+                  to_request("/-/run-start", target, std::move(body)), deadline,
+                  "start task");
     return to_start_result(response, target);
 }
 
@@ -165,10 +165,9 @@
         body["UntilMs"] = request.lease_until_ms;
     if (request.wait > base::duration::zero())
         body["WaitMs"] = base::count_millis(request.wait);
-    const json_response response =
-        call_json(client_, target.where,
-                  to_request("/-/hold", target, std::move(body)), deadline,
-                  "list runs");
+    const json_response response = call_json(
+        client_, target.where, to_request("/-/hold", target, std::move(body)),
+        deadline, "list runs");
     worker_listing listing;
     listing.clock_ms = read_integer(response.body, "ClockMs");
     if (response.status == conflict)
--- a/src/pools/job_writer.cpp
+++ b/src/pools/job_writer.cpp
@@ -71,8 +71,8 @@
             worker.address = std::string(source.at("address").as_string());
             worker.zone = std::string(source.at("zone").as_string());
             worker.born_ms = source.at("born_ms").to_number<std::int64_t>();
-            worker.labels = json::value_to<std::vector<std::string>>(
-                source.at("labels"));
+            worker.labels =
+                json::value_to<std::vector<std::string>>(source.at("labels"));
             worker.capacity = {source.at("cpu").to_number<std::int64_t>(),
                                source.at("memory").to_number<std::int64_t>(),
                                source.at("gpus").to_number<std::int64_t>()};
@@ -132,8 +132,7 @@
         return true;
     const auto& workers = state_.workers();
     return std::any_of(workers.begin(), workers.end(),
-                       [](const auto& entry)
-                       {
+                       [](const auto& entry) {
                            return entry.second.is_listed &&
                                   !entry.second.is_recorded;
                        });
@@ -233,8 +232,7 @@
         const auto found =
             std::find_if(result.actual.begin(), result.actual.end(),
                          [&](const auto& item) { return item.key == key; });
-        return found == result.actual.end() ? std::int64_t{0}
-                                            : found->revision;
+        return found == result.actual.end() ? std::int64_t{0} : found->revision;
     };
     if (revision_of(owner_key_) != owner_revision_)
     {
@@ -255,10 +253,9 @@
     for (const auto& change : changes)
         state_.note_not_stored(change.job, may_be_stored);
     if (!std::exchange(is_failing_, true))
-        log::write(event_write_failed,
-                   {{"pool", pool_},
-                    {"records", changes.size()},
-                    {"reason", reason}});
+        log::write(
+            event_write_failed,
+            {{"pool", pool_}, {"records", changes.size()}, {"reason", reason}});
 }
 
 void job_writer::remove_expired(base::wall_time wall)
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -48,10 +48,12 @@
         : pool(parts.pool_), fence(parts.revision_), store(*parts.store_),
           http(*parts.http_), lease(parts.lease_), may_order(parts.may_order_),
           lost_hook(parts.lost_), state(parts.pool_),
-          writer(parts.pool_, parts.key_, parts.revision_, state,
-                 *parts.store_,
+          writer(parts.pool_, parts.key_, parts.revision_, state, *parts.store_,
                  {[this](std::string_view reason) { lose(reason); },
-                  [this] { return is_stopping; }})
+                  [this]
+                  {
+                      return is_stopping;
+                  }})
     {
         state.on_decision([](const jobs::decision& entry) { note(entry); });
     }
@@ -191,18 +193,28 @@
     }
 }
 
-worker_link&
-pool_owner::impl::link_of(const jobs::worker_description& worker)
+worker_link& pool_owner::impl::link_of(const jobs::worker_description& worker)
 {
     auto& link = links[worker.id];
     if (link)
         return *link;
     worker_link::hooks hooks;
-    hooks.changed = [this] { changed(); };
+    hooks.changed = [this]
+    {
+        changed();
+    };
     hooks.stored = [this](base::time_point deadline)
-    { return writer.wait_stored(state.change_number(), deadline); };
-    hooks.fenced_off = [this](std::string_view reason) { lose(reason); };
-    hooks.may_order = [this] { return !is_stopping && may_order(); };
+    {
+        return writer.wait_stored(state.change_number(), deadline);
+    };
+    hooks.fenced_off = [this](std::string_view reason)
+    {
+        lose(reason);
+    };
+    hooks.may_order = [this]
+    {
+        return !is_stopping && may_order();
+    };
     link = std::make_unique<worker_link>(worker, fence, lease, state, http,
                                          std::move(hooks));
     link->start();
@@ -223,8 +235,7 @@
     for (auto& [id, link] : links)
         if (!listed.contains(id))
             state.unlist_worker(id);
-    std::erase_if(ended,
-                  [now = base::steady_now()](const auto& entry)
+    std::erase_if(ended, [now = base::steady_now()](const auto& entry)
                   { return now - entry.second > ended_listing; });
     remove_idle_links();
     changed();
@@ -281,18 +292,17 @@
     remove_idle_links();
 }
 
-submission_answer
-pool_owner::impl::answer_submission(std::string_view id, std::uint64_t change,
-                                    base::time_point deadline)
+submission_answer pool_owner::impl::answer_submission(std::string_view id,
+                                                      std::uint64_t change,
+                                                      base::time_point deadline)
 {
     using kind = submission_answer::kind;
     while (base::steady_now() < deadline && !is_stopping)
     {
-        if (writer.wait_stored(change,
-                               std::min<base::time_point>(
-                                   deadline, base::steady_now() +
-                                                 std::chrono::milliseconds(
-                                                     100))))
+        if (writer.wait_stored(
+                change, std::min<base::time_point>(
+                            deadline, base::steady_now() +
+                                          std::chrono::milliseconds(100))))
             return {kind::accepted, {}, "stored"};
         const jobs::job* subject = state.find_job(id);
         if (subject != nullptr && subject->is_stored)
@@ -321,8 +331,7 @@
     return *this;
 }
 
-pool_owner::builder&
-pool_owner::builder::store(platform::store_client& client)
+pool_owner::builder& pool_owner::builder::store(platform::store_client& client)
 {
     store_ = &client;
     return *this;
@@ -404,8 +413,7 @@
     jobs::submit_result result;
     if (!impl_->is_loaded || impl_->is_stopping)
         answer.reason = "the pool is not loaded";
-    else if (impl_->writer.is_failing() &&
-             impl_->state.find_job(id) == nullptr)
+    else if (impl_->writer.is_failing() && impl_->state.find_job(id) == nullptr)
         answer.reason = "the store is away";
     else
     {
@@ -417,8 +425,8 @@
         else
         {
             impl_->changed();
-            answer = impl_->answer_submission(
-                id, impl_->state.change_number(), deadline);
+            answer = impl_->answer_submission(id, impl_->state.change_number(),
+                                              deadline);
         }
     }
     log::write(event_submission,
@@ -428,8 +436,7 @@
                 {"outcome", to_string(answer.outcome)},
                 {"reason", answer.reason},
                 {"expected_wait_s", result.admission.expected_wait},
-                {"took_ms",
-                 base::count_millis(base::steady_now() - now)}});
+                {"took_ms", base::count_millis(base::steady_now() - now)}});
     return answer;
 }
 
--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -67,8 +67,8 @@
 
 void worker_link::update(const jobs::worker_description& worker)
 {
-    const bool is_reborn = worker.born_ms != 0 && born_ms_ != 0 &&
-                           worker.born_ms != born_ms_;
+    const bool is_reborn =
+        worker.born_ms != 0 && born_ms_ != 0 && worker.born_ms != born_ms_;
     worker_ = worker;
     if (is_reborn)
         note_rebirth(worker.born_ms, base::steady_now());
--- a/tests/jobs/pool_world.cpp
+++ b/tests/jobs/pool_world.cpp
@@ -286,8 +286,8 @@
     {
         if (chance(odds_.restart))
             worker.restart();
-        worker.is_cut = worker.is_cut ? !chance(5) && odds_.cut > 0
-                                      : chance(odds_.cut);
+        worker.is_cut =
+            worker.is_cut ? !chance(5) && odds_.cut > 0 : chance(odds_.cut);
     }
     if (chance(odds_.takeover))
         take_over();
@@ -310,12 +310,10 @@
 
 bool pool_world::all_completed() const
 {
-    return std::all_of(accepted_.begin(), accepted_.end(),
-                       [this](const std::string& id)
-                       {
-                           return state_->status_of(id) ==
-                                  jobs::reported_status::completed;
-                       });
+    return std::all_of(
+        accepted_.begin(), accepted_.end(),
+        [this](const std::string& id)
+        { return state_->status_of(id) == jobs::reported_status::completed; });
 }
 
 } // namespace pimentograde::tests
