Keep looks within a lease; treat a repeated submission as one job across pools

Looks waited 1.8 s also where workers grant a lease of 1.5 s, so a long-running task lapsed; a submission repeated after its queue had moved to another pool was accepted there again; an unanswered write that had taken effect was written once more; a dropped history was listed in a loop without a pause. Change: three looks a lease; earlier pools of the queue are asked first; a conflict that shows the own value counts as stored; a pause after a 410.

--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -48,7 +48,7 @@
     decided_ = std::move(hook);
 }
 
-void pool_state::tell(decision entry) const
+void pool_state::tell(const decision& entry) const
 {
     if (decided_)
         decided_(entry);
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -215,7 +215,7 @@
     void evacuate(worker_view& worker, base::time_point now);
     [[nodiscard]] bool may_interrupt(const job& subject, const task_id& id,
                                      base::time_point now) const;
-    void tell(decision entry) const;
+    void tell(const decision& entry) const;
 
     std::string pool_;
     std::map<std::string, job, std::less<>> jobs_;
--- a/src/node/caller_front.cpp
+++ b/src/node/caller_front.cpp
@@ -142,6 +142,8 @@
         current.reason = failure.detail();
         return {bad_request, platform::write_reason(current.reason)};
     }
+    if (auto known = find_in_earlier_pools(current))
+        return *known;
     const auto reply =
         gateway_.submit(queue, current.job, std::move(spec), current.deadline);
     current.reason = reply.reason;
@@ -152,6 +154,30 @@
     return {gateway_timeout, platform::write_reason(current.reason)};
 }
 
+// A job that another pool accepted, before the queue's pool changed, stays one
+// job.
+std::optional<net::http_response>
+caller_front::find_in_earlier_pools(call& current)
+{
+    const auto policies = policies_of(*current.route);
+    for (std::size_t index = 1; index < policies.size(); ++index)
+    {
+        const auto reply =
+            gateway_.status(policies[index], current.job, current.deadline);
+        if (reply.outcome == job_kind::found)
+        {
+            current.reason = "accepted before";
+            return net::http_response{ok, "{}"};
+        }
+        if (reply.outcome == job_kind::absent)
+            continue;
+        current.reason = "an earlier pool of the queue does not answer";
+        return net::http_response{gateway_timeout,
+                                  platform::write_reason(current.reason)};
+    }
+    return std::nullopt;
+}
+
 std::vector<jobs::queue_policy>
 caller_front::policies_of(const platform::queue_route& route) const
 {
--- a/src/node/caller_front.hpp
+++ b/src/node/caller_front.hpp
@@ -34,6 +34,7 @@
 
     net::http_response answer(call& current);
     net::http_response submit(call& current);
+    std::optional<net::http_response> find_in_earlier_pools(call& current);
     net::http_response status(call& current);
     net::http_response cancel(call& current);
     net::http_response count(call& current);
--- a/src/node/node_instance.cpp
+++ b/src/node/node_instance.cpp
@@ -36,7 +36,7 @@
 // a second; until then new connections still arrive.
 constexpr std::chrono::milliseconds rotation_time{2300};
 // Calls in progress may take this long at a planned stop.
-constexpr std::chrono::milliseconds stop_reserve{1200};
+constexpr std::chrono::milliseconds stop_reserve{700};
 constexpr std::chrono::milliseconds secret_poll{50};
 // Workers write about every second and a half each; a drain has to be known
 // within 2 s.
--- a/src/node/prefix_watch.cpp
+++ b/src/node/prefix_watch.cpp
@@ -75,6 +75,7 @@
     if (changes.is_compacted)
     {
         is_listed_ = false;
+        stop_.wait_for(random_.jitter(retry_delay));
         return;
     }
     revision_ = changes.revision;
--- a/src/pools/job_writer.cpp
+++ b/src/pools/job_writer.cpp
@@ -227,24 +227,32 @@
 void job_writer::apply_conflict(const std::vector<jobs::record_change>& changes,
                                 const platform::commit_result& result)
 {
-    const auto revision_of = [&](const std::string& key)
+    const auto find_item = [&](const std::string& key)
     {
         const auto found =
             std::find_if(result.actual.begin(), result.actual.end(),
                          [&](const auto& item) { return item.key == key; });
-        return found == result.actual.end() ? std::int64_t{0} : found->revision;
+        return found == result.actual.end() ? nullptr : &*found;
     };
-    if (revision_of(owner_key_) != owner_revision_)
+    const platform::store_item* owner = find_item(owner_key_);
+    if (owner == nullptr || owner->revision != owner_revision_)
     {
         note_failure(changes, "the ownership has ended", false);
         hooks_.lost("the store holds another owner");
         return;
     }
-    // A write that got no answer has taken effect after all.
+    // Only this owner writes: a record that differs from what is known is one
+    // of its own writes that got no answer.
     const std::string prefix = record_prefix(pool_);
     for (const auto& change : changes)
-        state_.note_store_revision(change.job,
-                                   revision_of(prefix + change.job));
+    {
+        const platform::store_item* item = find_item(prefix + change.job);
+        const std::int64_t revision = item == nullptr ? 0 : item->revision;
+        if (item != nullptr && item->value == change.value)
+            state_.note_stored(change.job, revision);
+        else
+            state_.note_store_revision(change.job, revision);
+    }
 }
 
 void job_writer::note_failure(const std::vector<jobs::record_change>& changes,
--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -19,6 +19,7 @@
 // notice a silent connection while tasks run, long where nothing ends soon.
 constexpr std::chrono::milliseconds busy_wait{600};
 constexpr std::chrono::milliseconds calm_wait{1800};
+constexpr int looks_per_lease = 3;
 // Time beyond its wait that a look may take.
 constexpr std::chrono::milliseconds look_slack{700};
 // Collects ends that arrive together in one look; each look is priced.
@@ -127,7 +128,9 @@
             const jobs::job* subject = state_.find_job(entry.first.job);
             return subject != nullptr && subject->spec.is_long_running();
         });
-    return is_calm ? calm_wait : busy_wait;
+    // Several looks within a lease, so that one that fails does not end it.
+    const base::duration longest = lease_ / looks_per_lease;
+    return std::min<base::duration>(is_calm ? calm_wait : busy_wait, longest);
 }
 
 void worker_link::look_loop()
