--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -62,7 +62,7 @@
     call_hook called;
     std::unique_ptr<net::http_client> http;
 
-    json_response call(json_request request, base::duration limit,
+    json_response call(const json_request& request, base::duration limit,
                        std::string_view step)
     {
         const base::time_point begin = base::steady_now();
