--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -14,24 +14,6 @@
 namespace
 {
 
-bool is_path(const std::string& text)
-{
-    return !text.empty();
-}
-
-bool is_log_level(const std::string& text)
-{
-    return text == "debug" || text == "info" || text == "warning" ||
-           text == "error";
-}
-
-const setting node_setting_list[] = {
-    {"settings", "PIMENTOGRADE_NODE_FILE", "",
-     "Settings file of the platform, as JSON", "a path", is_path, false, true},
-    {"log-level", "PIMENTOGRADE_LOG_LEVEL", "info", "Lowest level to log",
-     "debug, info, warning or error", is_log_level, false, false},
-};
-
 std::string read_file(const std::string& path)
 {
     std::ifstream file(path);
@@ -76,7 +58,7 @@
             "Run an entry instance on the platform until SIGTERM",
             "PIMENTOGRADE_NODE_FILE=settings.json pimentograde node",
             {},
-            node_setting_list,
+            node_settings(),
             run_node};
 }
 
--- a/src/cli/setting.cpp
+++ b/src/cli/setting.cpp
@@ -209,6 +209,19 @@
     return settings;
 }
 
+std::span<const setting> node_settings()
+{
+    static const std::array<setting, 2> settings{{
+        {"settings", "PIMENTOGRADE_NODE_FILE", "",
+         "Settings file of the platform, as JSON.", "path of a readable file",
+         [](const std::string& text) { return !text.empty(); }, false, true},
+        {"log-level", "PIMENTOGRADE_LOG_LEVEL", "info", "Lowest level to log.",
+         "debug, info, warning or error",
+         one_of({"debug", "info", "warning", "error"})},
+    }};
+    return settings;
+}
+
 std::span<const setting> client_settings()
 {
     static const std::array<setting, 4> settings{{
@@ -236,6 +249,8 @@
                        "read from the environment only.\n\n## `serve`\n\n" +
                        head;
     append_rows(text, serve_settings());
+    text += "\n## `node`\n\n" + head;
+    append_rows(text, node_settings());
     text += "\n## Other commands\n\n" + head;
     append_rows(text, client_settings());
     return text;
--- a/src/cli/setting.hpp
+++ b/src/cli/setting.hpp
@@ -44,6 +44,8 @@
 
 /// Settings of `pimentograde serve`.
 std::span<const setting> serve_settings();
+/// Settings of `pimentograde node`.
+std::span<const setting> node_settings();
 /// Settings that all operator commands share.
 std::span<const setting> client_settings();
 
