--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -1,5 +1,7 @@
 #include "jobs/admission.hpp"
 
+#include "jobs/seconds.hpp"
+
 #include <algorithm>
 
 namespace pimentograde::jobs
@@ -14,12 +16,6 @@
 constexpr std::chrono::seconds shortest_retry{1};
 constexpr std::chrono::seconds longest_retry{20};
 
-base::duration seconds(double count)
-{
-    return std::chrono::duration_cast<base::duration>(
-        std::chrono::duration<double>(count));
-}
-
 } // namespace
 
 admission_decision decide_admission(const admission_inputs& inputs)
@@ -40,7 +36,7 @@
         return decision;
     decision.is_accepted = false;
     decision.retry_after = std::clamp<base::duration>(
-        seconds(decision.expected_wait - latest_wait), shortest_retry,
+        from_seconds(decision.expected_wait - latest_wait), shortest_retry,
         longest_retry);
     return decision;
 }
--- a/src/jobs/ordering.cpp
+++ b/src/jobs/ordering.cpp
@@ -1,5 +1,7 @@
 #include "jobs/ordering.hpp"
 
+#include "jobs/seconds.hpp"
+
 #include <algorithm>
 
 namespace pimentograde::jobs
@@ -22,12 +24,6 @@
 // Work that is nearly done must not divide by zero, core-seconds.
 constexpr double least_work = 0.05;
 
-base::duration seconds(double count)
-{
-    return std::chrono::duration_cast<base::duration>(
-        std::chrono::duration<double>(count));
-}
-
 } // namespace
 
 void queue_statistics::note_run(base::duration estimate, base::duration actual)
@@ -64,7 +60,7 @@
                               const queue_statistics& statistics)
 {
     const double chain = longest_chain(subject, false) * statistics.pace();
-    return subject.accepted_at + seconds(policy.stretch * chain) +
+    return subject.accepted_at + from_seconds(policy.stretch * chain) +
            policy.target;
 }
 
@@ -82,7 +78,7 @@
     rank.priority = policy.priority;
     rank.is_long_running = subject.spec.is_long_running();
     rank.can_meet_objective =
-        now + seconds(chain) <= objective_of(subject, policy, statistics);
+        now + from_seconds(chain) <= objective_of(subject, policy, statistics);
     rank.yield = value / left;
     rank.accepted_at = subject.accepted_at;
     return rank;
--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -22,9 +22,11 @@
 // Callers that return later than this count as new.
 constexpr std::chrono::seconds refusal_memory{20};
 
-reported_status to_reported(const job& subject)
+} // namespace
+
+reported_status to_reported(job_status status, bool has_started)
 {
-    switch (subject.stored_status)
+    switch (status)
     {
     case job_status::completed:
         return reported_status::completed;
@@ -35,12 +37,9 @@
     case job_status::open:
         break;
     }
-    return subject.has_started ? reported_status::running
-                               : reported_status::queued;
+    return has_started ? reported_status::running : reported_status::queued;
 }
 
-} // namespace
-
 pool_state::pool_state(std::string pool) : pool_(std::move(pool)) {}
 
 void pool_state::on_decision(decision_hook hook)
@@ -200,7 +199,7 @@
     const job* subject = find_job(id);
     if (subject == nullptr || !subject->is_stored)
         return std::nullopt;
-    return to_reported(*subject);
+    return to_reported(subject->stored_status, subject->has_started);
 }
 
 int pool_state::pending(std::string_view queue) const
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -44,6 +44,8 @@
     cancelled
 };
 
+reported_status to_reported(job_status status, bool has_started);
+
 /// Why a worker's runs are lost.
 enum class run_loss
 {
--- a/src/node/fleet_manager.cpp
+++ b/src/node/fleet_manager.cpp
@@ -4,6 +4,7 @@
 #include "log/event.hpp"
 #include "node/events.hpp"
 #include "node/pool_claims.hpp"
+#include "platform/keys.hpp"
 
 #include <boost/json.hpp>
 
@@ -37,11 +38,6 @@
     return "pimentograde-fleet/wave/" + std::to_string(number);
 }
 
-std::string wave_status_key(std::int64_t number)
-{
-    return "status/wave/" + std::to_string(number);
-}
-
 std::string_view to_string(platform::machine_answer answer)
 {
     switch (answer)
@@ -332,8 +328,8 @@
     const auto result = store_.commit(
         {{{session::role_key(role), *fence_}},
          {{wave_record_key(number), json::serialize(json::value_from(done)), 0},
-          {wave_status_key(number), platform::write_wave_status(is_complete),
-           0}},
+          {platform::wave_status_key(number),
+           platform::write_wave_status(is_complete), 0}},
          {}});
     if (result.outcome != platform::commit_result::kind::committed)
         return;
--- a/src/node/node_instance.cpp
+++ b/src/node/node_instance.cpp
@@ -16,6 +16,7 @@
 #include "node/session.hpp"
 #include "node/state_dump.hpp"
 #include "node/worker_directory.hpp"
+#include "platform/keys.hpp"
 
 #include <boost/fiber/operations.hpp>
 
@@ -29,9 +30,6 @@
 namespace
 {
 
-constexpr std::string_view operator_prefix = "op/";
-constexpr std::string_view configuration_key = "op/config";
-constexpr std::string_view wave_prefix = "op/wave/";
 // The platform takes an instance out of rotation after two missed checks, one
 // a second; until then new connections still arrive.
 constexpr std::chrono::milliseconds rotation_time{2300};
@@ -74,9 +72,9 @@
                  settings.machine_holder_pause}),
           member_watch(std::string(session::prefix()), *store, member_batching,
                        member_hooks()),
-          operator_watch(std::string(operator_prefix), *store,
+          operator_watch(std::string(platform::operator_prefix), *store,
                          operator_batching, operator_hooks()),
-          worker_watch(std::string(worker_directory::prefix()), *store,
+          worker_watch(std::string(platform::worker_prefix), *store,
                        worker_batching, worker_hooks())
     {
     }
@@ -173,9 +171,9 @@
 {
     try
     {
-        if (item.key == configuration_key)
+        if (item.key == platform::configuration_key)
             adopt_configuration(item);
-        else if (item.key.starts_with(wave_prefix))
+        else if (item.key.starts_with(platform::wave_prefix))
             fleet.set_wave(platform::read_wave(item.value), base::steady_now());
     }
     catch (const std::exception& failure)
--- a/src/node/pool_claims.cpp
+++ b/src/node/pool_claims.cpp
@@ -20,13 +20,13 @@
 constexpr std::chrono::milliseconds settle_time{400};
 constexpr std::chrono::seconds common_start{2};
 
-std::string role_of(std::string_view pool)
+} // namespace
+
+std::string pool_role(std::string_view pool)
 {
     return "pool/" + std::string(pool);
 }
 
-} // namespace
-
 base::duration claim_delay(const std::map<std::string, member>& members,
                            std::string_view own_name, std::size_t role_index,
                            base::duration registered_for)
@@ -144,7 +144,7 @@
 void pool_claims::check_pool(const std::string& pool, std::size_t index,
                              base::time_point now)
 {
-    const holder* current = session_.holder_of(role_of(pool));
+    const holder* current = session_.holder_of(pool_role(pool));
     const auto owner = owners_.find(pool);
     if (owner != owners_.end())
     {
@@ -174,7 +174,7 @@
     free_since_.erase(pool);
     try
     {
-        if (const auto revision = session_.claim(role_of(pool)))
+        if (const auto revision = session_.claim(pool_role(pool)))
             open(pool, *revision);
     }
     catch (const base::error& failure)
@@ -190,7 +190,7 @@
     std::shared_ptr<pools::pool_owner> owner =
         pools::pool_owner::builder{}
             .pool(pool)
-            .ownership(session::role_key(role_of(pool)), revision)
+            .ownership(session::role_key(pool_role(pool)), revision)
             .store(store_)
             .http(http_)
             .worker_lease(worker_lease_)
--- a/src/node/pool_claims.hpp
+++ b/src/node/pool_claims.hpp
@@ -20,6 +20,9 @@
 namespace pimentograde::node
 {
 
+/// The role of owning a pool.
+std::string pool_role(std::string_view pool);
+
 /// How long this instance waits before it claims a role that nobody holds.
 /// Instances take the roles in turn by their names, so that the roles spread
 /// evenly and two instances rarely claim at once. `registered_for` is how long
--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -56,28 +56,6 @@
             value_of<jobs::reported_status>(reply.status, status_words)};
 }
 
-std::string role_of(const std::string& pool)
-{
-    return "pool/" + pool;
-}
-
-jobs::reported_status reported(const jobs::job& subject)
-{
-    switch (subject.status)
-    {
-    case jobs::job_status::completed:
-        return jobs::reported_status::completed;
-    case jobs::job_status::failed:
-        return jobs::reported_status::failed;
-    case jobs::job_status::cancelled:
-        return jobs::reported_status::cancelled;
-    case jobs::job_status::open:
-        break;
-    }
-    return subject.has_started ? jobs::reported_status::running
-                               : jobs::reported_status::queued;
-}
-
 peer::pool_load load_of(const pools::pool_owner& owner)
 {
     constexpr double millis = 1000.0;
@@ -148,7 +126,7 @@
     if (const auto owner = claims_.find(queue.pool))
         return owner->submit(id, std::move(spec), queue.name,
                              deadline - reply_reserve);
-    const holder* current = session_.holder_of(role_of(queue.pool));
+    const holder* current = session_.holder_of(pool_role(queue.pool));
     if (current == nullptr)
         return {submission_kind::refused, takeover_retry,
                 "the pool has no owner"};
@@ -181,8 +159,9 @@
             store_.get(pools::record_prefix(pool) + std::string(id));
         if (!item)
             return {job_kind::absent, {}};
+        const jobs::job subject = jobs::decode_record(id, item->value);
         return {job_kind::found,
-                reported(jobs::decode_record(id, item->value))};
+                jobs::to_reported(subject.status, subject.has_started)};
     }
     catch (const base::error&)
     {
@@ -198,7 +177,7 @@
     pools::job_answer answer{job_kind::unavailable, {}};
     if (const auto owner = claims_.find(queue.pool))
         answer = owner->status(id);
-    else if (const holder* current = session_.holder_of(role_of(queue.pool)))
+    else if (const holder* current = session_.holder_of(pool_role(queue.pool)))
     {
         try
         {
@@ -224,7 +203,7 @@
 {
     if (const auto owner = claims_.find(queue.pool))
         return owner->cancel(id, deadline - reply_reserve);
-    const holder* current = session_.holder_of(role_of(queue.pool));
+    const holder* current = session_.holder_of(pool_role(queue.pool));
     if (current == nullptr)
         return {job_kind::unavailable, {}};
     try
@@ -248,7 +227,7 @@
 {
     if (const auto owner = claims_.find(queue.pool))
         return owner->pending(queue.name);
-    const holder* current = session_.holder_of(role_of(queue.pool));
+    const holder* current = session_.holder_of(pool_role(queue.pool));
     if (current == nullptr)
         return std::nullopt;
     try
@@ -272,7 +251,7 @@
 {
     if (const auto owner = claims_.find(pool))
         return load_of(*owner);
-    const holder* current = session_.holder_of(role_of(pool));
+    const holder* current = session_.holder_of(pool_role(pool));
     if (current == nullptr)
         return {};
     try
@@ -292,7 +271,7 @@
 {
     if (const auto owner = claims_.find(message.pool))
         return apply_release(*owner, message);
-    const holder* current = session_.holder_of(role_of(message.pool));
+    const holder* current = session_.holder_of(pool_role(message.pool));
     if (current == nullptr)
         return false;
     try
--- a/src/node/worker_directory.cpp
+++ b/src/node/worker_directory.cpp
@@ -3,6 +3,7 @@
 #include "base/error.hpp"
 #include "log/event.hpp"
 #include "platform/events.hpp"
+#include "platform/keys.hpp"
 #include "platform/worker_entry.hpp"
 
 #include <algorithm>
@@ -14,15 +15,10 @@
 namespace
 {
 
-constexpr std::string_view key_prefix = "servers/";
+constexpr std::string_view key_prefix = platform::worker_prefix;
 
 } // namespace
 
-std::string_view worker_directory::prefix()
-{
-    return key_prefix;
-}
-
 void worker_directory::apply_listing(
     std::span<const platform::store_item> items)
 {
--- a/src/node/worker_directory.hpp
+++ b/src/node/worker_directory.hpp
@@ -18,8 +18,6 @@
 class worker_directory
 {
 public:
-    static std::string_view prefix();
-
     void apply_listing(std::span<const platform::store_item> items);
     void apply_changes(std::span<const platform::store_event> events);
 
