--- a/tests/node/node_instance_test.cpp
+++ b/tests/node/node_instance_test.cpp
@@ -208,6 +208,21 @@
     CHECK(all.completes(0, id_b));
 }
 
+// Guards against a pool that refuses for ever once a refused submission has
+// left its writer without work (trouble-3 of lcq-sched).
+TEST_CASE("an idle pool accepts jobs again after the store was away")
+{
+    cluster all(1);
+    const auto& only = *all.entries[0];
+    all.platform.store.faults.is_down = true;
+    CHECK(all.client.submit(only, id_a, two_steps) == 503);
+    all.platform.store.faults.is_down = false;
+    CHECK(eventually(
+        [&] { return all.client.submit(only, id_b, two_steps) == 200; }, 5s));
+    CHECK(all.completes(0, id_b));
+    CHECK(all.platform.starts_of(id_a + ".0.0.0") == 0);
+}
+
 // Guards against work that is started again, or left, when its owner goes.
 TEST_CASE("another instance takes the pool over and keeps what runs")
 {
