Give roles to the instances with most processor time

Cause: roles were claimed in the order of names, so the owner of a busy pool could run on an instance with 0.12 cores beside idle ones with 0.5. Ruled out: too few workers (others of the same size were in time), the store (4 ms an answer). Change: each instance registers its cores; node/claim_order works out who claims a free role: most cores for each role held, then fewest roles, then the instance that started last, which a rolling restart does not stop next.

--- /dev/null
+++ b/src/node/claim_order.cpp
@@ -0,0 +1,86 @@
+#include "node/claim_order.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace pimentograde::node
+{
+
+namespace
+{
+
+// The first in turn claims at once, the next after this long, and so on.
+constexpr std::chrono::milliseconds turn_delay{200};
+// An instance that is listed but does not claim must not hold a role up.
+constexpr std::size_t max_turns = 10;
+// At a common start, members register before roles are dealt out.
+constexpr std::chrono::milliseconds settle_time{400};
+constexpr std::chrono::seconds common_start{2};
+
+struct turn
+{
+    const claim_candidate* candidate = nullptr;
+    std::size_t roles_held = 0;
+
+    [[nodiscard]] double cores_per_role() const
+    {
+        return candidate->cores / static_cast<double>(roles_held + 1);
+    }
+    [[nodiscard]] bool goes_before(const turn& other) const
+    {
+        if (cores_per_role() != other.cores_per_role())
+            return cores_per_role() > other.cores_per_role();
+        if (roles_held != other.roles_held)
+            return roles_held < other.roles_held;
+        return candidate->registered_revision >
+               other.candidate->registered_revision;
+    }
+};
+
+void sort_turns(std::vector<turn>& turns)
+{
+    std::sort(turns.begin(), turns.end(),
+              [](const turn& left, const turn& right)
+              { return left.goes_before(right); });
+}
+
+} // namespace
+
+std::size_t claim_position(std::span<const claim_candidate> candidates,
+                           std::span<const role_holding> roles,
+                           std::string_view role, std::string_view own_name)
+{
+    std::vector<turn> turns;
+    for (const claim_candidate& entry : candidates)
+    {
+        const auto held = std::count_if(
+            roles.begin(), roles.end(),
+            [&](const role_holding& holding)
+            { return !holding.node.empty() && holding.node == entry.name; });
+        turns.push_back({&entry, static_cast<std::size_t>(held)});
+    }
+    // The free roles before this one go to the instances that are first now.
+    for (const role_holding& entry : roles)
+    {
+        sort_turns(turns);
+        if (entry.role == role)
+            break;
+        if (entry.node.empty() && !turns.empty())
+            ++turns.front().roles_held;
+    }
+    const auto own = std::find_if(turns.begin(), turns.end(),
+                                  [&](const turn& entry)
+                                  { return entry.candidate->name == own_name; });
+    return static_cast<std::size_t>(own - turns.begin());
+}
+
+base::duration claim_delay(std::size_t position, base::duration registered_for)
+{
+    const base::duration settle = registered_for < common_start
+                                      ? base::duration(settle_time)
+                                      : base::duration::zero();
+    return settle +
+           turn_delay * static_cast<int>(std::min(position, max_turns));
+}
+
+} // namespace pimentograde::node
--- a/src/node/fleet_manager.cpp
+++ b/src/node/fleet_manager.cpp
@@ -19,7 +19,7 @@
 namespace
 {
 
-constexpr std::string_view role = "fleet";
+constexpr std::string_view role = fleet_role;
 constexpr std::chrono::milliseconds tick_interval{200};
 constexpr std::chrono::milliseconds listing_interval{250};
 constexpr std::chrono::milliseconds call_timeout{1200};
@@ -86,6 +86,7 @@
 void fleet_manager::set_configuration(const platform::configuration& current)
 {
     pools_ = current.pools;
+    roles_ = roles_of(current);
 }
 
 void fleet_manager::set_wave(const fleet::maintenance_wave& wave,
@@ -145,9 +146,7 @@
     }
     if (free_since_ == base::time_point{})
         free_since_ = now;
-    if (now - free_since_ >= claim_delay(session_.members(),
-                                         session_.own().name, pools_.size(),
-                                         now - session_.registered_at()))
+    if (now - free_since_ >= session_.turn_to_claim(role, roles_, now))
         session_.claim(role);
     return false;
 }
--- a/src/node/fleet_manager.hpp
+++ b/src/node/fleet_manager.hpp
@@ -80,6 +80,7 @@
     platform::machine_client machines_client_;
     timing times_;
     std::vector<platform::pool_settings> pools_;
+    std::vector<std::string> roles_;
     std::map<std::int64_t, fleet::maintenance_wave> known_waves_;
     std::map<std::int64_t, base::time_point> wave_seen_;
     std::map<std::int64_t, fleet::wave_progress> waves_;
--- a/src/node/node_instance.cpp
+++ b/src/node/node_instance.cpp
@@ -56,7 +56,8 @@
           members({settings.name,
                    settings.zone,
                    base::random_source{}.bits(),
-                   {settings.address, settings.first_internal_port}},
+                   {settings.address, settings.first_internal_port},
+                   settings.cores},
                   *store,
                   {[this] { claims.notify(); },
                    [this]
--- a/src/node/pool_claims.cpp
+++ b/src/node/pool_claims.cpp
@@ -14,11 +14,6 @@
 {
 
 constexpr std::chrono::milliseconds check_interval{200};
-// The first in turn claims at once, the next after this long, and so on.
-constexpr std::chrono::milliseconds turn_delay{200};
-// At a common start, members register before roles are dealt out.
-constexpr std::chrono::milliseconds settle_time{400};
-constexpr std::chrono::seconds common_start{2};
 
 } // namespace
 
@@ -27,23 +22,15 @@
     return "pool/" + std::string(pool);
 }
 
-base::duration claim_delay(const std::map<std::string, member>& members,
-                           std::string_view own_name, std::size_t role_index,
-                           base::duration registered_for)
+std::vector<std::string> roles_of(const platform::configuration& current)
 {
-    std::size_t position = 0;
-    for (const auto& [name, entry] : members)
-    {
-        if (name == own_name)
-            break;
-        ++position;
-    }
-    const std::size_t count = std::max<std::size_t>(members.size(), 1);
-    const std::size_t turn = (position + count - role_index % count) % count;
-    const base::duration settle = registered_for < common_start
-                                      ? base::duration(settle_time)
-                                      : base::duration::zero();
-    return settle + turn_delay * static_cast<int>(turn);
+    std::set<std::string> names;
+    for (const auto& pool : current.pools)
+        if (!pool.is_standby)
+            names.insert(pool_role(pool.name));
+    std::vector<std::string> roles(names.begin(), names.end());
+    roles.emplace_back(fleet_role);
+    return roles;
 }
 
 pool_claims::pool_claims(session& members, worker_directory& directory,
@@ -88,6 +75,7 @@
     for (const auto& pool : current.pools)
         if (!pool.is_standby)
             pools_.insert(pool.name);
+    roles_ = roles_of(current);
     wakeup_.notify();
 }
 
@@ -136,13 +124,11 @@
 
 void pool_claims::check(base::time_point now)
 {
-    std::size_t index = 0;
     for (const std::string& pool : pools_)
-        check_pool(pool, index++, now);
+        check_pool(pool, now);
 }
 
-void pool_claims::check_pool(const std::string& pool, std::size_t index,
-                             base::time_point now)
+void pool_claims::check_pool(const std::string& pool, base::time_point now)
 {
     const holder* current = session_.holder_of(pool_role(pool));
     const auto owner = owners_.find(pool);
@@ -168,8 +154,7 @@
         return;
     }
     const auto since = free_since_.emplace(pool, now).first->second;
-    if (now - since < claim_delay(session_.members(), session_.own().name,
-                                  index, now - session_.registered_at()))
+    if (now - since < session_.turn_to_claim(pool_role(pool), roles_, now))
         return;
     free_since_.erase(pool);
     try
--- a/src/node/pool_claims.hpp
+++ b/src/node/pool_claims.hpp
@@ -23,13 +23,11 @@
 /// The role of owning a pool.
 std::string pool_role(std::string_view pool);
 
-/// How long this instance waits before it claims a role that nobody holds.
-/// Instances take the roles in turn by their names, so that the roles spread
-/// evenly and two instances rarely claim at once. `registered_for` is how long
-/// this instance has been registered: at a common start it waits for others.
-base::duration claim_delay(const std::map<std::string, member>& members,
-                           std::string_view own_name, std::size_t role_index,
-                           base::duration registered_for);
+/// The role of giving orders to machines.
+inline constexpr std::string_view fleet_role = "fleet";
+
+/// All roles of the configuration, in an order common to all instances.
+std::vector<std::string> roles_of(const platform::configuration& current);
 
 /// Claims pools without an owner and runs the owners of this instance.
 class pool_claims
@@ -62,8 +60,7 @@
 private:
     void run();
     void check(base::time_point now);
-    void check_pool(const std::string& pool, std::size_t index,
-                    base::time_point now);
+    void check_pool(const std::string& pool, base::time_point now);
     void open(const std::string& pool, std::int64_t revision);
     void close_lost();
     void update_owners();
@@ -75,6 +72,7 @@
     base::duration worker_lease_;
     std::vector<jobs::queue_policy> policies_;
     std::set<std::string> pools_;
+    std::vector<std::string> roles_;
     std::map<std::string, std::shared_ptr<pools::pool_owner>, std::less<>>
         owners_;
     std::set<std::string> lost_;
--- a/src/node/session.cpp
+++ b/src/node/session.cpp
@@ -143,7 +143,8 @@
     const base::time_point sent_at = base::suspend_aware_now();
     const std::int64_t lease = store_.grant_lease(lease_length);
     const json::object value{{"zone", own_.zone},
-                             {"address", net::to_string(own_.address)}};
+                             {"address", net::to_string(own_.address)},
+                             {"cores", own_.cores}};
     const auto result = store_.commit({{},
                                        {{std::string(member_prefix) + own_.name,
                                          json::serialize(value), lease}},
@@ -178,6 +179,24 @@
                      {"address", net::to_string(own_.address)}});
 }
 
+base::duration session::turn_to_claim(std::string_view role,
+                                      std::span<const std::string> roles,
+                                      base::time_point now) const
+{
+    std::vector<claim_candidate> candidates;
+    for (const auto& [name, entry] : members_)
+        candidates.push_back({name, entry.cores, entry.revision});
+    std::vector<role_holding> holdings;
+    for (const std::string& name : roles)
+    {
+        const holder* current = holder_of(name);
+        holdings.push_back(
+            {name, current == nullptr ? std::string{} : current->node});
+    }
+    return claim_delay(claim_position(candidates, holdings, role, own_.name),
+                       now - registered_at_);
+}
+
 std::optional<std::int64_t> session::claim(std::string_view role)
 {
     const std::string key = role_key(role);
@@ -213,7 +232,12 @@
     if (key.starts_with(member_prefix))
     {
         const std::string name(key.substr(member_prefix.size()));
-        members_[name] = {name, text("zone"), *address};
+        const json::value* cores = source.if_contains("cores");
+        members_[name] = {name, text("zone"), *address,
+                          cores != nullptr && cores->is_number()
+                              ? cores->to_number<double>()
+                              : 0.0,
+                          item.revision};
         return;
     }
     if (!key.starts_with(role_prefix))
--- a/src/node/session.hpp
+++ b/src/node/session.hpp
@@ -4,6 +4,7 @@
 #include "base/time.hpp"
 #include "net/endpoint.hpp"
 #include "net/task_group.hpp"
+#include "node/claim_order.hpp"
 #include "platform/store_client.hpp"
 
 #include <cstdint>
@@ -25,6 +26,10 @@
     std::string name;
     std::string zone;
     net::endpoint address;
+    /// Processor time that it gets, in cores.
+    double cores = 0.0;
+    /// Revision of the registration: larger for an instance started later.
+    std::int64_t revision = 0;
 };
 
 /// Who holds a role, such as owning a pool.
@@ -49,6 +54,7 @@
         std::string zone;
         std::uint64_t incarnation = 0;
         net::endpoint address;
+        double cores = 0.0;
     };
     struct hooks
     {
@@ -90,6 +96,12 @@
     /// hold a role of this one.
     [[nodiscard]] bool holds_lease(base::time_point now) const;
 
+    /// How long to wait before claiming `role`, which nobody holds. `roles`
+    /// names all roles of the deployment in an order common to all instances.
+    [[nodiscard]] base::duration turn_to_claim(std::string_view role,
+                                               std::span<const std::string> roles,
+                                               base::time_point now) const;
+
     /// Claims a role that nobody holds, or that an earlier life of this
     /// instance held. Returns the claim's revision, or nothing when another
     /// instance was faster.
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -98,8 +98,12 @@
     if (!read_text(source, "Advice").empty())
         settings.advice_service = read_endpoint(source, "Advice");
     read_bounds(read_object(source, "Bounds"), settings);
-    settings.memory_mb = static_cast<std::size_t>(
-        read_integer(read_object(source, "Limits"), "MemoryMb"));
+    const json::object& limits = read_object(source, "Limits");
+    settings.memory_mb =
+        static_cast<std::size_t>(read_integer(limits, "MemoryMb"));
+    // A share of a core that is as fast as that many cores.
+    settings.cores = read_number(limits, "CpuShare", 1.0) *
+                     read_number(limits, "Cores", 1.0);
     return settings;
 }
 
--- a/src/platform/node_settings.hpp
+++ b/src/platform/node_settings.hpp
@@ -40,6 +40,8 @@
     base::duration unavailability_notice{};
     bool fencing_enforced = false;
     std::size_t memory_mb = 0;
+    /// Processor time that the instance gets, in cores.
+    double cores = 1.0;
 };
 
 /// Reads the settings from JSON. Unknown members are ignored. Throws
