Hand pools back to strong instances; shorten store time-outs; plan waves ahead

A time-out of 1.5 s held submissions and delayed the first write after the outage until 22.98 s; each further idle connection was silent too. The exception of a wave's record ended each round of the machine role, and 1 to 6 of 189 machines were late. Ruled out: the machine service, which answered all the while. Change: an owner gives its pool up, after it has stored all it knows, when another instance has had more than twice its processor time for each role for 2 s. Store calls time out after 1 s, and the idle connections to that peer are then dropped. A wave's record is tried again after 1 s without ending the round, and 5 s of a wave's time are kept for outages. Tests: tests/node (claim order, hand-over with whole instances), tests/net (connections after a time-out). The takeover test stopped the first instance, which need not be the owner now; it finds the owner.

--- a/src/fleet/wave_progress.cpp
+++ b/src/fleet/wave_progress.cpp
@@ -14,6 +14,8 @@
 constexpr double quiet_backlog_seconds = 0.5;
 // Time to free a machine besides its maintenance: the longest usual task.
 constexpr std::chrono::seconds preparation_time{3};
+// Time kept for an outage of the platform or a change of the holder.
+constexpr std::chrono::seconds outage_reserve{5};
 // A list may still show a machine as up that has just been ordered down.
 constexpr double listing_margin = 1.25;
 
@@ -47,7 +49,7 @@
     const int cap = std::max(wave_.max_down, 1);
     const int rounds = (count(maintenance_stage::pending) + cap - 1) / cap + 1;
     const base::duration needed =
-        rounds * (maintenance_time + preparation_time);
+        rounds * (maintenance_time + preparation_time) + outage_reserve;
     return now + needed >= seen_at_ + wave_.time_limit;
 }
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -49,6 +49,10 @@
 
     std::unique_ptr<tcp_stream> take_idle(const endpoint& where,
                                           base::time_point now);
+    /// Connections that went silent do so together: after a timeout the idle
+    /// ones to the same peer are not used again.
+    void drop_idle(const endpoint& where,
+                   const boost::system::error_code& failure);
     void keep(const endpoint& where, std::unique_ptr<tcp_stream> stream,
               base::time_point now);
 };
@@ -157,6 +161,13 @@
     return nullptr;
 }
 
+void http_client::impl::drop_idle(const endpoint& where,
+                                  const boost::system::error_code& failure)
+{
+    if (failure == beast::error::timeout)
+        idle.erase(where);
+}
+
 void http_client::impl::keep(const endpoint& where,
                              std::unique_ptr<tcp_stream> stream,
                              base::time_point now)
@@ -219,7 +230,10 @@
         await_io([&](auto done)
                  { http::async_write(*stream, message, std::move(done)); });
     if (written.failure)
+    {
+        impl_->drop_idle(where, written.failure);
         throw exchange_error(written.failure, where, step);
+    }
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.header_limit(
@@ -229,7 +243,10 @@
         [&](auto done)
         { http::async_read(*stream, buffer, parser, std::move(done)); });
     if (read.failure)
+    {
+        impl_->drop_idle(where, read.failure);
         throw exchange_error(read.failure, where, step);
+    }
     auto& reply = parser.get();
     http_response response{reply.result_int(),
                            std::move(reply.body()),
--- a/src/node/claim_order.cpp
+++ b/src/node/claim_order.cpp
@@ -17,6 +17,9 @@
 constexpr std::chrono::milliseconds settle_time{400};
 constexpr std::chrono::seconds common_start{2};
 
+// A hand-over interrupts a pool for about a tenth of a second.
+constexpr double hand_over_factor = 2.0;
+
 struct turn
 {
     const claim_candidate* candidate = nullptr;
@@ -37,6 +40,30 @@
     }
 };
 
+std::vector<turn> turns_of(std::span<const claim_candidate> candidates,
+                           std::span<const role_holding> roles)
+{
+    std::vector<turn> turns;
+    for (const claim_candidate& entry : candidates)
+    {
+        const auto held = std::count_if(roles.begin(), roles.end(),
+                                        [&](const role_holding& holding) {
+                                            return !holding.node.empty() &&
+                                                   holding.node == entry.name;
+                                        });
+        turns.push_back({&entry, static_cast<std::size_t>(held)});
+    }
+    return turns;
+}
+
+std::vector<turn>::const_iterator find_turn(const std::vector<turn>& turns,
+                                            std::string_view name)
+{
+    return std::find_if(turns.begin(), turns.end(),
+                        [&](const turn& entry)
+                        { return entry.candidate->name == name; });
+}
+
 void sort_turns(std::vector<turn>& turns)
 {
     std::sort(turns.begin(), turns.end(),
@@ -50,16 +77,7 @@
                            std::span<const role_holding> roles,
                            std::string_view role, std::string_view own_name)
 {
-    std::vector<turn> turns;
-    for (const claim_candidate& entry : candidates)
-    {
-        const auto held = std::count_if(roles.begin(), roles.end(),
-                                        [&](const role_holding& holding) {
-                                            return !holding.node.empty() &&
-                                                   holding.node == entry.name;
-                                        });
-        turns.push_back({&entry, static_cast<std::size_t>(held)});
-    }
+    std::vector<turn> turns = turns_of(candidates, roles);
     // The free roles before this one go to the instances that are first now.
     for (const role_holding& entry : roles)
     {
@@ -69,10 +87,26 @@
         if (entry.node.empty() && !turns.empty())
             ++turns.front().roles_held;
     }
-    const auto own = std::find_if(
-        turns.begin(), turns.end(),
-        [&](const turn& entry) { return entry.candidate->name == own_name; });
-    return static_cast<std::size_t>(own - turns.begin());
+    return static_cast<std::size_t>(find_turn(turns, own_name) - turns.begin());
+}
+
+bool should_hand_over(std::span<const claim_candidate> candidates,
+                      std::span<const role_holding> roles,
+                      std::string_view own_name)
+{
+    const std::vector<turn> turns = turns_of(candidates, roles);
+    const auto own = find_turn(turns, own_name);
+    if (own == turns.end() || own->roles_held == 0)
+        return false;
+    const double own_share =
+        own->candidate->cores / static_cast<double>(own->roles_held);
+    return std::any_of(turns.begin(), turns.end(),
+                       [&](const turn& entry)
+                       {
+                           return entry.candidate->name != own_name &&
+                                  entry.cores_per_role() >
+                                      hand_over_factor * own_share;
+                       });
 }
 
 base::duration claim_delay(std::span<const claim_candidate> candidates,
--- a/src/node/claim_order.hpp
+++ b/src/node/claim_order.hpp
@@ -37,6 +37,13 @@
                            std::span<const role_holding> roles,
                            std::string_view role, std::string_view own_name);
 
+/// Whether `own_name` should give one of its roles up: another instance has
+/// more than twice the processor time for each role. Answers roles that a
+/// weak instance took over while the others could not reach the store.
+bool should_hand_over(std::span<const claim_candidate> candidates,
+                      std::span<const role_holding> roles,
+                      std::string_view own_name);
+
 /// How long `own_name` waits before it claims `role`, by its place.
 /// `registered_for` is how long it has been registered: at a common start it
 /// waits for the others to register. A role that is still under the lease of
--- a/src/node/events.hpp
+++ b/src/node/events.hpp
@@ -43,6 +43,10 @@
     3317, log::severity::error, "settings cannot be read again"};
 inline constexpr log::event event_fleet_demand{3318, log::severity::info,
                                                "what a pool needs and has"};
+inline constexpr log::event event_wave_not_recorded{
+    3319, log::severity::warning, "a wave's progress cannot be stored"};
+inline constexpr log::event event_pool_handed_over{
+    3320, log::severity::info, "pool given up for a better placed instance"};
 
 } // namespace pimentograde::node
 
--- a/src/node/fleet_manager.cpp
+++ b/src/node/fleet_manager.cpp
@@ -24,6 +24,7 @@
 // Each listing is a priced call.
 constexpr std::chrono::milliseconds listing_interval{250};
 constexpr std::chrono::milliseconds call_timeout{1200};
+constexpr std::chrono::seconds record_retry{1};
 constexpr std::chrono::milliseconds load_timeout{400};
 // A worker that is being freed stays without new runs this long after each
 // request; an order may take until its time limit.
@@ -226,7 +227,7 @@
             restore_wave(found->second);
         }
         work_wave(found->second, now);
-        record_wave(found->second);
+        try_record_wave(found->second, now);
     }
     moves_.work(now);
 }
@@ -308,6 +309,24 @@
     wave.restore_done(done);
 }
 
+// The store may be away while machines can still be ordered.
+void fleet_manager::try_record_wave(fleet::wave_progress& wave,
+                                    base::time_point now)
+{
+    if (now < record_after_)
+        return;
+    try
+    {
+        record_wave(wave);
+    }
+    catch (const base::error& failure)
+    {
+        record_after_ = now + record_retry;
+        log::write(event_wave_not_recorded,
+                   {{"wave", wave.wave().number}, {"reason", failure.what()}});
+    }
+}
+
 void fleet_manager::record_wave(fleet::wave_progress& wave)
 {
     const std::int64_t number = wave.wave().number;
--- a/src/node/fleet_manager.hpp
+++ b/src/node/fleet_manager.hpp
@@ -61,6 +61,7 @@
     void work_wave(fleet::wave_progress& wave, base::time_point now);
     void order_maintenance(fleet::wave_progress& wave,
                            const std::string& machine);
+    void try_record_wave(fleet::wave_progress& wave, base::time_point now);
     void record_wave(fleet::wave_progress& wave);
     void restore_wave(fleet::wave_progress& wave);
     bool release(const fleet::machine& entry);
@@ -87,6 +88,8 @@
     base::duration claim_pause_{};
     base::time_point free_since_{};
     base::time_point listed_at_{};
+    /// A wave's progress is not written before, after the store failed.
+    base::time_point record_after_{};
     bool service_answers_ = true;
     net::stop_signal stop_;
     net::task_group fibers_;
--- a/src/node/pool_claims.cpp
+++ b/src/node/pool_claims.cpp
@@ -14,6 +14,9 @@
 {
 
 constexpr std::chrono::milliseconds check_interval{200};
+// A better placed instance has to stay for this long before a pool is given
+// up for it.
+constexpr std::chrono::seconds hand_over_delay{2};
 
 } // namespace
 
@@ -106,6 +109,7 @@
             return;
         close_lost();
         check(base::steady_now());
+        consider_hand_over(base::steady_now());
         needs_workers_(!owners_.empty());
         update_owners();
     }
@@ -125,6 +129,49 @@
     }
 }
 
+void pool_claims::consider_hand_over(base::time_point now)
+{
+    const auto loaded = std::find_if(owners_.begin(), owners_.end(),
+                                     [](const auto& entry)
+                                     { return entry.second->is_loaded(); });
+    if (loaded == owners_.end() || !session_.should_hand_over(roles_))
+    {
+        better_since_.reset();
+        return;
+    }
+    if (!better_since_)
+        better_since_ = now;
+    if (now - *better_since_ < hand_over_delay ||
+        !session_.holds_lease(base::suspend_aware_now()))
+        return;
+    better_since_.reset();
+    log::write(event_pool_handed_over, {{"pool", loaded->first},
+                                        {"fence", loaded->second->fence()},
+                                        {"own_cores", session_.own().cores}});
+    ended_fences_[loaded->first] = loaded->second->fence();
+    fibers_.spawn([this, pool = loaded->first, owner = loaded->second]
+                  { hand_over(pool, owner); });
+    owners_.erase(loaded);
+}
+
+// Everything that the owner knows is stored before the role is free.
+void pool_claims::hand_over(const std::string& pool,
+                            std::shared_ptr<pools::pool_owner> owner)
+{
+    owner->quiesce();
+    try
+    {
+        session_.release(pool_role(pool), owner->fence());
+    }
+    catch (const base::error& failure)
+    {
+        log::write(event_claim_failed,
+                   {{"pool", pool}, {"reason", failure.what()}});
+        // Nobody else can claim the role then: this instance opens it again.
+        ended_fences_.erase(pool);
+    }
+}
+
 void pool_claims::check(base::time_point now)
 {
     for (const std::string& pool : pools_)
--- a/src/node/pool_claims.hpp
+++ b/src/node/pool_claims.hpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -68,6 +69,9 @@
     void check_pool(const std::string& pool, base::time_point now);
     void open(const std::string& pool, std::int64_t revision);
     void close_lost();
+    void consider_hand_over(base::time_point now);
+    void hand_over(const std::string& pool,
+                   std::shared_ptr<pools::pool_owner> owner);
     void update_owners();
 
     session& session_;
@@ -85,6 +89,8 @@
     /// Fences of ownerships of this instance that have ended, by pool.
     std::map<std::string, std::int64_t> ended_fences_;
     std::map<std::string, base::time_point> free_since_;
+    /// Since when another instance would be a better owner.
+    std::optional<base::time_point> better_since_;
     net::wakeup wakeup_;
     net::stop_signal stop_;
     net::task_group fibers_;
--- a/src/node/session.cpp
+++ b/src/node/session.cpp
@@ -185,24 +185,46 @@
                      {"address", net::to_string(own_.address)}});
 }
 
-base::duration session::turn_to_claim(std::string_view role,
-                                      std::span<const std::string> roles,
-                                      base::time_point now) const
+std::vector<claim_candidate> session::candidates() const
 {
-    std::vector<claim_candidate> candidates;
+    std::vector<claim_candidate> result;
     for (const auto& [name, entry] : members_)
-        candidates.push_back({name, entry.cores, entry.revision});
-    std::vector<role_holding> holdings;
+        result.push_back({name, entry.cores, entry.revision});
+    return result;
+}
+
+std::vector<role_holding>
+session::holdings(std::span<const std::string> roles) const
+{
+    std::vector<role_holding> result;
     for (const std::string& name : roles)
     {
         const holder* current = holder_of(name);
-        holdings.push_back(
+        result.push_back(
             {name, current == nullptr ? std::string{} : current->node});
     }
-    return claim_delay(candidates, holdings, role, own_.name,
+    return result;
+}
+
+base::duration session::turn_to_claim(std::string_view role,
+                                      std::span<const std::string> roles,
+                                      base::time_point now) const
+{
+    return claim_delay(candidates(), holdings(roles), role, own_.name,
                        now - registered_at_);
 }
 
+bool session::should_hand_over(std::span<const std::string> roles) const
+{
+    return node::should_hand_over(candidates(), holdings(roles), own_.name);
+}
+
+void session::release(std::string_view role, std::int64_t revision)
+{
+    const std::string key = role_key(role);
+    store_.commit({{{key, revision}}, {}, {key}});
+}
+
 std::optional<std::int64_t> session::claim(std::string_view role)
 {
     const std::string key = role_key(role);
--- a/src/node/session.hpp
+++ b/src/node/session.hpp
@@ -109,6 +109,12 @@
     /// instance held. Returns the claim's revision, or nothing when another
     /// instance was faster.
     std::optional<std::int64_t> claim(std::string_view role);
+    /// Whether this instance should give one of its roles up, see
+    /// `node::should_hand_over`.
+    [[nodiscard]] bool
+    should_hand_over(std::span<const std::string> roles) const;
+    /// Gives up a role that was claimed at `revision`.
+    void release(std::string_view role, std::int64_t revision);
     /// Key of a role in the store.
     static std::string role_key(std::string_view role);
 
@@ -118,6 +124,9 @@
     static std::string_view prefix();
 
 private:
+    [[nodiscard]] std::vector<claim_candidate> candidates() const;
+    [[nodiscard]] std::vector<role_holding>
+    holdings(std::span<const std::string> roles) const;
     void lease_loop();
     void register_self();
     void ensure_secret();
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -103,7 +103,7 @@
 
     private:
         net::endpoint where_;
-        base::duration timeout_ = std::chrono::milliseconds(1500);
+        base::duration timeout_ = std::chrono::milliseconds(1000);
         call_hook called_;
     };
 
--- a/tests/net/io_scheduler_test.cpp
+++ b/tests/net/io_scheduler_test.cpp
@@ -93,6 +93,41 @@
     CHECK(unknown);
 }
 
+// Guards against one timeout after another when all connections to a peer have
+// gone silent at once.
+TEST_CASE("after a timeout the idle connections to that peer are not used")
+{
+    base::duration pause{};
+    auto server = net::http_server::builder{}
+                      .listen_on({"127.0.0.1", 0})
+                      .handle_with(
+                          [&](const net::http_request&)
+                          {
+                              boost::this_fiber::sleep_for(pause);
+                              return net::http_response{};
+                          })
+                      .build();
+    auto client = net::http_client::builder{}.max_idle(4).build();
+    const auto send = [&](base::duration limit)
+    {
+        return client->send(server->local_endpoint(), {"GET", "/", {}, {}, {}},
+                            base::steady_now() + limit, "test");
+    };
+    pause = 30ms;
+    net::task_group fibers;
+    for (int index = 0; index < 3; ++index)
+        fibers.spawn([&] { CHECK(send(1s).status == 200); });
+    fibers.join();
+    CHECK(server->connection_count() == 3);
+    pause = 300ms;
+    CHECK_THROWS_AS(send(50ms), base::error);
+    pause = 0ms;
+    CHECK(send(1s).status == 200);
+    boost::this_fiber::sleep_for(400ms);
+    // Only the connection that was opened after the timeout is left.
+    CHECK(server->connection_count() == 1);
+}
+
 // Guards against a planned stop that waits for the end of a long poll.
 TEST_CASE("cancelling a client ends its calls in progress")
 {
--- a/tests/node/claim_order_test.cpp
+++ b/tests/node/claim_order_test.cpp
@@ -132,3 +132,51 @@
         CHECK(claim_delay(candidates, roles, entry.role, "e39", 10ms) > 0s);
     }
 }
+
+// Guards against a pool that stays on a weak instance which took it over while
+// the others could not reach the store (trouble-3 of lcq-sched-grown, 24.7 s).
+TEST_CASE(
+    "a weak holder hands over to a strong instance, an equal one does not")
+{
+    const std::vector<claim_candidate> candidates{
+        {"weak", 0.12, 1}, {"strong", 0.5, 2}, {"other", 0.5, 3}};
+    std::vector<role_holding> roles{
+        {"pool/a", "weak"}, {"pool/b", "strong"}, {"fleet", ""}};
+    CHECK(should_hand_over(candidates, roles, "weak"));
+    CHECK_FALSE(should_hand_over(candidates, roles, "strong"));
+    // Without the other one, half of the strong instance is still twice more.
+    const std::vector<claim_candidate> two{candidates[0], candidates[1]};
+    CHECK(should_hand_over(two, roles, "weak"));
+    roles[2].node = "strong";
+    CHECK_FALSE(should_hand_over(two, roles, "weak"));
+    CHECK_FALSE(should_hand_over(candidates, roles, "other"));
+    CHECK_FALSE(should_hand_over(candidates, roles, "unknown"));
+}
+
+// Guards against roles that go back and forth between equal instances.
+TEST_CASE("hand-overs between equal instances come to an end")
+{
+    std::vector<claim_candidate> candidates;
+    for (int index = 0; index < 4; ++index)
+        candidates.push_back({"e" + std::to_string(index), 0.25, index});
+    std::vector<role_holding> roles = free_roles;
+    for (role_holding& entry : roles)
+        entry.node = "e0";
+    int hand_overs = 0;
+    for (bool has_moved = true; has_moved && hand_overs < 100;)
+    {
+        has_moved = false;
+        for (role_holding& entry : roles)
+        {
+            if (entry.node.empty() ||
+                !should_hand_over(candidates, roles, entry.node))
+                continue;
+            entry.node.clear();
+            entry.node = first_in_turn(candidates, roles, entry.role);
+            has_moved = true;
+            ++hand_overs;
+        }
+    }
+    CHECK(hand_overs >= 2);
+    CHECK(hand_overs <= 5);
+}
--- a/tests/node/node_instance_test.cpp
+++ b/tests/node/node_instance_test.cpp
@@ -59,8 +59,10 @@
     platform::node_settings settings;
     std::unique_ptr<node::node_instance> instance;
 
-    entry(const platform_double& platform, const std::string& name)
+    entry(const platform_double& platform, const std::string& name,
+          double cores = 1.0)
     {
+        settings.cores = cores;
         settings.name = name;
         settings.zone = "z";
         settings.address = "127.0.0.1";
@@ -102,6 +104,17 @@
     {
         return call(where, "POST", "/q/" + id, body).status;
     }
+    [[nodiscard]] bool owns_pool(const entry& where) const
+    {
+        net::http_request request;
+        request.method = "GET";
+        request.target = "/state";
+        const auto metrics_port =
+            static_cast<std::uint16_t>(where.settings.first_internal_port + 1);
+        const auto reply = http->send({"127.0.0.1", metrics_port}, request,
+                                      base::steady_now() + 5s, "state");
+        return reply.body.find("\"loaded\":true") != std::string::npos;
+    }
     std::string state(const entry& where, const std::string& id) const
     {
         const auto reply = call(where, "GET", "/q/" + id);
@@ -153,6 +166,13 @@
             if (one)
                 one->instance->stop();
     }
+    [[nodiscard]] std::size_t owner() const
+    {
+        for (std::size_t index = 0; index < entries.size(); ++index)
+            if (client.owns_pool(*entries[index]))
+                return index;
+        return entries.size();
+    }
     [[nodiscard]] bool completes(std::size_t index, const std::string& id) const
     {
         return eventually(
@@ -230,19 +250,45 @@
     CHECK(all.client.submit(*all.entries[0], id_a, lasting) == 200);
     CHECK(eventually([&]
                      { return all.platform.starts_of(id_a + ".0.0.0") == 1; }));
-    // The pool's owner is the first in turn.
-    all.entries[0]->instance->stop();
-    all.entries[0].reset();
+    const std::size_t owner = all.owner();
+    REQUIRE(owner < 2);
+    const std::size_t other = 1 - owner;
+    all.entries[owner]->instance->stop();
+    all.entries[owner].reset();
     CHECK(eventually(
-        [&] { return all.client.state(*all.entries[1], id_a) == running; }));
-    CHECK(all.client.submit(*all.entries[1], id_b, two_steps) == 200);
-    CHECK(all.completes(1, id_b));
+        [&]
+        { return all.client.state(*all.entries[other], id_a) == running; }));
+    CHECK(all.client.submit(*all.entries[other], id_b, two_steps) == 200);
+    CHECK(all.completes(other, id_b));
     CHECK(all.platform.starts_of(id_a + ".0.0.0") == 1);
     CHECK(all.platform.worker("w0").running_count() +
               all.platform.worker("w1").running_count() ==
           1);
 }
 
+// Guards against a pool that stays on a weak instance, and against work that is
+// lost or started twice when the pool is handed over.
+TEST_CASE("a weak instance hands its pool over to a strong one that joins")
+{
+    cluster all(0);
+    all.entries.push_back(std::make_unique<entry>(all.platform, "weak", 0.1));
+    CHECK(eventually([&] { return all.owner() == 0; }));
+    CHECK(all.client.submit(*all.entries[0], id_a, lasting) == 200);
+    CHECK(eventually([&]
+                     { return all.platform.starts_of(id_a + ".0.0.0") == 1; }));
+    all.entries.push_back(std::make_unique<entry>(all.platform, "strong", 1.0));
+    CHECK(eventually([&] { return all.owner() == 1; }));
+    // Until the first instance has heard of the owner it refuses.
+    CHECK(eventually(
+        [&]
+        { return all.client.submit(*all.entries[0], id_b, two_steps) == 200; },
+        2s));
+    CHECK(all.completes(1, id_b));
+    CHECK(all.client.state(*all.entries[1], id_a) == running);
+    CHECK(all.platform.starts_of(id_a + ".0.0.0") == 1);
+    CHECK(all.platform.starts_of(id_b + ".0.1.0") == 1);
+}
+
 // Guards against a task that is never started again (scale-2 of lcq-sched:
 // each look at the silent worker put the end of its lease off).
 TEST_CASE("work of a worker that falls silent starts again elsewhere")
