Tell both callers of one job the truth when the store refuses it

When the store refuses the record, the first call withdraws the job and answers that it is refused; the second one only waited for the number of the change, which the writer passes once nothing is left to write, and answered that the job is accepted. Change: a submission is accepted when the job itself is stored. Also from reading: an ownership that ended here for want of a listing is claimed anew, which finds out whether the store still holds it, and a run that was kept for a reborn worker is lost when that worker does not answer either. Test: tests/node, two calls that hand in one job in an outage; on the earlier code it gives 503 and 200 for a job that never runs.

--- a/src/node/pool_claims.cpp
+++ b/src/node/pool_claims.cpp
@@ -150,18 +150,17 @@
                                         {"own_cores", session_.own().cores}});
     ended_fences_[loaded->first] = loaded->second->fence();
     fibers_.spawn([this, pool = loaded->first, owner = loaded->second]
-                  { hand_over(pool, owner); });
+                  { hand_over(pool, *owner); });
     owners_.erase(loaded);
 }
 
 // Everything that the owner knows is stored before the role is free.
-void pool_claims::hand_over(const std::string& pool,
-                            std::shared_ptr<pools::pool_owner> owner)
+void pool_claims::hand_over(const std::string& pool, pools::pool_owner& owner)
 {
-    owner->quiesce();
+    owner.quiesce();
     try
     {
-        session_.release(pool_role(pool), owner->fence());
+        session_.release(pool_role(pool), owner.fence());
     }
     catch (const base::error& failure)
     {
@@ -190,16 +189,18 @@
     }
     if (!session_.is_registered())
         return;
-    if (current != nullptr && session_.is_own(*current))
+    const auto ended = ended_fences_.find(pool);
+    const bool has_ended = current != nullptr && ended != ended_fences_.end() &&
+                           ended->second >= current->revision;
+    if (current != nullptr && session_.is_own(*current) && !has_ended)
     {
-        // A claim that got no answer has taken effect. What is known of the
-        // holder may be older than a fence that has ended this ownership.
-        const auto ended = ended_fences_.find(pool);
-        if (ended == ended_fences_.end() || ended->second < current->revision)
-            open(pool, current->revision);
+        // A claim that got no answer has taken effect.
+        open(pool, current->revision);
         return;
     }
-    if (current != nullptr && !session_.is_own_earlier(*current))
+    // What is known of the holder may be older than the end of an ownership
+    // here: a new claim finds out.
+    if (current != nullptr && current->node != session_.own().name)
     {
         free_since_.erase(pool);
         return;
--- a/src/node/pool_claims.hpp
+++ b/src/node/pool_claims.hpp
@@ -70,8 +70,7 @@
     void open(const std::string& pool, std::int64_t revision);
     void close_lost();
     void consider_hand_over(base::time_point now);
-    void hand_over(const std::string& pool,
-                   std::shared_ptr<pools::pool_owner> owner);
+    void hand_over(const std::string& pool, pools::pool_owner& owner);
     void update_owners();
 
     session& session_;
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -29,6 +29,8 @@
 // after its last renewal, and the leases of its workers end 6 s later.
 constexpr std::chrono::seconds inheritance_wait{10};
 constexpr std::chrono::seconds outage_retry{1};
+// How often a submission looks whether its job is stored or withdrawn.
+constexpr std::chrono::milliseconds stored_poll{100};
 // The store lists a worker that has ended until three heartbeats of 1.5 s have
 // been missed.
 constexpr std::chrono::seconds ended_listing{6};
@@ -299,16 +301,18 @@
     using kind = submission_answer::kind;
     while (base::steady_now() < deadline && !is_stopping)
     {
-        if (writer.wait_stored(
-                change, std::min<base::time_point>(
-                            deadline, base::steady_now() +
-                                          std::chrono::milliseconds(100))))
-            return {kind::accepted, {}, "stored"};
+        writer.wait_stored(change,
+                           std::min<base::time_point>(
+                               deadline, base::steady_now() + stored_poll));
         const jobs::job* subject = state.find_job(id);
-        if (subject != nullptr && subject->is_stored)
+        // The same job may have been handed in twice, and withdrawn by the
+        // other call.
+        if (subject == nullptr)
+            return {kind::refused, outage_retry, "the store refused the job"};
+        if (subject->is_stored)
             return {kind::accepted, {}, "stored"};
-        if (writer.is_failing() && subject != nullptr &&
-            !subject->may_be_stored && state.is_dirty(*subject))
+        if (writer.is_failing() && !subject->may_be_stored &&
+            state.is_dirty(*subject))
         {
             state.withdraw(id);
             return {kind::refused, outage_retry, "the store refuses writes"};
--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -237,6 +237,7 @@
                {{"worker", worker_.id}, {"born_ms", born_ms}});
     state_.lose_runs(worker_.id, jobs::run_loss::reborn, now);
     born_ms_ = born_ms;
+    reborn_at_ = now;
     stored_end_ = 0;
     clock_ms_ = 0;
     lease_until_ms_ = 0;
@@ -252,12 +253,19 @@
                    {{"worker", worker_.id}, {"reason", reason}});
     const auto lease_left = std::chrono::milliseconds(
         std::max<std::int64_t>(lease_until_ms_ - clock_ms_, 0));
-    const auto lapse =
+    // A life that has never answered may still have carried an order out that
+    // was meant for the one before.
+    const base::time_point reborn_lapse =
+        reborn_at_ +
+        std::chrono::duration_cast<base::duration>(lease_ * slowest_clock) +
+        lapse_slack;
+    const auto answered_lapse =
         clock_read_at_ +
         std::chrono::duration_cast<base::duration>(lease_left * slowest_clock) +
         lapse_slack;
     const auto found = state_.workers().find(worker_.id);
-    if (clock_ms_ == 0 || now < lapse || found == state_.workers().end() ||
+    const auto lapse = clock_ms_ == 0 ? reborn_lapse : answered_lapse;
+    if (now < lapse || found == state_.workers().end() ||
         found->second.runs.empty())
         return;
     state_.lose_runs(worker_.id, jobs::run_loss::lapsed, now);
--- a/src/pools/worker_link.hpp
+++ b/src/pools/worker_link.hpp
@@ -87,6 +87,9 @@
     base::time_point clock_read_at_{};
     /// Latest lease end that was sent, on the worker's clock.
     std::int64_t lease_until_ms_ = 0;
+    /// When the worker's present life became known; for the first one the
+    /// start of this link.
+    base::time_point reborn_at_ = base::steady_now();
 };
 
 } // namespace pimentograde::pools
--- a/tests/node/node_instance_test.cpp
+++ b/tests/node/node_instance_test.cpp
@@ -4,6 +4,7 @@
 #include "log/event.hpp"
 #include "net/http_client.hpp"
 #include "net/io_scheduler.hpp"
+#include "net/task_group.hpp"
 #include "node/node_instance.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -12,6 +13,7 @@
 #include "platform_standin/platform_double.hpp"
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <cstdlib>
 
 using namespace pimentograde;
@@ -228,6 +230,37 @@
     CHECK(all.completes(0, id_b));
 }
 
+// Guards against a job that one of two simultaneous calls reports as accepted
+// after the other one was told that it is refused.
+TEST_CASE("two calls that hand in one job in an outage are told the truth")
+{
+    cluster all(1);
+    const auto& only = *all.entries[0];
+    for (int round = 0; round < 5; ++round)
+    {
+        const std::string id = "00000000000000b" + std::to_string(round);
+        all.platform.store.faults.is_down = true;
+        std::vector<unsigned> answers;
+        net::task_group calls;
+        for (int index = 0; index < 2; ++index)
+            calls.spawn(
+                [&]
+                {
+                    const caller own;
+                    answers.push_back(own.submit(only, id, two_steps));
+                });
+        boost::this_fiber::sleep_for(20ms);
+        all.platform.store.faults.is_down = false;
+        calls.join();
+        const bool is_accepted =
+            std::find(answers.begin(), answers.end(), 200U) != answers.end();
+        CAPTURE(answers[0]);
+        CAPTURE(answers[1]);
+        if (is_accepted)
+            CHECK(all.completes(0, id));
+    }
+}
+
 // Guards against a pool that refuses for ever once a refused submission has
 // left its writer without work (trouble-3 of lcq-sched).
 TEST_CASE("an idle pool accepts jobs again after the store was away")
