End an instance's roles together with their lease

Ruled out: waiting for the watch before registering, which keeps a healthy instance out for longer. Change: losing the lease drops this process's roles at once, and changes that still show them are ignored. Test: tests/node/session_test fails on the code before (4 checks).

--- a/src/node/session.cpp
+++ b/src/node/session.cpp
@@ -121,6 +121,9 @@
                 register_self();
             else
                 renew();
+            // A process that lost its lease can take part again at once.
+            if (lease_ == 0)
+                pause = base::duration::zero();
         }
         catch (const std::exception& failure)
         {
@@ -161,6 +164,7 @@
     if (result.outcome != platform::commit_result::kind::committed)
         return;
     lease_ = lease;
+    registered_revision_ = result.revision;
     renewed_at_ = sent_at;
     registered_at_ = base::steady_now();
     log::write(event_registered, {{"lease", lease}});
@@ -175,11 +179,26 @@
         renewed_at_ = sent_at;
         return;
     }
+    handle_lease_lost();
+}
+
+// The roles end with the lease. The watch may tell this much later, for example
+// after the machine was suspended, and other instances may hold them already.
+void session::handle_lease_lost()
+{
     log::write(event_lease_lost, {{"lease", lease_}});
     lease_ = 0;
+    std::erase_if(holders_,
+                  [this](const auto& entry) { return is_own(entry.second); });
     hooks_.lease_lost();
 }
 
+bool session::has_ended(const holder& candidate) const
+{
+    return is_own(candidate) &&
+           (lease_ == 0 || candidate.revision < registered_revision_);
+}
+
 std::string session::holder_value() const
 {
     return json::serialize(
@@ -290,10 +309,13 @@
     const holder* known = holder_of(key.substr(role_prefix.size()));
     if (known != nullptr && known->revision >= item.revision)
         return;
-    holders_[std::string(key.substr(role_prefix.size()))] = {
+    const holder listed{
         text("node"),
         incarnation == nullptr ? 0 : incarnation->to_number<std::uint64_t>(),
         *address, item.revision};
+    // A late change may show a role of this process under an ended lease.
+    if (!has_ended(listed))
+        holders_[std::string(key.substr(role_prefix.size()))] = listed;
 }
 
 void session::remove_key(std::string_view key, std::int64_t revision)
--- a/src/node/session.hpp
+++ b/src/node/session.hpp
@@ -137,12 +137,16 @@
     void apply_item(const platform::store_item& item);
     void read_item(const platform::store_item& item);
     void remove_key(std::string_view key, std::int64_t revision);
+    [[nodiscard]] bool has_ended(const holder& candidate) const;
+    void handle_lease_lost();
     [[nodiscard]] std::string holder_value() const;
 
     identity own_;
     platform::store_client& store_;
     hooks hooks_;
     std::int64_t lease_ = 0;
+    /// Store revision of the registration under the present lease.
+    std::int64_t registered_revision_ = 0;
     base::time_point renewed_at_{};
     base::time_point registered_at_{};
     std::string secret_;
--- /dev/null
+++ b/tests/node/session_test.cpp
@@ -0,0 +1,73 @@
+// The roles of an instance end with its lease.
+
+#include "node/cluster.hpp"
+#include "node/session.hpp"
+
+using namespace pimentograde;
+using namespace pimentograde::node_tests;
+
+namespace
+{
+
+struct registered_session
+{
+    platform_double platform;
+    std::unique_ptr<platform::store_client> store =
+        platform::store_client::builder{}
+            .connect_to(platform.store_address())
+            .build();
+    int losses = 0;
+    node::session members{{"e0", "z", 7, {"127.0.0.1", 1}, 1.0},
+                          *store,
+                          {[] {},
+                           [this]
+                           {
+                               ++losses;
+                           }}};
+
+    registered_session()
+    {
+        members.start();
+        REQUIRE(eventually([&] { return members.is_registered(); }));
+    }
+    ~registered_session() { members.stop(); }
+
+    platform::store_item stored_role(std::int64_t revision) const
+    {
+        return {node::session::role_key("pool/a"),
+                R"({"node":"e0","incarnation":7,"address":"127.0.0.1:1"})",
+                revision, revision};
+    }
+};
+
+} // namespace
+
+// Guards against orders under a role that ran out while the process was
+// suspended: the lease is renewed anew before the watch tells of the loss.
+TEST_CASE("a role ends at once with the lease it was claimed under")
+{
+    registered_session one;
+    const auto revision = one.members.claim("pool/a");
+    REQUIRE(revision);
+    REQUIRE(one.members.holder_of("pool/a") != nullptr);
+    one.platform.store.end_leases();
+    REQUIRE(eventually([&] { return one.losses == 1; }));
+    CHECK(one.members.holder_of("pool/a") == nullptr);
+    CHECK(eventually([&] { return one.members.is_registered(); }, 500ms));
+    // A late change still shows the claim under the old lease.
+    one.members.apply_changes(
+        std::vector{platform::store_event{one.stored_role(*revision), false}});
+    CHECK(one.members.holder_of("pool/a") == nullptr);
+    CHECK(one.members.claim("pool/a").has_value());
+}
+
+// Guards against a claim that takes effect without an answer and is ignored.
+TEST_CASE("a claim without an answer counts once the watch shows it")
+{
+    registered_session one;
+    const std::int64_t later = 1'000'000;
+    one.members.apply_changes(
+        std::vector{platform::store_event{one.stored_role(later), false}});
+    REQUIRE(one.members.holder_of("pool/a") != nullptr);
+    CHECK(one.members.is_own(*one.members.holder_of("pool/a")));
+}
--- a/tools/platform_standin/store_double.cpp
+++ b/tools/platform_standin/store_double.cpp
@@ -49,6 +49,12 @@
     return bodies[static_cast<std::size_t>(number) % std::size(bodies)];
 }
 
+void store_double::end_leases()
+{
+    for (auto& [id, held] : leases_)
+        held.ends = {};
+}
+
 void store_double::expire(base::time_point now)
 {
     for (auto entry = leases_.begin(); entry != leases_.end();)
--- a/tools/platform_standin/store_double.hpp
+++ b/tools/platform_standin/store_double.hpp
@@ -39,6 +39,8 @@
     /// What the operator or a worker writes.
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
+    /// Ends all leases, as after holders that were suspended too long.
+    void end_leases();
     /// Empty when there is no such key.
     [[nodiscard]] std::string value_of(const std::string& key) const;
     [[nodiscard]] std::vector<std::string>
