Record machine orders under leases of the store

Ruled out: time stamps of the wall clock, which jumps on some machines; clocks of workers, which would need a common reachable worker. Change: each batch of orders is recorded under its own lease, which ends after LeaseMs, the 0.6 s in which the orders have to be sent and 0.4 s for orders in flight. The next holder reads the records that still exist, again every 0.25 s, so each machine is free at its own time. Machines are released before the record is written, so that only orders that follow at once are recorded.

--- a/src/fleet/recent_orders.hpp
+++ b/src/fleet/recent_orders.hpp
@@ -1,11 +1,8 @@
 #ifndef PIMENTOGRADE_FLEET_RECENT_ORDERS_HPP
 #define PIMENTOGRADE_FLEET_RECENT_ORDERS_HPP
 
-#include "base/time.hpp"
-
 #include <cstdint>
 #include <map>
-#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -13,7 +10,7 @@
 namespace pimentograde::fleet
 {
 
-/// An order to a machine that a holder of the machine role is about to send.
+/// An order to a machine that a holder of the machine role may have sent.
 struct recorded_order
 {
     std::string machine;
@@ -23,59 +20,39 @@
     bool operator==(const recorded_order&) const = default;
 };
 
-/// The machines that were ordered lately, by this holder of the machine role or
-/// by earlier ones. Each holder records its orders before it sends them, so
-/// that the next one may order all other machines at once and leaves only the
-/// recorded ones alone for the pause that two holders have to keep. Designed
+/// The machines that earlier holders of the machine role may have ordered
+/// within the pause that two holders have to keep. Each holder records its
+/// orders before it sends them, under leases of the store that end after the
+/// pause, so that the next one may order all other machines at once. Designed
 /// for bursts during which the role changes hands.
 class recent_orders
 {
 public:
-    /// `pause` is the time between orders of two holders for one machine.
-    explicit recent_orders(base::duration pause) : pause_(pause) {}
-
-    /// Forgets all orders, when the role is lost.
+    /// Holds back all machines until the records have been read.
     void clear();
-    /// Applies the stored record of earlier holders, read after the claim.
-    void inherit(std::span<const recorded_order> orders, base::time_point now);
-    /// The record cannot be read: holds back every machine for the pause.
-    void inherit_unknown(base::time_point now)
+    /// Applies the records of earlier holders that still exist. `is_readable`
+    /// is false if one of them cannot be read: any machine may be meant.
+    void set_inherited(std::span<const recorded_order> orders,
+                       bool is_readable);
+    [[nodiscard]] bool is_read() const { return is_read_; }
+    /// Whether the records have to be read again: some hold machines back.
+    [[nodiscard]] bool is_waiting() const
     {
-        unknown_until_ = now + pause_;
+        return !is_readable_ || !inherited_.empty();
     }
-    /// Whether an earlier holder may have ordered the machine so lately that
-    /// this one must not.
-    [[nodiscard]] bool is_held_back(const std::string& machine,
-                                    base::time_point now) const;
-    /// Orders that the holder is about to send. Returns whether they must be
-    /// recorded first, which is not the case if they already are.
-    bool add(std::span<const recorded_order> orders, base::time_point now);
-    /// What to record: all orders within the pause, also inherited ones.
-    [[nodiscard]] std::vector<recorded_order>
-    to_record(base::time_point now) const;
-    /// `orders` have been stored, in place of what was recorded before.
-    void note_recorded(std::span<const recorded_order> orders);
-    /// Whether the stored record holds only orders that no longer matter.
-    [[nodiscard]] bool is_record_obsolete(base::time_point now) const;
-
-private:
-    struct known_order
+    [[nodiscard]] bool is_held_back(const std::string& machine) const
     {
-        std::int64_t wave = 0;
-        base::time_point at{};
-        bool is_inherited = false;
-    };
-
-    [[nodiscard]] bool is_recent(const known_order& order,
-                                 base::time_point now) const
-    {
-        return now - order.at < pause_;
+        return !is_read_ || !is_readable_ || inherited_.contains(machine);
     }
+    /// Machines of the wave that earlier holders may have ordered.
+    [[nodiscard]] std::vector<std::string>
+    machines_of_wave(std::int64_t wave) const;
 
-    base::duration pause_;
-    std::map<std::string, known_order, std::less<>> orders_;
-    std::set<std::string, std::less<>> recorded_;
-    base::time_point unknown_until_{};
+private:
+    bool is_read_ = false;
+    bool is_readable_ = true;
+    /// The wave, by machine.
+    std::map<std::string, std::int64_t, std::less<>> inherited_;
 };
 
 } // namespace pimentograde::fleet
--- a/src/node/fleet_manager.cpp
+++ b/src/node/fleet_manager.cpp
@@ -28,6 +28,9 @@
 constexpr std::chrono::milliseconds release_hold{2500};
 // Added to the pause between two holders for orders still in flight.
 constexpr std::chrono::milliseconds in_flight_margin{400};
+// Orders are sent within this time from the beginning of their recording. The
+// store is rarely slower.
+constexpr std::chrono::milliseconds record_validity{600};
 
 std::string_view to_string(platform::machine_answer answer)
 {
@@ -66,7 +69,7 @@
               {
                   order_move(move);
               }}),
-      records_(store), recent_(times_.holder_pause + in_flight_margin)
+      records_(store)
 {
 }
 
@@ -164,44 +167,50 @@
     completed_waves_.clear();
     moves_.clear();
     recent_.clear();
-    has_read_orders_ = false;
 }
 
-// Orders that earlier holders may have sent, from their record. Its writes are
-// conditional on the role, so none is added after this holder's claim.
+// Orders that earlier holders may have sent. Their records are written under
+// the role, so none is added after this holder's claim, and they expire.
 void fleet_manager::read_earlier_orders(base::time_point now)
 {
-    if (has_read_orders_)
+    if (recent_.is_read() &&
+        (!recent_.is_waiting() || now - records_read_at_ < listing_interval))
         return;
-    const auto orders = records_.read_orders();
-    if (orders)
-        recent_.inherit(*orders, now);
-    else
-        recent_.inherit_unknown(now);
-    has_read_orders_ = true;
-    log::write(event_fleet_takeover,
-               {{"fence", *fence_},
-                {"held_back", orders ? orders->size() : std::size_t{0}},
-                {"is_readable", orders.has_value() ? 1 : 0}});
+    records_read_at_ = now;
+    const bool is_first = !recent_.is_read();
+    const auto earlier = records_.read_orders(*fence_);
+    recent_.set_inherited(earlier.orders, earlier.is_readable);
+    if (is_first)
+        log::write(event_fleet_takeover,
+                   {{"fence", *fence_},
+                    {"held_back", earlier.orders.size()},
+                    {"is_readable", earlier.is_readable ? 1 : 0}});
 }
 
 bool fleet_manager::may_order() const
 {
     const holder* current = session_.holder_of(role);
     return fence_ && current != nullptr && current->revision == *fence_ &&
-           has_read_orders_ && !stop_.is_set() &&
+           recent_.is_read() && !stop_.is_set() &&
            session_.holds_lease(base::suspend_aware_now());
 }
 
+// A record covers orders that are sent soon after it was written.
+bool fleet_manager::may_send() const
+{
+    return may_order() &&
+           base::suspend_aware_now() - recorded_at_ < record_validity;
+}
+
 bool fleet_manager::record_orders(std::span<const fleet::recorded_order> orders)
 {
-    const base::time_point now = base::steady_now();
-    if (!recent_.add(orders, now))
-        return true;
-    const auto record = recent_.to_record(now);
+    const base::time_point begun_at = base::suspend_aware_now();
     try
     {
-        if (!records_.write_orders(*fence_, record))
+        if (!may_order() ||
+            !records_.write_orders(*fence_, orders,
+                                   times_.holder_pause + record_validity +
+                                       in_flight_margin))
             return false;
     }
     catch (const base::error& failure)
@@ -210,7 +219,7 @@
                    {{"orders", orders.size()}, {"reason", failure.what()}});
         return false;
     }
-    recent_.note_recorded(record);
+    recorded_at_ = begun_at;
     return true;
 }
 
@@ -222,20 +231,12 @@
     return record_orders(orders);
 }
 
-// A successor would leave the recorded machines alone for nothing.
-void fleet_manager::remove_obsolete_record(base::time_point now)
-{
-    if (may_order() && recent_.is_record_obsolete(now) &&
-        records_.write_orders(*fence_, {}))
-        recent_.note_recorded({});
-}
-
 platform::machine_authority fleet_manager::authority() const
 {
     return {session_.own().name, *fence_,
             [this]
             {
-                return may_order();
+                return may_send();
             }};
 }
 
@@ -312,7 +313,6 @@
         try_record_wave(found->second, now);
     }
     moves_.run_round(now);
-    remove_obsolete_record(now);
 }
 
 void fleet_manager::advance_wave(fleet::wave_progress& wave,
@@ -329,9 +329,9 @@
     if (!may_order())
         return;
     wave.choose(
-        [this, now](const std::string& machine)
+        [this](const std::string& machine)
         {
-            return recent_.is_held_back(machine, now)
+            return recent_.is_held_back(machine)
                        ? std::nullopt
                        : inventory_.machine_load(machine);
         },
@@ -340,7 +340,7 @@
     // too: the order may not have been carried out, and tasks have started.
     auto candidates = wave.unacknowledged();
     std::erase_if(candidates, [&](const std::string& name)
-                  { return recent_.is_held_back(name, now); });
+                  { return recent_.is_held_back(name); });
     const auto prepared = wave.machines_in(fleet::maintenance_stage::preparing);
     candidates.insert(candidates.end(), prepared.begin(), prepared.end());
     const auto machines = release_machines(candidates);
@@ -439,9 +439,8 @@
 {
     const std::int64_t number = wave.wave().number;
     wave.restore_done(records_.read_done(number));
-    for (const fleet::recorded_order& entry : recent_.to_record(now))
-        if (entry.wave == number)
-            wave.restore_ordered(entry.machine, now);
+    for (const std::string& machine : recent_.machines_of_wave(number))
+        wave.restore_ordered(machine, now);
 }
 
 // The store may be unavailable while the machine service still takes orders.
@@ -485,8 +484,7 @@
 
 bool fleet_manager::is_reserved(const std::string& machine) const
 {
-    return is_in_wave(machine) ||
-           recent_.is_held_back(machine, base::steady_now());
+    return is_in_wave(machine) || recent_.is_held_back(machine);
 }
 
 bool fleet_manager::is_in_wave(const std::string& machine) const
--- a/src/node/fleet_manager.hpp
+++ b/src/node/fleet_manager.hpp
@@ -65,7 +65,7 @@
     /// be.
     bool record_orders(std::span<const fleet::recorded_order> orders);
     bool record_moves(std::span<const fleet::machine_move> moves);
-    void remove_obsolete_record(base::time_point now);
+    [[nodiscard]] bool may_send() const;
     void refresh_machines(base::time_point now);
     void refresh_loads();
     [[nodiscard]] std::map<std::string, std::vector<std::string>>
@@ -97,8 +97,10 @@
     machine_moves moves_;
     fleet_records records_;
     fleet::recent_orders recent_;
-    /// The orders of earlier holders are known.
-    bool has_read_orders_ = false;
+    base::time_point records_read_at_{};
+    /// When the recording of the latest orders began, on the clock that also
+    /// runs while the machine is suspended.
+    base::time_point recorded_at_{};
     std::vector<std::string> roles_;
     std::map<std::int64_t, fleet::maintenance_wave> known_waves_;
     std::map<std::int64_t, base::time_point> wave_first_seen_;
--- a/src/node/fleet_records.cpp
+++ b/src/node/fleet_records.cpp
@@ -17,25 +17,21 @@
 namespace
 {
 
-constexpr std::string_view orders_key = "pimentograde-fleet/orders";
+constexpr std::string_view orders_prefix = "pimentograde-fleet/orders/";
 
 std::string wave_record_key(std::int64_t number)
 {
     return "pimentograde-fleet/wave/" + std::to_string(number);
 }
 
-// Reads a record that is an array; each row goes to `read_row`, which may
-// throw. Returns whether the record is absent or readable.
+// Reads an array; each row goes to `read_row`, which may throw. Returns whether
+// the record is readable.
 template <typename Read>
-bool read_rows(platform::store_client& store, const std::string& key,
-               Read read_row)
+bool read_rows(const platform::store_item& item, Read read_row)
 {
-    const auto stored = store.get(key);
-    if (!stored)
-        return true;
     try
     {
-        const json::value parsed = json::parse(stored->value);
+        const json::value parsed = json::parse(item.value);
         for (const json::value& row : parsed.as_array())
             read_row(row);
         return true;
@@ -43,7 +39,7 @@
     catch (const std::exception& failure)
     {
         log::write(event_fleet_record_invalid,
-                   {{"key", key}, {"reason", failure.what()}});
+                   {{"key", item.key}, {"reason", failure.what()}});
         return false;
     }
 }
@@ -58,40 +54,51 @@
 
 } // namespace
 
-std::optional<std::vector<fleet::recorded_order>> fleet_records::read_orders()
+earlier_orders fleet_records::read_orders(std::int64_t fence)
 {
-    std::vector<fleet::recorded_order> orders;
-    const bool is_readable = read_rows(
-        store_, std::string(orders_key),
-        [&](const json::value& source)
-        {
-            const json::object& row = source.as_object();
-            orders.push_back({std::string(row.at("machine").as_string()),
-                              row.at("wave").to_number<std::int64_t>()});
-        });
-    if (!is_readable)
-        return std::nullopt;
-    return orders;
+    // A record's key ends with its lease, so that none replaces another.
+    const std::string own = std::string(orders_prefix) + std::to_string(fence);
+    earlier_orders result;
+    for (const auto& item : store_.list(orders_prefix).items)
+    {
+        if (item.key.starts_with(own + '/'))
+            continue;
+        const bool is_readable =
+            read_rows(item,
+                      [&](const json::value& source)
+                      {
+                          const json::object& row = source.as_object();
+                          result.orders.push_back(
+                              {std::string(row.at("machine").as_string()),
+                               row.at("wave").to_number<std::int64_t>()});
+                      });
+        result.is_readable = result.is_readable && is_readable;
+    }
+    return result;
 }
 
 bool fleet_records::write_orders(std::int64_t fence,
-                                 std::span<const fleet::recorded_order> orders)
+                                 std::span<const fleet::recorded_order> orders,
+                                 base::duration lifetime)
 {
     json::array rows;
     for (const fleet::recorded_order& entry : orders)
         rows.push_back(
             json::object{{"machine", entry.machine}, {"wave", entry.wave}});
-    return commit(store_, fence,
-                  {{std::string(orders_key), json::serialize(rows), 0}});
+    const std::int64_t lease = store_.grant_lease(lifetime);
+    const std::string key = std::string(orders_prefix) + std::to_string(fence) +
+                            '/' + std::to_string(lease);
+    return commit(store_, fence, {{key, json::serialize(rows), lease}});
 }
 
 std::vector<std::string> fleet_records::read_done(std::int64_t wave)
 {
     std::vector<std::string> done;
+    const auto stored = store_.get(wave_record_key(wave));
     // Machines of an unreadable record are ordered again, without effect.
-    (void)read_rows(store_, wave_record_key(wave),
-                    [&](const json::value& row)
-                    { done.emplace_back(row.as_string()); });
+    if (stored)
+        (void)read_rows(*stored, [&](const json::value& row)
+                        { done.emplace_back(row.as_string()); });
     return done;
 }
 
--- a/src/node/fleet_records.hpp
+++ b/src/node/fleet_records.hpp
@@ -1,12 +1,12 @@
 #ifndef PIMENTOGRADE_NODE_FLEET_RECORDS_HPP
 #define PIMENTOGRADE_NODE_FLEET_RECORDS_HPP
 
+#include "base/time.hpp"
 #include "fleet/recent_orders.hpp"
 #include "fleet/wave_progress.hpp"
 #include "platform/store_client.hpp"
 
 #include <cstdint>
-#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -14,6 +14,14 @@
 namespace pimentograde::node
 {
 
+/// Records of orders that earlier holders of the machine role may have sent.
+struct earlier_orders
+{
+    std::vector<fleet::recorded_order> orders;
+    /// False if a record is not one that this version can read.
+    bool is_readable = true;
+};
+
 /// What the holder of the machine role keeps in the store for its successors.
 /// Each write holds only while the role has the fence `fence`, so a holder that
 /// reads after its claim reads all that earlier holders will ever have written.
@@ -23,12 +31,13 @@
 public:
     explicit fleet_records(platform::store_client& store) : store_(store) {}
 
-    /// Empty when the record is not one that this version can read.
-    [[nodiscard]] std::optional<std::vector<fleet::recorded_order>>
-    read_orders();
-    /// Returns false when the role has another holder.
+    /// Records that have not expired and are not of the holder with `fence`.
+    [[nodiscard]] earlier_orders read_orders(std::int64_t fence);
+    /// Records orders until `lifetime` from the arrival of the call. Returns
+    /// false when the role has another holder.
     bool write_orders(std::int64_t fence,
-                      std::span<const fleet::recorded_order> orders);
+                      std::span<const fleet::recorded_order> orders,
+                      base::duration lifetime);
 
     /// Machines of the wave that are recorded as done.
     [[nodiscard]] std::vector<std::string> read_done(std::int64_t wave);
--- a/src/node/machine_moves.cpp
+++ b/src/node/machine_moves.cpp
@@ -72,22 +72,54 @@
     }
     log_demands(needs, now);
     rate_budget_ = allowed - static_cast<double>(moves.size());
-    const bool may_send = record(moves);
-    net::task_group orders;
+    execute_moves(moves);
+}
+
+// Frees all machines first, so that the orders follow their record at once.
+void machine_moves::execute_moves(std::span<const fleet::machine_move> moves)
+{
+    std::vector<fleet::machine_move> free;
+    net::task_group releases;
     for (const fleet::machine_move& move : moves)
-        if (may_send || move.needs_drain)
-            orders.spawn([this, &move] { execute_move(move); });
+        releases.spawn(
+            [&]
+            {
+                if (release(move))
+                    free.push_back(move);
+            });
+    releases.join();
+    if (free.empty() || !hooks_.record(free))
+        return;
+    net::task_group orders;
+    for (const fleet::machine_move& move : free)
+        orders.spawn([&] { order(move); });
     orders.join();
 }
 
-// Drains send no order.
-bool machine_moves::record(std::span<const fleet::machine_move> moves)
+// Returns whether the machine may be ordered now.
+bool machine_moves::release(const fleet::machine_move& move)
 {
-    std::vector<fleet::machine_move> ordered;
-    for (const fleet::machine_move& move : moves)
-        if (!move.needs_drain)
-            ordered.push_back(move);
-    return ordered.empty() || hooks_.record(ordered);
+    const fleet::machine* machine = inventory_.find(move.machine);
+    if (machine == nullptr || !hooks_.may_order())
+        return false;
+    const bool is_free = machine->worker.empty() || hooks_.release(*machine);
+    return is_free && !move.needs_drain;
+}
+
+void machine_moves::order(const fleet::machine_move& move)
+{
+    if (!hooks_.may_order())
+        return;
+    try
+    {
+        moves_[move.machine] = {move.to, base::steady_now()};
+        hooks_.order(move);
+    }
+    catch (const std::exception& failure)
+    {
+        log::write(event_machine_service_failed,
+                   {{"machine", move.machine}, {"reason", failure.what()}});
+    }
 }
 
 std::vector<fleet::machine_move>
@@ -115,27 +147,6 @@
     return free;
 }
 
-void machine_moves::execute_move(const fleet::machine_move& move)
-{
-    try
-    {
-        const fleet::machine* machine = inventory_.find(move.machine);
-        if (machine == nullptr || !hooks_.may_order())
-            return;
-        const bool is_free =
-            machine->worker.empty() || hooks_.release(*machine);
-        if (move.needs_drain || !is_free || !hooks_.may_order())
-            return;
-        moves_[move.machine] = {move.to, base::steady_now()};
-        hooks_.order(move);
-    }
-    catch (const std::exception& failure)
-    {
-        log::write(event_machine_service_failed,
-                   {{"machine", move.machine}, {"reason", failure.what()}});
-    }
-}
-
 double
 machine_moves::update_kept_cores(std::span<const fleet::pool_demand> needs,
                                  base::time_point now)
--- a/src/node/machine_moves.hpp
+++ b/src/node/machine_moves.hpp
@@ -72,8 +72,9 @@
                      base::time_point now);
     /// Removes and returns the moves whose machines have become free.
     std::vector<fleet::machine_move> take_drained(base::time_point now);
-    bool record(std::span<const fleet::machine_move> moves);
-    void execute_move(const fleet::machine_move& move);
+    void execute_moves(std::span<const fleet::machine_move> moves);
+    bool release(const fleet::machine_move& move);
+    void order(const fleet::machine_move& move);
 
     const machine_inventory& inventory_;
     double orders_per_second_;
