Refuse at once while the store is silent, and notice its return

The return was noticed when the running call had timed out. Ruled out: shorter time-outs at all times, which a slow store exceeds. Change: the writer counts as failing until a write succeeds; with nothing left to write it writes the roster. A job whose record was never sent is refused at its deadline.

--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -1,6 +1,7 @@
 #include "platform/store_client.hpp"
 
 #include "base/error.hpp"
+#include "platform/answer_watch.hpp"
 #include "platform/json_call.hpp"
 
 #include <openssl/evp.h>
@@ -58,7 +59,9 @@
 struct store_client::impl
 {
     net::endpoint where;
-    base::duration timeout{};
+    explicit impl(base::duration timeout) : answers(timeout) {}
+
+    answer_watch answers;
     call_hook called;
     std::unique_ptr<net::http_client> http;
 
@@ -75,11 +78,14 @@
             constexpr unsigned too_many_requests = 429;
             is_ok = response.status < first_server_error &&
                     response.status != too_many_requests;
+            answers.note_answer();
             report(step, is_ok, base::steady_now() - begin);
             return response;
         }
-        catch (const base::error&)
+        catch (const base::error& failure)
         {
+            if (failure.code() == base::error_code::timeout)
+                answers.note_timeout();
             report(step, false, base::steady_now() - begin);
             throw;
         }
@@ -119,9 +125,8 @@
 
 std::unique_ptr<store_client> store_client::builder::build()
 {
-    auto state = std::make_unique<impl>();
+    auto state = std::make_unique<impl>(timeout_);
     state->where = where_;
-    state->timeout = timeout_;
     state->called = called_;
     constexpr std::size_t max_response_bytes = std::size_t{4} << 20;
     net::http_limits limits;
@@ -141,7 +146,7 @@
 {
     const json_response response =
         impl_->call({"GET", "/-/kv-key?Key=" + encode_query(key), nullptr, {}},
-                    impl_->timeout, "read key");
+                    impl_->answers.timeout(), "read key");
     if (response.status == not_found)
         return std::nullopt;
     if (response.status != ok)
@@ -160,8 +165,9 @@
         std::string target = "/-/kv-range?Prefix=" + encode_query(prefix);
         if (!after.empty())
             target += "&After=" + encode_query(after);
-        const json_response response = impl_->call(
-            {"GET", std::move(target), nullptr, {}}, impl_->timeout, "list");
+        const json_response response =
+            impl_->call({"GET", std::move(target), nullptr, {}},
+                        impl_->answers.timeout(), "list");
         if (response.status != ok)
             throw impl_->unexpected(response, "list");
         require_members(response, {"items", "AsOf"}, impl_->where, "list");
@@ -203,8 +209,9 @@
 
 commit_result store_client::commit(const store_transaction& change)
 {
-    const json_response response = impl_->call(
-        {"POST", "/-/kv-txn", to_body(change), {}}, impl_->timeout, "commit");
+    const json_response response =
+        impl_->call({"POST", "/-/kv-txn", to_body(change), {}},
+                    impl_->answers.timeout(), "commit");
     try
     {
         return impl_->read_commit(response);
@@ -255,7 +262,7 @@
                      "/-/kv-lease",
                      json::object{{"TtlMs", base::count_millis(time_to_live)}},
                      {}},
-                    impl_->timeout, "grant lease");
+                    impl_->answers.timeout(), "grant lease");
     if (response.status != ok)
         throw impl_->unexpected(response, "grant lease");
     const std::int64_t lease = read_integer(response.body, "Lease");
@@ -270,7 +277,7 @@
 {
     const json_response response = impl_->call(
         {"POST", "/-/kv-keep/" + std::to_string(lease), nullptr, {}},
-        impl_->timeout, "renew lease");
+        impl_->answers.timeout(), "renew lease");
     if (response.status == not_found)
         return false;
     if (response.status != ok)
@@ -282,7 +289,7 @@
 {
     const json_response response = impl_->call(
         {"DELETE", "/-/kv-lease-end/" + std::to_string(lease), nullptr, {}},
-        impl_->timeout, "end lease");
+        impl_->answers.timeout(), "end lease");
     if (response.status != ok && response.status != not_found)
         throw impl_->unexpected(response, "end lease");
 }
--- a/src/pools/job_writer.cpp
+++ b/src/pools/job_writer.cpp
@@ -61,11 +61,8 @@
     {
         if (!hooks_.is_stopping() && state_.is_roster_outdated())
             write_roster();
-        if (state_.change_number() == stored_)
+        if (state_.change_number() == stored_ && !is_failing_)
         {
-            // Nothing is left to write, so accept the next submission: its
-            // write shows whether the store has recovered.
-            is_failing_ = false;
             work_.wait_until(base::steady_now() + idle_wait);
             if (base::steady_now() >= next_removal_)
                 remove_expired(base::wall_now());
@@ -84,21 +81,24 @@
     }
 }
 
-void job_writer::write_roster()
+bool job_writer::write_roster()
 {
     const auto roster = state_.roster();
     try
     {
-        if (commit_roster(roster))
+        const bool is_stored = commit_roster(roster);
+        if (is_stored)
             state_.note_recorded(roster);
         else
             hooks_.on_ownership_lost("the store holds another owner");
+        return is_stored;
     }
     catch (const std::exception& failure)
     {
         log::write(event_write_failed,
                    {{"pool", pool_}, {"reason", failure.what()}});
         boost::this_fiber::sleep_for(retry_delay);
+        return false;
     }
 }
 
@@ -155,21 +155,31 @@
         const auto changes = state_.take_changes(state_.job_count());
         if (changes.empty())
             break;
-        const bool was_failing = std::exchange(is_failing_, false);
+        has_round_failed_ = false;
         write_concurrently(changes);
-        if (is_failing_)
+        if (has_round_failed_)
             return;
-        if (was_failing)
-            log::write(event_write_recovered, {{"pool", pool_}});
+        note_success();
         // Writes records again whose revision in the store differed.
     } while (has_conflict_);
-    stored_ = std::max(stored_, target);
+    // Submissions are refused until a write succeeds. When none is left, the
+    // roster shows whether the store answers.
+    if (is_failing_ && !hooks_.is_stopping() && write_roster())
+        note_success();
+    if (!is_failing_)
+        stored_ = std::max(stored_, target);
+}
+
+void job_writer::note_success()
+{
+    if (std::exchange(is_failing_, false))
+        log::write(event_write_recovered, {{"pool", pool_}});
 }
 
 void job_writer::write_concurrently(
     std::span<const jobs::record_change> remaining)
 {
-    while (!remaining.empty() && !is_failing_)
+    while (!remaining.empty() && !has_round_failed_)
     {
         net::task_group commits;
         for (std::size_t open = 0;
@@ -257,6 +267,7 @@
 {
     for (const auto& change : changes)
         state_.note_not_stored(change.job, may_be_stored);
+    has_round_failed_ = true;
     if (!std::exchange(is_failing_, true))
         log::write(
             event_write_failed,
--- a/src/pools/job_writer.hpp
+++ b/src/pools/job_writer.hpp
@@ -50,7 +50,9 @@
 
 private:
     void write_all();
-    void write_roster();
+    /// Returns whether it is stored.
+    bool write_roster();
+    void note_success();
     /// Returns false when another instance owns the pool.
     bool commit_roster(std::span<const jobs::roster_entry> roster);
     /// Writes the changes in several concurrent transactions.
@@ -72,7 +74,9 @@
     net::wakeup progress_;
     std::uint64_t stored_ = 0;
     std::uint64_t rounds_ = 0;
+    /// The last round failed, or a record could not be written in it.
     bool is_failing_ = false;
+    bool has_round_failed_ = false;
     /// A record of the current round has to be written again.
     bool has_conflict_ = false;
     base::time_point next_removal_{};
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -114,6 +114,7 @@
     void apply_workers();
     worker_link& link_of(const jobs::worker_description& worker);
     void remove_idle_links();
+    [[nodiscard]] bool was_never_written(const jobs::job& subject) const;
     submission_answer answer_submission(std::string_view id,
                                         std::uint64_t change,
                                         base::time_point deadline);
@@ -351,15 +352,25 @@
                     "the store refused the job"};
         if (subject->is_stored)
             return {kind::accepted, {}, "stored"};
-        if (writer.is_failing() && !subject->may_be_stored &&
-            state.is_dirty(*subject))
+        if (writer.is_failing() && was_never_written(*subject))
         {
             state.withdraw(id);
             return {kind::refused, outage_retry_after,
                     "the store refuses writes"};
         }
     }
-    return {kind::unknown, {}, "not stored in time"};
+    // The job of another call must not be withdrawn, but this owner ends.
+    const jobs::job* subject = state.find_job(id);
+    if (subject == nullptr || is_stopping || !was_never_written(*subject))
+        return {kind::unknown, {}, "not stored in time"};
+    state.withdraw(id);
+    return {kind::refused, outage_retry_after, "not stored in time"};
+}
+
+// No write of the job's record has been sent, so it is certain not to run.
+bool pool_owner::impl::was_never_written(const jobs::job& subject) const
+{
+    return !subject.may_be_stored && state.is_dirty(subject);
 }
 
 pool_owner::builder& pool_owner::builder::pool(std::string name)
--- a/tools/platform_standin/store_double.cpp
+++ b/tools/platform_standin/store_double.cpp
@@ -132,6 +132,12 @@
 
 net::http_response store_double::handle(const net::http_request& request)
 {
+    if (faults.is_silent)
+    {
+        while (faults.is_silent)
+            boost::this_fiber::sleep_for(std::chrono::milliseconds(10));
+        return json_answer(503);
+    }
     expire(base::steady_now());
     if (faults.is_down)
         return json_answer(503);
--- a/tools/platform_standin/store_double.hpp
+++ b/tools/platform_standin/store_double.hpp
@@ -19,6 +19,8 @@
 {
     /// Every call is answered with 503.
     bool is_down = false;
+    /// No call is answered, nor carried out.
+    bool is_silent = false;
     /// Commits take effect, and their answers are lost, this often in 100.
     int lost_commits = 0;
     /// Answers carry bytes that are not the protocol's.
