Keep late and old rosters from replacing newer runs

The stored roster was older than the runs, since the store had been away; the new owner took the roster's run for the current one and stopped the newer one. A roster write without an answer could take effect after a newer one. Change: a run that a worker lists replaces an older one of the roster, since an owner starts a task again only after the earlier run has ended. A roster is written at its known revision (pools/roster_store). It is written again when the runs of a silent worker are lost. Tests: a listed run replaces an older one (failed before), the roster is written again (failed before), a late roster does not replace a newer one, histories with outages of the roster.

--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -50,6 +50,9 @@
     /// The start order got no answer and the worker has not listed the run
     /// since: the order may still take effect.
     bool is_unconfirmed = false;
+    /// Taken from the roster of an earlier owner, which may have seen its end
+    /// since and started the task again.
+    bool is_from_roster = false;
 };
 
 /// Progress of one task and its current run.
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -177,6 +177,10 @@
     if (!row.checkpoint.empty())
         entry->checkpoint = row.checkpoint;
     const std::size_t position = subject->position_of(row.task);
+    // An owner starts a task again only after the earlier run has ended.
+    if (entry->active && entry->active->is_from_roster &&
+        row.run > entry->active->number)
+        clear_run(*subject, row.task, *entry);
     if (!entry->active)
     {
         log_decision({"adopt", subject->id, to_string(row.task), row.run, id,
@@ -200,6 +204,7 @@
 {
     active_run& run = *entry.active;
     run.is_unconfirmed = false;
+    run.is_from_roster = false;
     if (run.state == run_state::ordered || run.state == run_state::unsettled)
     {
         run.state = run_state::running;
--- a/src/jobs/pool_roster.cpp
+++ b/src/jobs/pool_roster.cpp
@@ -27,6 +27,7 @@
     if (!entry.runs)
         return;
     worker.has_known_runs = true;
+    worker.recorded_runs = entry.runs->size();
     for (const roster_run& run : *entry.runs)
         inherit_run(worker, run, now);
 }
@@ -45,6 +46,7 @@
                                      : run_state::unsettled,
               now);
     entry->active->is_unconfirmed = !inherited.is_confirmed;
+    entry->active->is_from_roster = true;
 }
 
 std::vector<roster_run> pool_state::runs_for_roster(const worker_view& worker)
@@ -112,6 +114,9 @@
         worker.recorded =
             found == marks.end() ? roster_mark::absent : found->second;
     }
+    for (const roster_entry& entry : roster)
+        if (worker_view* worker = find_worker(entry.worker.id))
+            worker->recorded_runs = entry.runs ? entry.runs->size() : 0;
     recorded_workers_ = roster.size();
 }
 
@@ -125,6 +130,10 @@
             ++count;
         if (wanted != roster_mark::absent && worker.recorded != wanted)
             return true;
+        // The runs of a silent worker have been lost.
+        if (wanted == roster_mark::without_starts && worker.runs.empty() &&
+            worker.recorded_runs > 0)
+            return true;
     }
     return count != recorded_workers_;
 }
--- a/src/jobs/worker_view.hpp
+++ b/src/jobs/worker_view.hpp
@@ -5,6 +5,7 @@
 #include "jobs/job_spec.hpp"
 #include "jobs/task_id.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -82,6 +83,8 @@
     /// Runs start only on workers recorded with starts, so that the next owner
     /// asks them for their runs.
     roster_mark recorded = roster_mark::absent;
+    /// Number of its runs in the stored roster, if that says them.
+    std::size_t recorded_runs = 0;
     /// Unless its lease is extended again, nothing runs on it after this time.
     base::time_point lease_ends_by{};
     /// Time of its last report.
--- a/src/pools/job_writer.cpp
+++ b/src/pools/job_writer.cpp
@@ -41,17 +41,13 @@
     return "pimentograde-jobs/" + std::string(pool) + "/";
 }
 
-std::string roster_key(std::string_view pool)
-{
-    return "pimentograde-rosters/" + std::string(pool);
-}
-
 job_writer::job_writer(std::string pool, std::string owner_key,
                        std::int64_t owner_revision, jobs::pool_state& state,
-                       platform::store_client& store, hooks functions)
+                       platform::store_client& store, roster_store& roster,
+                       hooks functions)
     : pool_(std::move(pool)), owner_key_(std::move(owner_key)),
       owner_revision_(owner_revision), state_(state), store_(store),
-      hooks_(std::move(functions))
+      roster_(roster), hooks_(std::move(functions))
 {
 }
 
@@ -86,12 +82,12 @@
     const auto roster = state_.roster();
     try
     {
-        const bool is_stored = commit_roster(roster);
-        if (is_stored)
+        const roster_write result = roster_.write(roster);
+        if (result == roster_write::stored)
             state_.note_recorded(roster);
-        else
+        else if (result == roster_write::not_owner)
             hooks_.on_ownership_lost("the store holds another owner");
-        return is_stored;
+        return result == roster_write::stored;
     }
     catch (const std::exception& failure)
     {
@@ -107,10 +103,13 @@
     const auto roster = state_.final_roster(now);
     try
     {
-        const bool is_stored = commit_roster(roster);
-        log::write(event_pool_handover, {{"pool", pool_},
-                                         {"workers", roster.size()},
-                                         {"is_stored", is_stored ? 1 : 0}});
+        roster_write result = roster_.write(roster);
+        if (result == roster_write::outdated)
+            result = roster_.write(roster);
+        log::write(event_pool_handover,
+                   {{"pool", pool_},
+                    {"workers", roster.size()},
+                    {"is_stored", result == roster_write::stored ? 1 : 0}});
     }
     catch (const std::exception& failure)
     {
@@ -119,15 +118,6 @@
     }
 }
 
-bool job_writer::commit_roster(std::span<const jobs::roster_entry> roster)
-{
-    const auto result =
-        store_.commit({{{owner_key_, owner_revision_}},
-                       {{roster_key(pool_), jobs::encode_roster(roster), 0}},
-                       {}});
-    return result.outcome == platform::commit_result::kind::committed;
-}
-
 bool job_writer::wait_stored(std::uint64_t change, base::time_point deadline)
 {
     while (stored_ < change)
--- a/src/pools/job_writer.hpp
+++ b/src/pools/job_writer.hpp
@@ -5,6 +5,7 @@
 #include "jobs/pool_state.hpp"
 #include "net/wakeup.hpp"
 #include "platform/store_client.hpp"
+#include "pools/roster_store.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -18,8 +19,6 @@
 
 /// Store key prefix of a pool's job records.
 std::string record_prefix(std::string_view pool);
-/// Store key of the roster: the workers that the pool's owner may use.
-std::string roster_key(std::string_view pool);
 
 /// Writes a pool's job records to the store, in transactions that commit only
 /// while this instance owns the pool. `run` needs a fiber of its own.
@@ -35,7 +34,8 @@
 
     job_writer(std::string pool, std::string owner_key,
                std::int64_t owner_revision, jobs::pool_state& state,
-               platform::store_client& store, hooks functions);
+               platform::store_client& store, roster_store& roster,
+               hooks functions);
 
     void run();
     /// Call when the state has changed or the writer has to stop.
@@ -53,8 +53,6 @@
     /// Returns whether it is stored.
     bool write_roster();
     void note_success();
-    /// Returns false when another instance owns the pool.
-    bool commit_roster(std::span<const jobs::roster_entry> roster);
     /// Writes the changes in several concurrent transactions.
     void write_concurrently(std::span<const jobs::record_change> remaining);
     void write_batch(std::span<const jobs::record_change> changes);
@@ -69,6 +67,7 @@
     std::int64_t owner_revision_;
     jobs::pool_state& state_;
     platform::store_client& store_;
+    roster_store& roster_;
     hooks hooks_;
     net::wakeup work_;
     net::wakeup progress_;
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -53,7 +53,9 @@
           lost_hook(parts.lost_),
           has_predecessor_ended(parts.has_predecessor_ended_),
           state(parts.pool_),
+          roster(parts.pool_, parts.key_, parts.revision_, *parts.store_),
           writer(parts.pool_, parts.key_, parts.revision_, state, *parts.store_,
+                 roster,
                  {[this](std::string_view reason)
                   { handle_ownership_lost(reason); },
                   [this]
@@ -83,6 +85,7 @@
     /// the time.
     std::map<std::string, base::time_point, std::less<>> ended_workers;
     jobs::pool_state state;
+    roster_store roster;
     job_writer writer;
     std::map<std::string, std::unique_ptr<worker_link>> links;
     /// Links of removed workers, kept until their requests have ended.
@@ -193,11 +196,9 @@
 {
     try
     {
-        const auto stored = store.get(roster_key(pool));
-        if (!stored)
-            return true;
+        const auto entries = roster.load();
         const base::time_point now = base::steady_now();
-        for (const auto& entry : jobs::decode_roster(stored->value))
+        for (const auto& entry : entries)
         {
             state.inherit_worker(entry, now + inherited_lease(entry), now);
             link_of(entry.worker);
--- /dev/null
+++ b/src/pools/roster_store.cpp
@@ -0,0 +1,53 @@
+#include "pools/roster_store.hpp"
+
+#include <utility>
+
+namespace pimentograde::pools
+{
+
+std::string roster_key(std::string_view pool)
+{
+    return "pimentograde-rosters/" + std::string(pool);
+}
+
+roster_store::roster_store(std::string_view pool, std::string owner_key,
+                           std::int64_t owner_revision,
+                           platform::store_client& store)
+    : key_(roster_key(pool)), owner_key_(std::move(owner_key)),
+      owner_revision_(owner_revision), store_(store)
+{
+}
+
+std::vector<jobs::roster_entry> roster_store::load()
+{
+    const auto stored = store_.get(key_);
+    revision_ = stored ? stored->revision : 0;
+    if (!stored)
+        return {};
+    return jobs::decode_roster(stored->value);
+}
+
+roster_write roster_store::write(std::span<const jobs::roster_entry> roster)
+{
+    const auto result =
+        store_.commit({{{owner_key_, owner_revision_}, {key_, revision_}},
+                       {{key_, jobs::encode_roster(roster), 0}},
+                       {}});
+    if (result.outcome == platform::commit_result::kind::committed)
+    {
+        revision_ = result.revision;
+        return roster_write::stored;
+    }
+    bool is_owner = false;
+    revision_ = 0;
+    for (const platform::store_item& item : result.actual)
+    {
+        if (item.key == owner_key_)
+            is_owner = item.revision == owner_revision_;
+        if (item.key == key_)
+            revision_ = item.revision;
+    }
+    return is_owner ? roster_write::outdated : roster_write::not_owner;
+}
+
+} // namespace pimentograde::pools
--- /dev/null
+++ b/src/pools/roster_store.hpp
@@ -0,0 +1,52 @@
+#ifndef PIMENTOGRADE_POOLS_ROSTER_STORE_HPP
+#define PIMENTOGRADE_POOLS_ROSTER_STORE_HPP
+
+#include "jobs/roster.hpp"
+#include "platform/store_client.hpp"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pimentograde::pools
+{
+
+/// Store key of the roster: the workers that the pool's owner may use.
+std::string roster_key(std::string_view pool);
+
+enum class roster_write
+{
+    stored,
+    /// An earlier write has taken effect late; the next one replaces it.
+    outdated,
+    /// Another instance owns the pool, or none does.
+    not_owner
+};
+
+/// The stored roster of a pool. A write holds only while this instance owns the
+/// pool and for the revision that it knows: a write without an answer may take
+/// effect seconds later and must not replace a newer roster. Calls throw
+/// `base::error`.
+class roster_store
+{
+public:
+    roster_store(std::string_view pool, std::string owner_key,
+                 std::int64_t owner_revision, platform::store_client& store);
+
+    /// Reads what the earlier owner left; call before the first write.
+    std::vector<jobs::roster_entry> load();
+    roster_write write(std::span<const jobs::roster_entry> roster);
+
+private:
+    std::string key_;
+    std::string owner_key_;
+    std::int64_t owner_revision_;
+    platform::store_client& store_;
+    std::int64_t revision_ = 0;
+};
+
+} // namespace pimentograde::pools
+
+#endif
--- a/tests/disturbance/pool_owner_test.cpp
+++ b/tests/disturbance/pool_owner_test.cpp
@@ -1,10 +1,11 @@
 // A single pool owner with the platform's test double.
 
+#include "base/error.hpp"
 #include "node/cluster.hpp"
 #include "platform/worker_entry.hpp"
 #include "pools/collect_delay.hpp"
-#include "pools/job_writer.hpp"
 #include "pools/pool_owner.hpp"
+#include "pools/roster_store.hpp"
 
 using namespace pimentograde;
 using namespace pimentograde::node_tests;
@@ -71,3 +72,42 @@
     CHECK(delay.at(58) < 110ms);
     CHECK(delay.at(500) == 120ms);
 }
+
+// Guards against an old roster that replaces a newer one: the write got no
+// answer and took effect seconds later. The next owner then started tasks that
+// were running (kavango-cues trouble-3, TWICE).
+TEST_CASE("a roster that takes effect late does not replace a newer one")
+{
+    platform_double platform;
+    auto store = platform::store_client::builder{}
+                     .connect_to(platform.store_address())
+                     .call_timeout(100ms)
+                     .build();
+    const auto claim = store->commit({{}, {{"owner", "x", 0}}, {}});
+    pools::roster_store roster("pool", "owner", claim.revision, *store);
+    CHECK(roster.load().empty());
+    const auto entries = [](const std::string& id)
+    {
+        jobs::worker_description worker;
+        worker.id = id;
+        return std::vector{jobs::roster_entry{worker}};
+    };
+    CHECK(roster.write(entries("w1")) == pools::roster_write::stored);
+    platform.store.faults.commit_delay = 500ms;
+    CHECK_THROWS_AS(roster.write(entries("late")), base::error);
+    platform.store.faults.commit_delay = {};
+    CHECK(roster.write(entries("w2")) == pools::roster_write::stored);
+    boost::this_fiber::sleep_for(600ms);
+    CHECK(roster.load() == entries("w2"));
+    // The other way round: the late one comes first.
+    platform.store.faults.commit_delay = 200ms;
+    CHECK_THROWS_AS(roster.write(entries("late")), base::error);
+    platform.store.faults.commit_delay = {};
+    boost::this_fiber::sleep_for(300ms);
+    CHECK(roster.write(entries("w3")) == pools::roster_write::outdated);
+    CHECK(roster.write(entries("w3")) == pools::roster_write::stored);
+    CHECK(roster.load() == entries("w3"));
+    const auto next = store->commit({{}, {{"owner", "y", 0}}, {}});
+    CHECK(next.outcome == platform::commit_result::kind::committed);
+    CHECK(roster.write(entries("w4")) == pools::roster_write::not_owner);
+}
--- a/tests/jobs/pool_history_test.cpp
+++ b/tests/jobs/pool_history_test.cpp
@@ -93,6 +93,16 @@
     check("takeovers", {.lost_answer = 10, .late_order = 20, .takeover = 2});
 }
 
+// Guards against runs of a roster that is older than the runs on the workers:
+// the next owner stopped the newer ones (kavango-cues trouble-3, AVAIL, TWICE).
+TEST_CASE("a new owner takes over with an old roster")
+{
+    check("old rosters", {.lost_answer = 5,
+                          .cut = 2,
+                          .takeover = 2,
+                          .roster_outage = 3});
+}
+
 TEST_CASE("failed runs are started again")
 {
     check("failures", {.lost_answer = 5, .failure = 20});
@@ -105,5 +115,6 @@
                   .restart = 1,
                   .cut = 1,
                   .takeover = 1,
-                  .failure = 10});
+                  .failure = 10,
+                  .roster_outage = 1});
 }
--- a/tests/jobs/pool_world.cpp
+++ b/tests/jobs/pool_world.cpp
@@ -261,6 +261,8 @@
     if (!state_->is_roster_outdated())
         return;
     const auto roster = state_->roster();
+    if (is_roster_away_)
+        return;
     stored_roster_ = jobs::encode_roster(roster);
     if (!chance(odds_.lost_answer))
         state_->note_recorded(roster);
@@ -292,7 +294,7 @@
 void pool_world::take_over()
 {
     ++fence_;
-    if (chance(50))
+    if (!is_roster_away_ && chance(50))
         stored_roster_ = jobs::encode_roster(state_->final_roster(now_));
     const auto roster = jobs::decode_roster(stored_roster_);
     check_roster(roster);
@@ -339,6 +341,8 @@
                                     ? !chance(5) && odds_.cut > 0
                                     : chance(odds_.cut);
     }
+    is_roster_away_ = is_roster_away_ ? !chance(5) && odds_.roster_outage > 0
+                                      : chance(odds_.roster_outage);
     if (chance(odds_.takeover))
         take_over();
     store();
--- a/tests/jobs/pool_world.hpp
+++ b/tests/jobs/pool_world.hpp
@@ -57,6 +57,8 @@
     int cut = 0;
     int takeover = 0;
     int failure = 0;
+    /// Outages of the store for the roster, of 1 s on average.
+    int roster_outage = 0;
 };
 
 /// Runs a pool's state against simulated workers with faults, in steps of
@@ -106,6 +108,7 @@
     std::vector<late_order> delayed_orders_;
     std::map<std::string, std::string> stored_;
     std::string stored_roster_;
+    bool is_roster_away_ = false;
     std::map<std::string, base::time_point> extended_until_;
     std::map<std::string, std::int64_t> known_born_;
     std::map<std::string, std::int64_t> stored_end_;
--- a/tests/jobs/roster_test.cpp
+++ b/tests/jobs/roster_test.cpp
@@ -119,6 +119,40 @@
     CHECK_FALSE(starts(orders, "a"));
 }
 
+// Guards against a second run while the first one works: the roster was older
+// than the run, since the store had been away (kavango-cues trouble-3: 5 tasks
+// stopped, 2 run twice).
+TEST_CASE("a listed run replaces an older one from the roster")
+{
+    disturbed_pool before;
+    pool_fixture& pool = before.pool;
+    const auto old_roster = pool.state.roster();
+    pool.state.note_recorded(old_roster);
+    pool.report("w1", ended(before.order_on("w1"), end_kind::done));
+    pool.state.lose_runs("w2", run_loss::lapsed, pool.now);
+    const auto orders = pool.plan_and_start();
+    REQUIRE(starts(orders, "a"));
+    REQUIRE(orders[0].run == 2);
+    successor next(pool.state, old_roster, pool.now);
+    next.report("w1", running({orders[0]}, 10));
+    CHECK(next.state.take_stops().empty());
+    next.state.lose_runs("w2", run_loss::ended, next.now + 50ms);
+    CHECK_FALSE(starts(next.plan(60ms), "a"));
+}
+
+// Guards against a wait for runs that the earlier owner knew to be lost.
+TEST_CASE("the roster is written again when a silent worker's runs are lost")
+{
+    disturbed_pool before;
+    pool_state& state = before.pool.state;
+    state.note_recorded(state.roster());
+    CHECK_FALSE(state.is_roster_outdated());
+    state.lose_runs("w2", run_loss::lapsed, before.pool.now);
+    CHECK(state.is_roster_outdated());
+    state.note_recorded(state.roster());
+    CHECK_FALSE(state.is_roster_outdated());
+}
+
 // Guards against a wait that begins anew with each owner (kavango-cues scale-1,
 // LOST: a run lost at 11 s started again at 32.7 s, after two takeovers).
 TEST_CASE("the lease of a silent worker ends at the same time for each owner")
