Give idle machines to a pool before it is short of cores

Change: idle machines of pools with a third of the load or less go to a pool from 0.6 of its cores on (fleet/move_policy).

--- a/src/fleet/move_policy.cpp
+++ b/src/fleet/move_policy.cpp
@@ -16,6 +16,12 @@
 // Limit per round, since a burst takes machines back from standby at once.
 constexpr std::size_t max_standby_moves = 4;
 
+// A pool gets idle machines of other pools from this part of its cores on, so
+// that they arrive before the start of a burst has used up its own.
+constexpr double min_load_for_idle = 0.6;
+// ... if its load is at least this many times that of the giver.
+constexpr double min_load_factor = 3.0;
+
 struct pool_balance
 {
     const pool_demand* demand = nullptr;
@@ -74,7 +80,9 @@
         if (!entry.demand->is_standby &&
             (worst == nullptr || entry.load_ratio() > worst->load_ratio()))
             worst = &entry;
-    return worst != nullptr && worst->load_ratio() > 1.0 ? worst : nullptr;
+    return worst != nullptr && worst->load_ratio() > min_load_for_idle
+               ? worst
+               : nullptr;
 }
 
 // Prefers pools with idle machines: standby machines cost money once they run.
@@ -119,6 +127,11 @@
             return;
         pool_balance* giver = best_giver(balances, limits.cores_per_machine);
         const bool needs_drain = giver == nullptr;
+        const bool is_short = receiver->load_ratio() > 1.0;
+        if (!is_short &&
+            (needs_drain || giver->demand->is_standby ||
+             giver->load_ratio() * min_load_factor > receiver->load_ratio()))
+            return;
         if (needs_drain)
             giver = best_pool_to_drain(balances, limits.cores_per_machine);
         if (giver == nullptr || giver == receiver)
