Refuse submissions while a pool's owner answers nothing

Change: an instance that has answered no call for 0.4 s gets one submission every 0.25 s; the others are refused at once (node/peer_liveness).

--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -129,6 +129,26 @@
     return *client;
 }
 
+template <class Message>
+typename Message::reply_type pool_gateway::send_to(net::endpoint address,
+                                                   const Message& message,
+                                                   base::time_point deadline)
+{
+    liveness_[address].begin_call(base::steady_now());
+    try
+    {
+        auto reply = client_of(address).send(message, deadline);
+        liveness_[address].end_call(true, base::steady_now());
+        return reply;
+    }
+    catch (const base::error& failure)
+    {
+        liveness_[address].end_call(failure.code() != base::error_code::timeout,
+                                    base::steady_now());
+        throw;
+    }
+}
+
 pools::submission_answer pool_gateway::submit(const jobs::queue_policy& queue,
                                               std::string_view id,
                                               jobs::job_spec spec,
@@ -141,6 +161,9 @@
     if (current == nullptr)
         return {submission_kind::refused, takeover_retry,
                 "the pool has no owner"};
+    if (!liveness_[current->address].should_submit(base::steady_now()))
+        return {submission_kind::refused, takeover_retry,
+                "the pool's owner does not answer"};
     jobs::job subject;
     subject.queue = queue.name;
     subject.spec = std::move(spec);
@@ -149,7 +172,7 @@
                                    time_left(deadline)};
     try
     {
-        const auto reply = client_of(current->address).send(message, deadline);
+        const auto reply = send_to(current->address, message, deadline);
         return {
             value_from_name<submission_kind>(reply.outcome, submission_names),
             reply.retry_after, reply.reason};
@@ -193,10 +216,9 @@
     {
         try
         {
-            answer = from_reply(
-                client_of(current->address)
-                    .send(peer::query_job{queue.pool, std::string(id)},
-                          deadline - std::chrono::milliseconds(500)));
+            answer = from_reply(send_to(
+                current->address, peer::query_job{queue.pool, std::string(id)},
+                deadline - std::chrono::milliseconds(500)));
         }
         catch (const base::error&)
         {
@@ -220,11 +242,10 @@
         return {job_kind::unavailable, {}};
     try
     {
-        return from_reply(
-            client_of(current->address)
-                .send(peer::cancel_job{queue.pool, std::string(id),
-                                       time_left(deadline)},
-                      deadline));
+        return from_reply(send_to(
+            current->address,
+            peer::cancel_job{queue.pool, std::string(id), time_left(deadline)},
+            deadline));
     }
     catch (const base::error&)
     {
@@ -245,8 +266,8 @@
     try
     {
         const auto reply =
-            client_of(current->address)
-                .send(peer::count_pending{queue.pool, queue.name}, deadline);
+            send_to(current->address,
+                    peer::count_pending{queue.pool, queue.name}, deadline);
         if (reply.is_known)
             return reply.count;
     }
@@ -268,7 +289,7 @@
         return {};
     try
     {
-        return client_of(current->address).send(message, deadline);
+        return send_to(current->address, message, deadline);
     }
     catch (const base::error&)
     {
@@ -287,7 +308,7 @@
         return false;
     try
     {
-        return client_of(current->address).send(message, deadline).is_released;
+        return send_to(current->address, message, deadline).is_released;
     }
     catch (const base::error&)
     {
--- a/src/node/pool_gateway.hpp
+++ b/src/node/pool_gateway.hpp
@@ -2,6 +2,7 @@
 #define PIMENTOGRADE_NODE_POOL_GATEWAY_HPP
 
 #include "base/time.hpp"
+#include "node/peer_liveness.hpp"
 #include "node/pool_claims.hpp"
 #include "node/session.hpp"
 #include "peer/peer_client.hpp"
@@ -55,12 +56,18 @@
     bool send_release(const peer::release_worker& message,
                       base::time_point deadline);
     peer::peer_client& client_of(const net::endpoint& address);
+    /// Throws `base::error`.
+    template <class Message>
+    typename Message::reply_type send_to(net::endpoint address,
+                                         const Message& message,
+                                         base::time_point deadline);
     pools::job_answer stored_status(std::string_view pool, std::string_view id);
 
     session& session_;
     pool_claims& claims_;
     platform::store_client& store_;
     std::map<net::endpoint, std::unique_ptr<peer::peer_client>> clients_;
+    std::map<net::endpoint, peer_liveness> liveness_;
 };
 
 } // namespace pimentograde::node
