--- a/src/fleet/move_policy.cpp
+++ b/src/fleet/move_policy.cpp
@@ -18,7 +18,7 @@
 
 // A pool gets idle machines of other pools from this part of its cores on, so
 // that they arrive before the start of a burst has used up its own.
-constexpr double min_load_for_idle = 0.6;
+constexpr double min_load_for_idle = 0.4;
 // ... if its load is at least this many times that of the giver.
 constexpr double min_load_factor = 3.0;
 
