Split pool_owner and fleet_manager by what they do

Change: reading what earlier owners left (pools/stored_pool), the builder, and the maintenance waves (node/fleet_manager_waves) have files of their own; the names of machine answers stand beside their type. No change of behaviour.

--- a/src/node/fleet_manager.cpp
+++ b/src/node/fleet_manager.cpp
@@ -18,11 +18,8 @@
 constexpr std::chrono::milliseconds round_interval{100};
 // The platform charges for each listing.
 constexpr std::chrono::milliseconds listing_interval{250};
-constexpr std::chrono::milliseconds call_timeout{1200};
 // Bounds the concurrent calls for machines of a wave.
 constexpr std::size_t max_concurrent_orders = 16;
-constexpr std::chrono::seconds record_retry{1};
-constexpr std::chrono::milliseconds load_timeout{400};
 // A worker that is being freed gets no new runs for this long after each
 // request, which covers an order that takes until its timeout.
 constexpr std::chrono::milliseconds release_hold{2500};
@@ -32,24 +29,6 @@
 // store is rarely slower.
 constexpr std::chrono::milliseconds record_validity{600};
 
-std::string_view to_string(platform::machine_answer answer)
-{
-    switch (answer)
-    {
-    case platform::machine_answer::done:
-        return "done";
-    case platform::machine_answer::busy:
-        return "busy";
-    case platform::machine_answer::fenced_off:
-        return "fenced_off";
-    case platform::machine_answer::not_in_wave:
-        return "not_in_wave";
-    case platform::machine_answer::invalid:
-        break;
-    }
-    return "invalid";
-}
-
 } // namespace
 
 fleet_manager::fleet_manager(session& members, pool_gateway& gateway,
@@ -315,48 +294,6 @@
     moves_.run_round(now);
 }
 
-void fleet_manager::advance_wave(fleet::wave_progress& wave,
-                                 base::time_point now)
-{
-    for (const std::string& name : wave.wave().machines)
-    {
-        if (const fleet::machine* entry = inventory_.find(name))
-            wave.note_listed(*entry, times_.maintenance_time,
-                             machines_listed_at_);
-        else if (!inventory_.machines().empty())
-            wave.note_gone(name);
-    }
-    if (!may_order())
-        return;
-    wave.choose(
-        [this](const std::string& machine)
-        {
-            return recent_.is_held_back(machine)
-                       ? std::nullopt
-                       : inventory_.machine_load(machine);
-        },
-        times_.maintenance_time, now);
-    // Orders without an answer are sent again. Their workers are freed again
-    // too: the order may not have been carried out, and tasks have started.
-    auto candidates = wave.unacknowledged();
-    std::erase_if(candidates, [&](const std::string& name)
-                  { return recent_.is_held_back(name); });
-    const auto prepared = wave.machines_in(fleet::maintenance_stage::preparing);
-    candidates.insert(candidates.end(), prepared.begin(), prepared.end());
-    const auto machines = release_machines(candidates);
-    std::vector<fleet::recorded_order> orders;
-    for (const std::string& name : machines)
-        orders.push_back({name, wave.wave().number});
-    if (orders.empty() || !record_orders(orders))
-        return;
-    for_each_concurrently(machines,
-                          [&](const std::string& name)
-                          {
-                              if (may_order())
-                                  order_maintenance(wave, name);
-                          });
-}
-
 // Sequential calls would delay the moves for most of a load burst.
 void fleet_manager::for_each_concurrently(
     std::span<const std::string> machines,
@@ -387,101 +324,6 @@
     }
 }
 
-std::vector<std::string>
-fleet_manager::release_machines(std::span<const std::string> machines)
-{
-    std::vector<std::string> free;
-    for_each_concurrently(
-        machines,
-        [&](const std::string& name)
-        {
-            const fleet::machine* entry = inventory_.find(name);
-            if (entry != nullptr && (entry->worker.empty() || release(*entry)))
-                free.push_back(name);
-        });
-    return free;
-}
-
-void fleet_manager::order_maintenance(fleet::wave_progress& wave,
-                                      const std::string& machine)
-{
-    const fleet::machine* listed = inventory_.find(machine);
-    const fleet::machine entry = listed == nullptr ? fleet::machine{} : *listed;
-    const auto pending = wave.unacknowledged();
-    const bool is_repeated =
-        std::find(pending.begin(), pending.end(), machine) != pending.end();
-    wave.note_ordered(machine, base::steady_now());
-    const auto answer =
-        machines_client_.maintain(authority(), machine, wave.wave().number,
-                                  base::steady_now() + call_timeout);
-    log::write(event_machine_order, {{"order", "maintain"},
-                                     {"machine", machine},
-                                     {"worker", entry.worker},
-                                     {"wave", wave.wave().number},
-                                     {"fence", *fence_},
-                                     {"answer", to_string(answer)}});
-    if (answer == platform::machine_answer::done)
-    {
-        wave.note_acknowledged(machine, base::steady_now());
-        if (!entry.worker.empty())
-            gateway_.end_worker(entry.pool, entry.worker,
-                                base::steady_now() + load_timeout);
-    }
-    else if (answer == platform::machine_answer::invalid ||
-             answer == platform::machine_answer::not_in_wave)
-        wave.note_gone(machine);
-    else if (!is_repeated)
-        wave.note_refused(machine);
-}
-
-void fleet_manager::restore_wave(fleet::wave_progress& wave,
-                                 base::time_point now)
-{
-    const std::int64_t number = wave.wave().number;
-    wave.restore_done(records_.read_done(number));
-    for (const std::string& machine : recent_.machines_of_wave(number))
-        wave.restore_ordered(machine, now);
-}
-
-// The store may be unavailable while the machine service still takes orders.
-void fleet_manager::try_record_wave(fleet::wave_progress& wave,
-                                    base::time_point now)
-{
-    if (now < next_record_at_)
-        return;
-    try
-    {
-        record_wave(wave);
-    }
-    catch (const base::error& failure)
-    {
-        next_record_at_ = now + record_retry;
-        log::write(event_wave_not_recorded,
-                   {{"wave", wave.wave().number}, {"reason", failure.what()}});
-    }
-}
-
-void fleet_manager::record_wave(fleet::wave_progress& wave)
-{
-    const std::int64_t number = wave.wave().number;
-    const auto done = wave.done();
-    const auto recorded = recorded_done_counts_.find(number);
-    if ((recorded != recorded_done_counts_.end() &&
-         recorded->second == done.size()) ||
-        !fence_)
-        return;
-    const bool is_complete = wave.is_complete();
-    if (!records_.write_wave(*fence_, wave))
-        return;
-    recorded_done_counts_[number] = done.size();
-    log::write(event_wave, {{"wave", number},
-                            {"done", done.size()},
-                            {"machines", wave.wave().machines.size()},
-                            {"state", is_complete ? "completed" : "running"}});
-    if (is_complete)
-        completed_waves_.insert(number);
-}
-
 bool fleet_manager::is_reserved(const std::string& machine) const
 {
     return is_in_wave(machine) || recent_.is_held_back(machine);
--- a/src/node/fleet_manager.hpp
+++ b/src/node/fleet_manager.hpp
@@ -55,6 +55,9 @@
     void set_wave(const fleet::maintenance_wave& wave, base::time_point now);
 
 private:
+    static constexpr std::chrono::milliseconds call_timeout{1200};
+    static constexpr std::chrono::milliseconds load_timeout{400};
+
     void run();
     void run_round(base::time_point now);
     [[nodiscard]] bool hold_role(base::time_point now);
--- a/src/platform/machine_client.cpp
+++ b/src/platform/machine_client.cpp
@@ -70,6 +70,24 @@
 
 } // namespace
 
+std::string_view to_string(machine_answer answer)
+{
+    switch (answer)
+    {
+    case machine_answer::done:
+        return "done";
+    case machine_answer::busy:
+        return "busy";
+    case machine_answer::fenced_off:
+        return "fenced_off";
+    case machine_answer::not_in_wave:
+        return "not_in_wave";
+    case machine_answer::invalid:
+        break;
+    }
+    return "invalid";
+}
+
 std::vector<fleet::machine> machine_client::list(base::time_point deadline)
 {
     std::vector<fleet::machine> machines;
--- a/src/platform/machine_client.hpp
+++ b/src/platform/machine_client.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pimentograde::platform
@@ -35,6 +36,8 @@
     invalid
 };
 
+std::string_view to_string(machine_answer answer);
+
 /// Lists machines and gives orders to them. Calls throw `base::error`.
 class machine_client
 {
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -1,13 +1,13 @@
 #include "pools/pool_owner.hpp"
 
 #include "base/error.hpp"
-#include "jobs/job_record.hpp"
 #include "log/event.hpp"
 #include "net/task_group.hpp"
 #include "net/wakeup.hpp"
 #include "pools/collect_delay.hpp"
 #include "pools/events.hpp"
 #include "pools/job_writer.hpp"
+#include "pools/stored_pool.hpp"
 #include "pools/worker_link.hpp"
 
 #include <boost/fiber/operations.hpp>
@@ -29,9 +29,6 @@
 constexpr collect_delay plan_delay{std::chrono::milliseconds(2),
                                    std::chrono::milliseconds(8)};
 constexpr std::chrono::milliseconds load_retry_delay{200};
-// An earlier owner that is cut off from the store may send orders for this long
-// after its role has become free, see node/session.
-constexpr std::chrono::milliseconds max_orders_after_takeover{3500};
 constexpr std::chrono::seconds outage_retry_after{1};
 // How often a submission checks whether its job is stored or withdrawn.
 constexpr std::chrono::milliseconds stored_check_interval{100};
@@ -45,14 +42,6 @@
     return outcome == submission_answer::kind::refused ? "refused" : "unknown";
 }
 
-// What earlier owners of a pool have stored.
-struct stored_pool
-{
-    jobs::statistics_table statistics;
-    std::vector<platform::store_item> records;
-    std::vector<jobs::roster_entry> roster;
-};
-
 } // namespace
 
 struct pool_owner::impl
@@ -117,11 +106,7 @@
     void handle_ownership_lost(std::string_view reason);
     void changed();
     void load();
-    std::optional<stored_pool> read_stored();
-    void restore_jobs(std::span<const platform::store_item> records);
     void inherit_workers(std::span<const jobs::roster_entry> entries);
-    [[nodiscard]] base::duration
-    inherited_lease(const jobs::roster_entry& entry) const;
     void hand_over();
     void plan_loop();
     void plan_once();
@@ -156,7 +141,7 @@
     std::optional<stored_pool> stored;
     while (!is_stopping && !stored)
     {
-        stored = read_stored();
+        stored = read_stored_pool(pool, store, roster);
         if (!stored)
             boost::this_fiber::sleep_for(load_retry_delay);
     }
@@ -164,7 +149,7 @@
         return;
     // The workers' reports are compared with the records.
     state.restore_statistics(std::move(stored->statistics));
-    restore_jobs(stored->records);
+    restore_jobs(stored->records, pool, state);
     inherit_workers(stored->roster);
     is_loaded = true;
     log::write(event_pool_loaded, {{"pool", pool},
@@ -177,84 +162,19 @@
     fibers.spawn_restarting("plan", [this] { plan_loop(); });
 }
 
-// Reads side by side, since a slow store takes hundreds of milliseconds a call.
-std::optional<stored_pool> pool_owner::impl::read_stored()
-{
-    stored_pool result;
-    int missing = 0;
-    net::task_group reads;
-    const auto read = [&](std::function<void()> work)
-    {
-        ++missing;
-        reads.spawn(
-            [this, &missing, work = std::move(work)]
-            {
-                try
-                {
-                    work();
-                    --missing;
-                }
-                catch (const std::exception& failure)
-                {
-                    log::write(event_load_failed,
-                               {{"pool", pool}, {"reason", failure.what()}});
-                }
-            });
-    };
-    read([&] { result.statistics = roster.load_statistics(); });
-    read([&] { result.records = store.list(record_prefix(pool)).items; });
-    read([&] { result.roster = roster.load(); });
-    reads.join();
-    if (missing > 0)
-        return std::nullopt;
-    return result;
-}
-
-void pool_owner::impl::restore_jobs(
-    std::span<const platform::store_item> records)
-{
-    const std::size_t prefix_length = record_prefix(pool).size();
-    const base::time_point now = base::steady_now();
-    for (const auto& item : records)
-    {
-        const std::string id = item.key.substr(prefix_length);
-        try
-        {
-            jobs::job subject = jobs::decode_record(id, item.value);
-            subject.stored_revision = item.revision;
-            state.restore(std::move(subject), now, base::wall_now());
-        }
-        catch (const base::error& failure)
-        {
-            log::write(event_record_invalid,
-                       {{"job", id}, {"reason", failure.what()}});
-        }
-    }
-}
-
 void pool_owner::impl::inherit_workers(
     std::span<const jobs::roster_entry> entries)
 {
     const base::time_point now = base::steady_now();
     for (const auto& entry : entries)
     {
-        state.inherit_worker(entry, now + inherited_lease(entry), now);
+        state.inherit_worker(
+            entry, now + inherited_lease(entry, lease, has_predecessor_ended),
+            now);
         link_of(entry.worker);
     }
 }
 
-// How long runs may last on a worker of an earlier owner that does not answer.
-base::duration
-pool_owner::impl::inherited_lease(const jobs::roster_entry& entry) const
-{
-    if (entry.lease_left)
-        return *entry.lease_left;
-    const base::duration last_order =
-        has_predecessor_ended ? base::duration::zero()
-                              : base::duration(max_orders_after_takeover);
-    return last_order + worker_link::longest_lease(lease);
-}
-
 // Lets the next owner go on without waiting for workers that are silent.
 void pool_owner::impl::hand_over()
 {
@@ -404,57 +324,6 @@
     return !subject.may_be_stored && state.is_dirty(subject);
 }
 
-pool_owner::builder& pool_owner::builder::pool(std::string name)
-{
-    pool_ = std::move(name);
-    return *this;
-}
-
-pool_owner::builder& pool_owner::builder::ownership(std::string key,
-                                                    std::int64_t revision)
-{
-    key_ = std::move(key);
-    revision_ = revision;
-    return *this;
-}
-
-pool_owner::builder& pool_owner::builder::store(platform::store_client& client)
-{
-    store_ = &client;
-    return *this;
-}
-
-pool_owner::builder& pool_owner::builder::http(net::http_client& client)
-{
-    http_ = &client;
-    return *this;
-}
-
-pool_owner::builder& pool_owner::builder::worker_lease(base::duration length)
-{
-    lease_ = length;
-    return *this;
-}
-
-pool_owner::builder& pool_owner::builder::may_order(std::function<bool()> check)
-{
-    may_order_ = std::move(check);
-    return *this;
-}
-
-pool_owner::builder&
-pool_owner::builder::on_lost(std::function<void(std::string_view)> hook)
-{
-    lost_ = std::move(hook);
-    return *this;
-}
-
-pool_owner::builder& pool_owner::builder::predecessor_has_ended(bool has_ended)
-{
-    has_predecessor_ended_ = has_ended;
-    return *this;
-}
-
 std::unique_ptr<pool_owner> pool_owner::builder::build()
 {
     return std::unique_ptr<pool_owner>(
--- /dev/null
+++ b/src/pools/pool_owner_builder.cpp
@@ -0,0 +1,59 @@
+#include "pools/pool_owner.hpp"
+
+#include <utility>
+
+namespace pimentograde::pools
+{
+
+pool_owner::builder& pool_owner::builder::pool(std::string name)
+{
+    pool_ = std::move(name);
+    return *this;
+}
+
+pool_owner::builder& pool_owner::builder::ownership(std::string key,
+                                                    std::int64_t revision)
+{
+    key_ = std::move(key);
+    revision_ = revision;
+    return *this;
+}
+
+pool_owner::builder& pool_owner::builder::store(platform::store_client& client)
+{
+    store_ = &client;
+    return *this;
+}
+
+pool_owner::builder& pool_owner::builder::http(net::http_client& client)
+{
+    http_ = &client;
+    return *this;
+}
+
+pool_owner::builder& pool_owner::builder::worker_lease(base::duration length)
+{
+    lease_ = length;
+    return *this;
+}
+
+pool_owner::builder& pool_owner::builder::may_order(std::function<bool()> check)
+{
+    may_order_ = std::move(check);
+    return *this;
+}
+
+pool_owner::builder&
+pool_owner::builder::on_lost(std::function<void(std::string_view)> hook)
+{
+    lost_ = std::move(hook);
+    return *this;
+}
+
+pool_owner::builder& pool_owner::builder::predecessor_has_ended(bool has_ended)
+{
+    has_predecessor_ended_ = has_ended;
+    return *this;
+}
+
+} // namespace pimentograde::pools
--- /dev/null
+++ b/src/pools/stored_pool.cpp
@@ -0,0 +1,94 @@
+#include "pools/stored_pool.hpp"
+
+#include "base/error.hpp"
+#include "jobs/job_record.hpp"
+#include "log/event.hpp"
+#include "net/task_group.hpp"
+#include "pools/events.hpp"
+#include "pools/job_writer.hpp"
+#include "pools/worker_link.hpp"
+
+#include <functional>
+#include <utility>
+
+namespace pimentograde::pools
+{
+
+namespace
+{
+
+// An earlier owner that is cut off from the store may send orders for this long
+// after its role has become free, see node/session.
+constexpr std::chrono::milliseconds max_orders_after_takeover{3500};
+
+} // namespace
+
+// Reads side by side, since a slow store takes hundreds of milliseconds a call.
+std::optional<stored_pool> read_stored_pool(const std::string& pool,
+                                            platform::store_client& store,
+                                            roster_store& roster)
+{
+    stored_pool result;
+    int missing = 0;
+    net::task_group reads;
+    const auto read = [&](std::function<void()> work)
+    {
+        ++missing;
+        reads.spawn(
+            [&, work = std::move(work)]
+            {
+                try
+                {
+                    work();
+                    --missing;
+                }
+                catch (const std::exception& failure)
+                {
+                    log::write(event_load_failed,
+                               {{"pool", pool}, {"reason", failure.what()}});
+                }
+            });
+    };
+    read([&] { result.statistics = roster.load_statistics(); });
+    read([&] { result.records = store.list(record_prefix(pool)).items; });
+    read([&] { result.roster = roster.load(); });
+    reads.join();
+    if (missing > 0)
+        return std::nullopt;
+    return result;
+}
+
+void restore_jobs(std::span<const platform::store_item> records,
+                  const std::string& pool, jobs::pool_state& state)
+{
+    const std::size_t prefix_length = record_prefix(pool).size();
+    const base::time_point now = base::steady_now();
+    for (const auto& item : records)
+    {
+        const std::string id = item.key.substr(prefix_length);
+        try
+        {
+            jobs::job subject = jobs::decode_record(id, item.value);
+            subject.stored_revision = item.revision;
+            state.restore(std::move(subject), now, base::wall_now());
+        }
+        catch (const base::error& failure)
+        {
+            log::write(event_record_invalid,
+                       {{"job", id}, {"reason", failure.what()}});
+        }
+    }
+}
+
+base::duration inherited_lease(const jobs::roster_entry& entry,
+                               base::duration lease, bool has_predecessor_ended)
+{
+    if (entry.lease_left)
+        return *entry.lease_left;
+    const base::duration last_order =
+        has_predecessor_ended ? base::duration::zero()
+                              : base::duration(max_orders_after_takeover);
+    return last_order + worker_link::longest_lease(lease);
+}
+
+} // namespace pimentograde::pools
