--- a/src/fleet/move_policy.cpp
+++ b/src/fleet/move_policy.cpp
@@ -9,7 +9,7 @@
 {
 
 // A backlog that would take longer than this justifies a machine move, which
-// takes 1.5 s; see docs/policy.md.
+// takes 1.5 s.
 constexpr double target_backlog_seconds = 0.5;
 // A pool that gives machines away keeps this many idle for its next jobs.
 constexpr std::size_t min_idle_machines = 1;
--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -130,21 +130,24 @@
 }
 
 template <class Message>
-typename Message::reply_type pool_gateway::send_to(net::endpoint address,
+typename Message::reply_type pool_gateway::send_to(const net::endpoint& where,
                                                    const Message& message,
                                                    base::time_point deadline)
 {
-    liveness_[address].begin_call(base::steady_now());
+    // The holder that `where` belongs to may change during the call.
+    peer::peer_client& client = client_of(where);
+    peer_liveness& liveness = liveness_[where];
+    liveness.begin_call(base::steady_now());
     try
     {
-        auto reply = client_of(address).send(message, deadline);
-        liveness_[address].end_call(true, base::steady_now());
+        auto reply = client.send(message, deadline);
+        liveness.end_call(true, base::steady_now());
         return reply;
     }
     catch (const base::error& failure)
     {
-        liveness_[address].end_call(failure.code() != base::error_code::timeout,
-                                    base::steady_now());
+        liveness.end_call(failure.code() != base::error_code::timeout,
+                          base::steady_now());
         throw;
     }
 }
--- a/src/node/pool_gateway.hpp
+++ b/src/node/pool_gateway.hpp
@@ -58,7 +58,7 @@
     peer::peer_client& client_of(const net::endpoint& address);
     /// Throws `base::error`.
     template <class Message>
-    typename Message::reply_type send_to(net::endpoint address,
+    typename Message::reply_type send_to(const net::endpoint& where,
                                          const Message& message,
                                          base::time_point deadline);
     pools::job_answer stored_status(std::string_view pool, std::string_view id);
