--- a/src/node/session.cpp
+++ b/src/node/session.cpp
@@ -121,9 +121,9 @@
                 register_self();
             else
                 renew();
-            // A process that lost its lease can take part again at once.
+            // A process that lost its lease can take part again soon.
             if (lease_ == 0)
-                pause = base::duration::zero();
+                pause = retry_delay;
         }
         catch (const std::exception& failure)
         {
