--- a/src/node/fleet_manager.cpp
+++ b/src/node/fleet_manager.cpp
@@ -205,6 +205,7 @@
 bool fleet_manager::record_moves(std::span<const fleet::machine_move> moves)
 {
     std::vector<fleet::recorded_order> orders;
+    orders.reserve(moves.size());
     for (const fleet::machine_move& move : moves)
         orders.push_back({move.machine, 0});
     return record_orders(orders);
--- a/src/node/fleet_manager_waves.cpp
+++ b/src/node/fleet_manager_waves.cpp
@@ -48,6 +48,7 @@
     candidates.insert(candidates.end(), prepared.begin(), prepared.end());
     const auto machines = release_machines(candidates);
     std::vector<fleet::recorded_order> orders;
+    orders.reserve(machines.size());
     for (const std::string& name : machines)
         orders.push_back({name, wave.wave().number});
     if (orders.empty() || !record_orders(orders))
