Learn of a worker's restart only from the worker's own report

Cause: when a worker had started again under the same id, the owner of its pool forgot all runs on it whose start had been acknowledged or was still under way, and started these tasks elsewhere. Two kinds of runs were forgotten that the new incarnation had or got: - The store's list told of the restart after the new incarnation had acknowledged a start. Idle workers are not polled, so this needs only a restart of an idle worker and a list that is late: a slow store, or a worker that is cut off from it. - The start order was under way or queued; the queue sent it afterwards.

Change: the pool's state compares the incarnation of each report with the one before and applies the restart together with the list of runs that comes with it. Runs that the report lists, that were acknowledged after it was requested, or whose order is under way stay. A restart that the store lists makes the owner ask the worker at once; a report that was overtaken by a later one is left out. A queued start is sent only while its run is still to be started. The roster names the incarnation that the runs belong to.

Tests changed: two tests and the simulated workers told of a restart by a call of its own; they now report the new incarnation, as workers do.

--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <span>
+#include <utility>
 
 namespace pimentograde::jobs
 {
@@ -102,19 +103,24 @@
     return &spec.steps[static_cast<std::size_t>(name.step)];
 }
 
-task* job::find(const task_id& name)
+const task* job::find(const task_id& name) const
 {
     if (name.step < 0 || static_cast<std::size_t>(name.step) >= step_count())
         return nullptr;
     const std::size_t position = position_of(name);
     if (name.occurrence < 0 || position >= steps.size())
         return nullptr;
-    auto& tasks = steps[position].tasks;
+    const auto& tasks = steps[position].tasks;
     if (name.index < 0 || static_cast<std::size_t>(name.index) >= tasks.size())
         return nullptr;
     return &tasks[static_cast<std::size_t>(name.index)];
 }
 
+task* job::find(const task_id& name)
+{
+    return const_cast<task*>(std::as_const(*this).find(name));
+}
+
 task_id job::id_of(std::size_t position, int index) const
 {
     return {id, occurrence_of(position),
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -153,6 +153,7 @@
     [[nodiscard]] int occurrence_of(std::size_t position) const;
     /// Returns null when the job has no such task.
     task* find(const task_id& name);
+    [[nodiscard]] const task* find(const task_id& name) const;
     [[nodiscard]] std::size_t position_of(const task_id& name) const;
     [[nodiscard]] task_id id_of(std::size_t position, int index) const;
     /// Whether all steps that it depends on are done and the occurrence is due.
--- a/src/jobs/pool_crashes.cpp
+++ b/src/jobs/pool_crashes.cpp
@@ -64,11 +64,12 @@
 // The suspects are the tasks whose start the worker is not known to have
 // survived; if there are none, all of its tasks.
 void pool_state::note_crash(worker_view& worker, run_loss loss,
-                            base::time_point now)
+                            const std::set<task_id>& kept, base::time_point now)
 {
     std::vector<task_id> suspects;
     for (const recent_start& start : worker.recent_starts)
-        suspects.push_back(start.task);
+        if (!kept.contains(start.task))
+            suspects.push_back(start.task);
     const bool at_start = !suspects.empty();
     // A worker without known runs that ends may have been moved, or an earlier
     // owner may have started runs on it.
@@ -84,7 +85,8 @@
     {
         unexplained_crashes_.push_back(now);
         for (const auto& [name, run] : worker.runs)
-            suspects.push_back(name);
+            if (!kept.contains(name))
+                suspects.push_back(name);
     }
     const bool is_only_suspect =
         std::all_of(suspects.begin(), suspects.end(),
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -80,7 +80,7 @@
     // Crashes that an earlier silence or restart has left open.
     if (loss != run_loss::lapsed)
         confirm_crashes(*worker, now, wall);
-    note_crash(*worker, loss, now);
+    note_crash(*worker, loss, {}, now);
     const auto runs = worker->runs;
     for (const auto& [name, run] : runs)
     {
@@ -88,27 +88,39 @@
         task* entry = subject == nullptr ? nullptr : subject->find(name);
         if (entry == nullptr || !entry->active)
             continue;
-        if (loss == run_loss::restarted && entry->active->is_unconfirmed)
-        {
-            // The start order may still reach the new incarnation. After the
-            // next report the run is stopped there, so that it cannot start.
-            entry->active->state = run_state::unsettled;
-            entry->active->since = now;
-            continue;
-        }
-        log_decision(
-            {"run_lost", name.job, to_string(name), run, std::string(id),
-             std::string(to_string(loss)) + " age_ms=" +
-                 std::to_string(
-                     base::count_millis(now - entry->active->ordered_at))});
-        clear_run(*subject, name, *entry);
-        entry->not_before = now;
+        lose_run(*subject, name, *entry, loss, now);
         if (loss == run_loss::lapsed)
         {
             ++entry->unresolved_runs;
             worker->unresolved.push_back(name);
         }
     }
+    check_causes(runs, now, wall);
+    worker->has_reported = false;
+    worker->used_by_others = {};
+    worker->has_unknown_runs = false;
+    worker->has_known_runs = true;
+    if (loss == run_loss::lapsed)
+        return;
+    worker->applied_end = 0;
+    resolve_runs(*worker);
+}
+
+void pool_state::lose_run(job& subject, const task_id& name, task& entry,
+                          run_loss loss, base::time_point now)
+{
+    log_decision({"run_lost", name.job, to_string(name), entry.active->number,
+                  entry.active->worker,
+                  std::string(to_string(loss)) + " age_ms=" +
+                      std::to_string(
+                          base::count_millis(now - entry.active->ordered_at))});
+    clear_run(subject, name, entry);
+    entry.not_before = now;
+}
+
+void pool_state::check_causes(const std::map<task_id, int>& runs,
+                              base::time_point now, base::wall_time wall)
+{
     for (const auto& [name, run] : runs)
     {
         job* subject = find(name.job);
@@ -118,17 +130,70 @@
         if (subject != nullptr)
             release_if_idle(*subject);
     }
-    worker->has_reported = false;
-    worker->used_by_others = {};
-    worker->has_unknown_runs = false;
-    if (loss == run_loss::restarted)
-        settle_late_starts(*worker, now);
-    else
-        worker->has_known_runs = true;
-    if (loss == run_loss::lapsed)
-        return;
-    worker->applied_end = 0;
-    resolve_runs(*worker);
+}
+
+// The runs that the new incarnation lists, or may have begun after it was asked
+// for the list.
+std::set<task_id> pool_state::runs_after_restart(const worker_view& worker,
+                                                 const worker_report& report,
+                                                 base::time_point sent_at) const
+{
+    std::set<task_id> kept;
+    for (const listed_run& row : report.running)
+    {
+        const auto found = worker.runs.find(row.task);
+        if (found != worker.runs.end() && found->second == row.run)
+            kept.insert(row.task);
+    }
+    for (const auto& [name, number] : worker.runs)
+    {
+        const job* subject = find_job(name.job);
+        const task* entry = subject == nullptr ? nullptr : subject->find(name);
+        if (entry != nullptr && entry->active &&
+            entry->active->state != run_state::ordered &&
+            !entry->active->is_unconfirmed && entry->active->since > sent_at)
+            kept.insert(name);
+    }
+    return kept;
+}
+
+// Only the worker's own report tells of a restart: with the list of runs that
+// comes with it, and after the runs that it may not list yet.
+void pool_state::apply_restart(worker_view& worker, const worker_report& report,
+                               base::time_point sent_at, base::time_point now,
+                               base::wall_time wall)
+{
+    confirm_crashes(worker, now, wall);
+    const std::set<task_id> kept = runs_after_restart(worker, report, sent_at);
+    note_crash(worker, run_loss::restarted, kept, now);
+    auto lost = worker.runs;
+    std::erase_if(lost,
+                  [&](const auto& run) { return kept.contains(run.first); });
+    for (const auto& [name, run] : lost)
+    {
+        job* subject = find(name.job);
+        task* entry = subject == nullptr ? nullptr : subject->find(name);
+        // The answer to a start that is under way tells what became of it.
+        if (entry == nullptr || !entry->active ||
+            entry->active->state == run_state::ordered)
+            continue;
+        if (!entry->active->is_unconfirmed)
+        {
+            lose_run(*subject, name, *entry, run_loss::restarted, now);
+            continue;
+        }
+        // The start order may still reach the new incarnation. After the next
+        // report the run is stopped there, so that it cannot start.
+        entry->active->state = run_state::unsettled;
+        entry->active->since = now;
+    }
+    check_causes(lost, now, wall);
+    worker.has_reported = false;
+    worker.used_by_others = {};
+    worker.has_unknown_runs = false;
+    settle_late_starts(worker, now);
+    worker.applied_end = 0;
+    resolve_runs(worker);
 }
 
 // The new incarnation would carry out a late start, although the previous one
@@ -191,6 +256,12 @@
     worker_view* worker = find_worker(id);
     if (worker == nullptr)
         return;
+    const bool has_restarted = report.born_ms != 0 && worker->born_ms != 0 &&
+                               report.born_ms != worker->born_ms;
+    if (report.born_ms != 0)
+        worker->born_ms = report.born_ms;
+    if (has_restarted)
+        apply_restart(*worker, report, sent_at, now, wall);
     for (const listed_end& row : report.ended)
         if (row.number > worker->applied_end)
         {
@@ -474,6 +545,17 @@
     }
 }
 
+bool pool_state::awaits_start(const start_order& order) const
+{
+    const job* subject = find_job(order.task.job);
+    const task* entry =
+        subject == nullptr ? nullptr : subject->find(order.task);
+    return entry != nullptr && entry->active &&
+           entry->active->number == order.run &&
+           entry->active->worker == order.worker &&
+           entry->active->state == run_state::ordered;
+}
+
 void pool_state::apply_start_answer(const start_order& order,
                                     start_answer answer, base::time_point now)
 {
--- a/src/jobs/pool_roster.cpp
+++ b/src/jobs/pool_roster.cpp
@@ -15,6 +15,7 @@
         workers_.try_emplace(entry.worker.id, worker_view{});
     worker_view& worker = found->second;
     worker.is_inherited = true;
+    worker.born_ms = entry.worker.born_ms;
     worker.is_silent = entry.is_silent;
     worker.recorded =
         entry.runs ? roster_mark::without_starts : roster_mark::with_starts;
@@ -74,7 +75,7 @@
         const roster_mark wanted = worker.wanted_mark();
         if (wanted == roster_mark::absent)
             continue;
-        result.push_back({worker.description, worker.is_silent});
+        result.push_back({worker.described_as_known(), worker.is_silent});
         if (wanted == roster_mark::with_starts)
             continue;
         // From here on nothing is started there, whether the write succeeds or
@@ -94,7 +95,7 @@
         worker.recorded = roster_mark::absent;
         if (!worker.may_run_something())
             continue;
-        roster_entry entry{worker.description, worker.is_silent};
+        roster_entry entry{worker.described_as_known(), worker.is_silent};
         // An end that is not stored is known to the worker alone: the next
         // owner has to ask.
         if (worker.has_known_runs && dirty_.empty())
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -58,8 +58,9 @@
     lapsed,
     /// This incarnation of the worker has ended and will not report its runs.
     ended,
-    /// The worker has restarted under the same id: its runs are gone, but the
-    /// new incarnation may receive orders that are still in flight.
+    /// The worker has restarted under the same id: the runs of the earlier
+    /// incarnation are gone, but the new one may receive orders that are still
+    /// in flight.
     restarted
 };
 
@@ -137,11 +138,11 @@
     void update_worker(const worker_description& description);
     /// Marks a worker that the store no longer lists; its runs may continue.
     void unlist_worker(std::string_view id);
-    /// Removes the worker's runs, which can no longer exist. A run whose start
-    /// order may still reach a restarted worker stays until it is stopped.
-    /// Unless the worker's end was planned, its tasks are noted as possible
-    /// causes of its crash; the job of a task that is found to be the cause of
-    /// repeated crashes fails.
+    /// Removes the worker's runs, which can no longer exist. Unless the
+    /// worker's end was planned, its tasks are noted as possible causes of its
+    /// crash; the job of a task that is found to be the cause of repeated
+    /// crashes fails. `loss` is not `restarted`: only the report of the new
+    /// incarnation tells which runs are gone.
     void lose_runs(std::string_view id, run_loss loss, base::time_point now,
                    base::wall_time wall);
     void forget_worker(std::string_view id);
@@ -154,10 +155,17 @@
     /// Replaces the workers whose instances are to be maintained soon.
     void set_leaving_soon(std::span<const std::string> ids);
     void set_reachable(std::string_view id, bool is_reachable);
-    /// `sent_at` is the time at which the report was requested.
+    /// `sent_at` is the time at which the report was requested. The first
+    /// report of a new incarnation of the worker removes the runs that ended
+    /// with the earlier one; runs whose start order is under way or was
+    /// acknowledged later than `sent_at` stay, and those without an answer are
+    /// stopped.
     void apply_report(std::string_view id, const worker_report& report,
                       base::time_point sent_at, base::time_point now,
                       base::wall_time wall);
+    /// Whether the run is still to be started: it has not been given up or
+    /// stopped since it was planned.
+    [[nodiscard]] bool awaits_start(const start_order& order) const;
     void apply_start_answer(const start_order& order, start_answer answer,
                             base::time_point now);
     void apply_stop_answer(const stop_order& order, bool is_acknowledged,
@@ -281,8 +289,20 @@
     int same_step_count(const worker_view& worker, const job& subject,
                         std::size_t position) const;
     void resolve_runs(worker_view& worker);
+    void apply_restart(worker_view& worker, const worker_report& report,
+                       base::time_point sent_at, base::time_point now,
+                       base::wall_time wall);
+    [[nodiscard]] std::set<task_id>
+    runs_after_restart(const worker_view& worker, const worker_report& report,
+                       base::time_point sent_at) const;
+    void lose_run(job& subject, const task_id& name, task& entry, run_loss loss,
+                  base::time_point now);
+    void check_causes(const std::map<task_id, int>& runs, base::time_point now,
+                      base::wall_time wall);
     void settle_late_starts(worker_view& worker, base::time_point now);
-    void note_crash(worker_view& worker, run_loss loss, base::time_point now);
+    /// `kept` are the tasks whose runs are known to have begun later.
+    void note_crash(worker_view& worker, run_loss loss,
+                    const std::set<task_id>& kept, base::time_point now);
     void note_suspect(worker_view& worker, const task_id& name, run_loss loss,
                       bool at_start, bool is_only_suspect);
     void confirm_crashes(worker_view& worker, base::time_point now,
--- a/src/jobs/worker_view.cpp
+++ b/src/jobs/worker_view.cpp
@@ -132,6 +132,13 @@
                   { return start.task == task && start.run == run; });
 }
 
+worker_description worker_view::described_as_known() const
+{
+    worker_description result = description;
+    result.born_ms = born_ms;
+    return result;
+}
+
 resource_amount worker_view::free() const
 {
     resource_amount left = description.capacity;
--- a/src/jobs/worker_view.hpp
+++ b/src/jobs/worker_view.hpp
@@ -92,6 +92,10 @@
 struct worker_view
 {
     worker_description description;
+    /// Start of the incarnation that has reported last, Unix milliseconds. Of
+    /// an inherited worker, the one that the earlier owner knew; 0 when
+    /// unknown.
+    std::int64_t born_ms = 0;
     /// The worker is listed in the store.
     bool is_listed = true;
     /// It has reported all its runs under this owner's fence.
@@ -170,6 +174,9 @@
     /// Whether its end was planned: it drains, or its instance was to be
     /// maintained or moved a moment ago.
     [[nodiscard]] bool may_end_as_planned(base::time_point now) const;
+    /// The description with the incarnation that the runs belong to, which the
+    /// store may list later.
+    [[nodiscard]] worker_description described_as_known() const;
     [[nodiscard]] resource_amount free() const;
     [[nodiscard]] bool accepts_starts(base::time_point now) const;
     /// Whether the worker is listed or may still have runs.
--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -30,6 +30,7 @@
 constexpr collect_delay poll_interval{std::chrono::milliseconds(80),
                                       std::chrono::milliseconds(120)};
 constexpr std::chrono::milliseconds poll_retry_delay{120};
+constexpr std::chrono::milliseconds replaced_poll_delay{500};
 // How long an idle link waits unless it is notified.
 constexpr std::chrono::seconds idle_wait{5};
 constexpr std::chrono::milliseconds order_timeout{450};
@@ -49,7 +50,7 @@
                          base::duration lease, jobs::pool_state& state,
                          net::http_client& http, hooks functions)
     : worker_(std::move(worker)), fence_(fence), lease_(lease), state_(state),
-      client_(http), hooks_(std::move(functions)), born_ms_(worker_.born_ms)
+      client_(http), hooks_(std::move(functions))
 {
 }
 
@@ -72,15 +73,20 @@
     order_wakeup_.notify();
 }
 
+// The list may be older or newer than what the worker itself has said, so a
+// restart that it shows is checked at the worker.
 void worker_link::update(const jobs::worker_description& worker)
 {
     if (worker == worker_)
         return;
-    const bool has_restarted =
+    const bool may_have_restarted =
         worker.born_ms != 0 && born_ms_ != 0 && worker.born_ms != born_ms_;
     worker_ = worker;
-    if (has_restarted)
-        handle_restart(worker.born_ms, base::steady_now());
+    if (may_have_restarted)
+    {
+        orders_.emplace_front(restart_check{});
+        order_wakeup_.notify();
+    }
     poll_wakeup_.notify();
 }
 
@@ -220,8 +226,8 @@
     {
         const auto listing =
             client_.list(target(), request, poll_deadline(now, request.wait));
-        if (!is_stopping_)
-            apply(listing, now);
+        if (!is_stopping_ && apply(listing, now))
+            wait_for_storage(now);
     }
     catch (const std::exception& failure)
     {
@@ -232,7 +238,7 @@
     }
 }
 
-void worker_link::apply(const platform::worker_listing& listing,
+bool worker_link::apply(const platform::worker_listing& listing,
                         base::time_point sent_at)
 {
     using kind = platform::worker_listing::kind;
@@ -240,8 +246,11 @@
     if (listing.outcome == kind::fenced_off)
     {
         hooks_.fenced_off("worker " + worker_.id + " has seen a higher fence");
-        return;
+        return false;
     }
+    // Overtaken by a report that was requested later.
+    if (sent_at < report_sent_at_)
+        return false;
     if (listing.outcome == kind::replaced)
     {
         // The known incarnation of the worker has ended, with all its runs.
@@ -249,20 +258,28 @@
                          base::wall_now());
         note_unreachable("another worker answers at its address", now);
         hooks_.changed();
-        poll_wakeup_.wait_until(now + std::chrono::milliseconds(500));
-        return;
+        poll_wakeup_.wait_until(now + replaced_poll_delay);
+        return false;
     }
     if (listing.outcome == kind::unhealthy)
     {
         note_unreachable("the worker says that it is unhealthy", now);
         poll_wakeup_.wait_until(now + poll_retry_delay);
-        return;
+        return false;
     }
+    apply_report(listing, sent_at, now);
+    return true;
+}
+
+void worker_link::apply_report(const platform::worker_listing& listing,
+                               base::time_point sent_at, base::time_point now)
+{
+    report_sent_at_ = sent_at;
     if (std::exchange(has_failed_, false))
         log::write(event_worker_reachable, {{"worker", worker_.id}});
     const auto& report = listing.report;
     if (report.born_ms != 0 && born_ms_ != 0 && report.born_ms != born_ms_)
-        handle_restart(report.born_ms, now);
+        note_restart(report.born_ms, now);
     if (report.born_ms != 0)
         born_ms_ = report.born_ms;
     // At the first answer the lease is one that an earlier owner has granted.
@@ -276,42 +293,63 @@
     hooks_.changed();
     const std::int64_t last_end =
         report.ended.empty() ? stored_end_ : report.ended.back().number;
-    const base::duration pause = poll_interval.at(state_.workers().size());
     if (last_end != stored_end_ && !unstored_)
         unstored_ = {last_end, state_.change_number()};
+}
+
+// Ends that are stored are not listed again.
+void worker_link::wait_for_storage(base::time_point sent_at)
+{
+    const base::duration pause = poll_interval.at(state_.workers().size());
     if (!unstored_)
     {
         if (base::steady_now() - sent_at < pause)
             boost::this_fiber::sleep_for(pause);
         return;
     }
-    // A restart of the worker during the wait resets `unstored_`, since the new
-    // incarnation numbers its ends from the beginning.
+    // A restart of the worker during the wait replaces `unstored_`, since the
+    // new incarnation numbers its ends from the beginning.
     const std::uint64_t change = unstored_->change;
     boost::this_fiber::sleep_for(pause);
     const bool is_stored =
         hooks_.stored(change, base::steady_now() + unstored_poll_interval);
-    if (!is_stored || !unstored_)
+    if (!is_stored || !unstored_ || unstored_->change != change)
         return;
     stored_end_ = unstored_->last_end;
     unstored_.reset();
 }
 
-void worker_link::handle_restart(std::int64_t born_ms, base::time_point now)
+// The new incarnation may still carry out an order that was sent to the
+// previous one.
+void worker_link::note_restart(std::int64_t born_ms, base::time_point now)
 {
     log::write(event_worker_restarted,
                {{"worker", worker_.id}, {"born_ms", born_ms}});
-    state_.lose_runs(worker_.id, jobs::run_loss::restarted, now,
-                     base::wall_now());
-    born_ms_ = born_ms;
-    // The new incarnation may still carry out an order that was sent to the
-    // previous one.
     state_.set_lease_end(worker_.id, now + longest_lease(lease_));
     stored_end_ = 0;
     unstored_.reset();
     clock_ms_ = 0;
     lease_until_ms_ = 0;
-    hooks_.changed();
+}
+
+void worker_link::check_restart(base::time_point now)
+{
+    if (!hooks_.may_order())
+        return;
+    platform::listing_request request;
+    request.stored_end = stored_end_;
+    try
+    {
+        const auto listing =
+            client_.list(target(), request, now + order_timeout);
+        if (!is_stopping_)
+            apply(listing, now);
+    }
+    catch (const std::exception& failure)
+    {
+        if (!is_stopping_)
+            note_unreachable(failure.what(), base::steady_now());
+    }
 }
 
 void worker_link::note_unreachable(std::string_view reason,
@@ -342,8 +380,10 @@
         orders_.pop_front();
         if (const auto* begin = std::get_if<jobs::start_order>(&next))
             send_start(*begin);
+        else if (const auto* stop = std::get_if<jobs::stop_order>(&next))
+            send_stop(*stop);
         else
-            send_stop(std::get<jobs::stop_order>(next));
+            check_restart(base::steady_now());
         poll_wakeup_.notify();
     }
 }
@@ -356,7 +396,8 @@
                       base::steady_now() + order_storage_timeout);
     const base::time_point now = base::steady_now();
     platform::start_result result;
-    if (!is_stored || !hooks_.may_order() || clock_ms_ == 0 || !is_recorded())
+    if (!is_stored || !hooks_.may_order() || clock_ms_ == 0 || !is_recorded() ||
+        !state_.awaits_start(order))
         result.answer = jobs::start_answer::not_sent;
     else
     {
--- a/src/pools/worker_link.hpp
+++ b/src/pools/worker_link.hpp
@@ -55,13 +55,23 @@
     [[nodiscard]] bool is_idle() const { return fibers_.size() == 0; }
 
 private:
-    using any_order = std::variant<jobs::start_order, jobs::stop_order>;
+    /// Asks the worker for its runs at once, beside a poll that waits.
+    struct restart_check
+    {
+    };
+    using any_order =
+        std::variant<jobs::start_order, jobs::stop_order, restart_check>;
 
     void poll_loop();
     void poll(base::time_point now);
-    void apply(const platform::worker_listing& listing,
+    /// Returns whether the worker's report has been applied.
+    bool apply(const platform::worker_listing& listing,
                base::time_point sent_at);
-    void handle_restart(std::int64_t born_ms, base::time_point now);
+    void apply_report(const platform::worker_listing& listing,
+                      base::time_point sent_at, base::time_point now);
+    void wait_for_storage(base::time_point sent_at);
+    void note_restart(std::int64_t born_ms, base::time_point now);
+    void check_restart(base::time_point now);
     void note_unreachable(std::string_view reason, base::time_point now);
     void order_loop();
     void send_start(const jobs::start_order& order);
@@ -89,7 +99,10 @@
     std::deque<any_order> orders_;
     bool is_stopping_ = false;
     bool has_failed_ = false;
+    /// Start of the incarnation that has answered last; 0 if none has.
     std::int64_t born_ms_ = 0;
+    /// Time at which the latest report that was applied was requested.
+    base::time_point report_sent_at_{};
     std::int64_t stored_end_ = 0;
     /// Ends of runs that were applied but are not known to be stored.
     struct unstored_ends
--- a/tests/disturbance/pool_owner_test.cpp
+++ b/tests/disturbance/pool_owner_test.cpp
@@ -10,6 +10,86 @@
 using namespace pimentograde;
 using namespace pimentograde::node_tests;
 
+namespace
+{
+
+// A pool of one owner and listed workers that have reported.
+struct owned_pool
+{
+    platform_double platform;
+    std::map<std::string, platform_standin::worker_double*> workers;
+    std::unique_ptr<platform::store_client> store =
+        platform::store_client::builder{}
+            .connect_to(platform.store_address())
+            .build();
+    std::unique_ptr<net::http_client> http =
+        net::http_client::builder{}.max_idle(2).build();
+    std::unique_ptr<pools::pool_owner> owner;
+
+    owned_pool(std::span<const std::string> ids, base::duration task_time)
+    {
+        for (const std::string& id : ids)
+            workers[id] = &platform.add_worker(id, "pool", task_time);
+        const auto claim = store->commit({{}, {{"owner", "x", 0}}, {}});
+        owner = pools::pool_owner::builder{}
+                    .pool("pool")
+                    .ownership("owner", claim.revision)
+                    .store(*store)
+                    .http(*http)
+                    .worker_lease(1500ms)
+                    .may_order([] { return true; })
+                    .on_lost([](std::string_view) {})
+                    .build();
+        const jobs::queue_policy policy{"queue", "pool", 0, 3, 1.6, 600ms};
+        owner->set_policies(std::vector{policy});
+        list_workers();
+        owner->start();
+        REQUIRE(eventually(
+            [&]
+            {
+                const auto& known = owner->state().workers();
+                return known.size() == workers.size() &&
+                       std::all_of(known.begin(), known.end(),
+                                   [](const auto& entry) {
+                                       return entry.second.accepts_starts(
+                                           base::steady_now());
+                                   });
+            }));
+    }
+    ~owned_pool() { owner->quiesce(); }
+    owned_pool(const owned_pool&) = delete;
+    owned_pool& operator=(const owned_pool&) = delete;
+
+    // The owner learns what the workers have written to the store.
+    void list_workers()
+    {
+        std::vector<jobs::worker_description> listed;
+        for (const auto& [id, worker] : workers)
+        {
+            platform.announce(id);
+            listed.push_back(platform::read_worker_entry(
+                id, platform.store.value_of("servers/" + id)));
+        }
+        owner->set_workers(listed);
+    }
+    bool submit_one_task()
+    {
+        jobs::job_spec spec;
+        spec.payload = "s";
+        spec.steps.resize(1);
+        spec.steps[0].need = {1000, 10, 0};
+        spec.steps[0].estimate = 50ms;
+        return owner->submit(id_a, spec, "queue", base::steady_now() + 2s)
+                   .outcome == pools::submission_answer::kind::accepted;
+    }
+    [[nodiscard]] int starts() const
+    {
+        return platform.starts_of(id_a + ".0.0.0");
+    }
+};
+
+} // namespace
+
 // Guards against a worker that its pool never uses again: it was known from the
 // roster, was considered gone, and was listed while its link was closing
 // (lcq-sched-large scale-2: 20 idle workers unused for the rest of the day).
@@ -111,3 +191,19 @@
     CHECK(next.outcome == platform::commit_result::kind::committed);
     CHECK(roster.write(entries("w4"), {}) == pools::roster_write::not_owner);
 }
+
+// Guards against a run that is started a second time because the store's list
+// tells of its worker's restart after the new incarnation has taken the run
+// (kavango-cues-grown, kowhai-retakes-grown, TWICE).
+TEST_CASE("a restart that is listed late does not repeat newer runs")
+{
+    owned_pool all(std::vector<std::string>{"w0", "w1"}, 1500ms);
+    for (auto& [id, worker] : all.workers)
+        worker->restart();
+    REQUIRE(all.submit_one_task());
+    CHECK(eventually([&] { return all.starts() == 1; }, 3s));
+    boost::this_fiber::sleep_for(20ms);
+    all.list_workers();
+    boost::this_fiber::sleep_for(500ms);
+    CHECK(all.starts() == 1);
+}
--- a/tests/jobs/crash_test.cpp
+++ b/tests/jobs/crash_test.cpp
@@ -208,8 +208,8 @@
     const std::string worker = pool.add("a:1");
     pool.submit("j", make_job({make_step(1)}));
     const auto orders = pool.plan_and_start();
-    pool.state.lose_runs(worker, run_loss::restarted, pool.now, wall);
-    pool.report(worker, running(orders, 10));
+    pool.report(worker, of_incarnation(1, running(orders, 10)));
+    pool.report(worker, of_incarnation(2, running(orders, 10)));
     CHECK(pool.first_task("j").crashes.empty());
     CHECK(pool.state.workers().at(worker).runs.contains(first_task_of("j")));
 }
--- a/tests/jobs/pool_fixture.hpp
+++ b/tests/jobs/pool_fixture.hpp
@@ -106,6 +106,14 @@
     return rows;
 }
 
+/// The report of the incarnation that was started at `born_ms`.
+inline worker_report of_incarnation(std::int64_t born_ms,
+                                    worker_report rows = {})
+{
+    rows.born_ms = born_ms;
+    return rows;
+}
+
 } // namespace pimentograde::tests
 
 #endif
--- a/tests/jobs/pool_history_test.cpp
+++ b/tests/jobs/pool_history_test.cpp
@@ -75,6 +75,14 @@
     check("restarts", {.late_order = 10, .restart = 2});
 }
 
+// Guards against a run that its owner forgets while the start order is under
+// way to a worker that has restarted (kavango-cues-grown,
+// kowhai-retakes-grown, TWICE).
+TEST_CASE("workers restart while start orders are under way")
+{
+    check("restarts and slow orders", {.slow_order = 40, .restart = 2});
+}
+
 // Guards against a start order without an answer that the next incarnation of
 // the worker executes after the task has ended on another worker.
 TEST_CASE("a late start is refused by the worker's next incarnation")
--- a/tests/jobs/pool_state_test.cpp
+++ b/tests/jobs/pool_state_test.cpp
@@ -115,12 +115,12 @@
     const auto orders = pool.plan();
     const std::string worker = orders[0].worker;
     pool.state.apply_start_answer(orders[0], start_answer::unknown, pool.now);
-    pool.report(worker, {});
+    pool.report(worker, of_incarnation(1));
     pool.state.apply_stop_answer(pool.state.take_stops().at(0), true, pool.now);
-    pool.report(worker, {});
-    pool.state.lose_runs(worker, run_loss::restarted, pool.now, wall);
+    pool.report(worker, of_incarnation(1));
+    pool.report(worker, of_incarnation(2));
     CHECK(pool.plan().empty());
-    pool.report(worker, {});
+    pool.report(worker, of_incarnation(2));
     const auto stops = pool.state.take_stops();
     REQUIRE(stops.size() == 1);
     CHECK(stops[0].worker == worker);
--- a/tests/jobs/pool_world.cpp
+++ b/tests/jobs/pool_world.cpp
@@ -17,6 +17,7 @@
 constexpr auto order_validity = 500ms;
 constexpr auto lapse_slack = 100ms;
 constexpr auto down_time = 400ms;
+constexpr int max_slow_steps = 4;
 // How long starts may go by a room that has shrunk since.
 constexpr auto shrink_grace = 4500ms;
 constexpr int crashes_to_give_up = 2;
@@ -211,9 +212,27 @@
         state_->apply_start_answer(order, start_answer::unknown, now_);
         return;
     }
+    late_order entry{static_cast<std::size_t>(&worker - workers_.data()), order,
+                     fence_, until, now_};
+    if (odds_.slow_order == 0 || !chance(odds_.slow_order))
+    {
+        carry_out(entry);
+        return;
+    }
+    entry.at += step_length * (1 + random_() % max_slow_steps);
+    slow_orders_.push_back(entry);
+}
+
+void pool_world::carry_out(const late_order& entry)
+{
+    using jobs::start_answer;
+    const jobs::start_order& order = entry.order;
+    simulated_worker& worker = workers_[entry.worker];
     if (has_ended(order.task))
         started_after_end_.insert(order.task);
-    execute(worker, order, fence_, until);
+    execute(worker, order, entry.fence, entry.until);
+    if (entry.fence != fence_)
+        return;
     const auto found = worker.running.find(order.task);
     const bool is_there =
         found != worker.running.end() && found->second.run == order.run;
@@ -226,6 +245,28 @@
                                    now_);
 }
 
+// An order to a worker that is partitioned meanwhile does not arrive.
+void pool_world::deliver_due_orders()
+{
+    std::vector<late_order> due;
+    std::erase_if(slow_orders_,
+                  [&](const late_order& entry)
+                  {
+                      if (entry.at > now_)
+                          return false;
+                      due.push_back(entry);
+                      return true;
+                  });
+    for (const late_order& entry : due)
+    {
+        if (!workers_[entry.worker].is_partitioned)
+            carry_out(entry);
+        else if (entry.fence == fence_)
+            state_->apply_start_answer(entry.order, jobs::start_answer::unknown,
+                                       now_);
+    }
+}
+
 bool pool_world::has_ended(const jobs::task_id& task) const
 {
     return std::any_of(workers_.begin(), workers_.end(),
@@ -265,7 +306,6 @@
         known_born_[worker.id] = worker.born_ms;
         stored_end_[worker.id] = 0;
         state_->update_worker(describe(worker));
-        state_->lose_runs(worker.id, jobs::run_loss::restarted, now_, wall);
     }
     worker.lease_until = std::max(worker.lease_until, now_ + lease_length);
     auto& extended = extended_until_[worker.id];
@@ -392,6 +432,7 @@
                   });
     for (const late_order& entry : due)
         execute(workers_[entry.worker], entry.order, entry.fence, entry.until);
+    deliver_due_orders();
     for (simulated_worker& worker : workers_)
     {
         if (has_deadly_start(worker))
--- a/tests/jobs/pool_world.hpp
+++ b/tests/jobs/pool_world.hpp
@@ -60,6 +60,8 @@
 {
     int lost_answer = 0;
     int late_order = 0;
+    /// Start orders that take some steps to arrive and to be answered.
+    int slow_order = 0;
     int restart = 0;
     int cut = 0;
     int takeover = 0;
@@ -107,6 +109,8 @@
 
     bool chance(int odds);
     void deliver(const jobs::start_order& order);
+    void carry_out(const late_order& entry);
+    void deliver_due_orders();
     void execute(simulated_worker& worker, const jobs::start_order& order,
                  std::int64_t fence, base::time_point until);
     void poll(simulated_worker& worker);
@@ -130,6 +134,8 @@
     std::unique_ptr<jobs::pool_state> state_;
     std::int64_t fence_ = 1;
     std::vector<late_order> delayed_orders_;
+    /// Orders on their way whose answers the owner waits for.
+    std::vector<late_order> slow_orders_;
     std::map<std::string, std::string> stored_;
     bool is_record_away_ = false;
     bool is_all_stored_ = true;
