Claim a pool anew when its hand-over fails

Callers would see two runs of one task after a hand-over whose release got no answer or was refused by the store: the instance opened the pool again at the fence that it had just ended. Nothing then excluded what the ended owner had still under way: its start orders carry the fence of the open owner, and its last roster, whose condition is the owner's key at that revision, may replace the roster of the open owner seconds later.

An ended fence now stays ended. The claim loop sees that the role's holder is this instance at an ended fence and claims it at the known revision: if the release has not taken effect, the new revision makes its condition and that of the late roster fail; if it has, the claim is refused and the role is free for all.

--- a/src/node/pool_claims.cpp
+++ b/src/node/pool_claims.cpp
@@ -161,7 +161,10 @@
     owners_.erase(loaded);
 }
 
-// The owner's state is stored before the role becomes free.
+// The owner's state is stored before the role becomes free. If the release
+// fails, this instance claims the role anew, see `check_pool`: writes and
+// orders of the ended owner may take effect late, and only a new fence excludes
+// them.
 void pool_claims::hand_over(const std::string& pool, pools::pool_owner& owner)
 {
     owner.quiesce();
@@ -173,8 +176,6 @@
     {
         log::write(event_claim_failed,
                    {{"pool", pool}, {"reason", failure.what()}});
-        // No other instance can claim the role now: this one reopens the pool.
-        ended_fences_.erase(pool);
     }
 }
 
--- a/tests/disturbance/interruption_test.cpp
+++ b/tests/disturbance/interruption_test.cpp
@@ -2,6 +2,7 @@
 // the role changes to another instance.
 
 #include "node/cluster.hpp"
+#include "pools/roster_store.hpp"
 
 #include <map>
 #include <set>
@@ -13,6 +14,7 @@
 {
 
 const std::string task_a = id_a + ".0.0.0";
+const std::string pool_role_key = "pimentograde/role/pool/pool";
 
 std::string busy_worker(platform_double& platform)
 {
@@ -341,3 +343,34 @@
     all.platform.store.faults.is_down = false;
     CHECK(all.completes(0, id_a));
 }
+
+// Guards against two owners of a pool under one fence: the release of the role
+// failed and the instance went on at the fence that it had ended, so that
+// nothing fenced off late orders and late writes of the ended owner.
+TEST_CASE("a pool whose hand-over fails is claimed anew")
+{
+    cluster all(0);
+    all.entries.push_back(std::make_unique<entry>(all.platform, "weak", 0.1));
+    CHECK(eventually([&] { return all.owner() == 0; }));
+    CHECK(all.client.submit(*all.entries[0], id_a, lasting) == 200);
+    CHECK(eventually([&] { return all.platform.starts_of(task_a) == 1; }));
+    auto& store = all.platform.store;
+    const auto ended = store.revision_of(pool_role_key);
+    store.faults.kept_key = pool_role_key;
+    all.entries.push_back(std::make_unique<entry>(all.platform, "strong", 1.0));
+    const std::string& record = pools::roster_key("pool");
+    const auto recorded = store.revision_of(record);
+    REQUIRE(eventually([&] { return store.revision_of(record) > recorded; }));
+    CHECK(eventually([&] { return store.revision_of(pool_role_key) > ended; },
+                     2s));
+    CHECK(eventually([&] { return all.owner() == 0; }));
+    // A pool refuses jobs until its workers are listed and recorded.
+    CHECK(eventually(
+        [&] {
+            return all.client.submit(*all.entries[0], id_b, two_steps) == 200;
+        }));
+    CHECK(all.completes(0, id_b));
+    store.faults.kept_key.clear();
+    CHECK(eventually([&] { return all.owner() == 1; }));
+    CHECK(all.platform.starts_of(task_a) == 1);
+}
--- a/tools/platform_standin/store_double.cpp
+++ b/tools/platform_standin/store_double.cpp
@@ -7,6 +7,7 @@
 #include <boost/url/parse.hpp>
 #include <boost/url/url_view.hpp>
 
+#include <algorithm>
 #include <iterator>
 
 namespace pimentograde::platform_standin
@@ -110,6 +111,12 @@
     return found == items_.end() ? std::string{} : found->second.value;
 }
 
+std::int64_t store_double::revision_of(const std::string& key) const
+{
+    const auto found = items_.find(key);
+    return found == items_.end() ? 0 : found->second.revision;
+}
+
 std::vector<std::string>
 store_double::keys_under(const std::string& prefix) const
 {
@@ -246,11 +253,9 @@
     constexpr std::size_t max_entries = 32;
     if (conditions.size() + writes.size() + removals.size() > max_entries)
         return json_answer(400);
-    const auto revision_of = [this](const std::string& key)
-    {
-        const auto found = items_.find(key);
-        return found == items_.end() ? std::int64_t{0} : found->second.revision;
-    };
+    for (const json::value& row : removals)
+        if (row.as_string() == faults.kept_key)
+            return json_answer(503);
     bool holds = true;
     json::array actual;
     for (const json::value& row : conditions)
--- a/tools/platform_standin/store_double.hpp
+++ b/tools/platform_standin/store_double.hpp
@@ -25,6 +25,8 @@
     int lost_commits = 0;
     /// Answers carry bytes that are not the protocol's.
     bool is_garbled = false;
+    /// Commits that remove this key are answered with 503 and not carried out.
+    std::string kept_key;
     /// Commits take effect this long after they arrive.
     base::duration commit_delay{};
     /// Listings of workers take this long.
@@ -45,6 +47,8 @@
     void end_leases();
     /// Empty when there is no such key.
     [[nodiscard]] std::string value_of(const std::string& key) const;
+    /// Revision of the key's last change; 0 when there is no such key.
+    [[nodiscard]] std::int64_t revision_of(const std::string& key) const;
     [[nodiscard]] std::vector<std::string>
     keys_under(const std::string& prefix) const;
     store_faults faults;
