Claim no pool while its hand-over is under way

Callers would see a pool without an owner for a moment every 2.5 s, and a strong instance that never gets the pool: while the final records were being written, the claim loop of the releasing instance found its own role at an ended fence and claimed it again 200 ms later. The release then met a newer revision and changed nothing.

Evidence: the new test, with commits that take 300 ms, failed before.

The claim loop passes over pools whose release is under way, and the release forgets the holder that it has ended, so that the instance ranks like the others afterwards. If the release fails, the claim loop claims the pool anew.

--- a/src/node/pool_claims.cpp
+++ b/src/node/pool_claims.cpp
@@ -156,8 +156,13 @@
                                         {"fence", loaded->second->fence()},
                                         {"own_cores", session_.own().cores}});
     ended_fences_[loaded->first] = loaded->second->fence();
-    fibers_.spawn([this, pool = loaded->first, owner = loaded->second]
-                  { hand_over(pool, *owner); });
+    handing_over_.insert(loaded->first);
+    fibers_.spawn(
+        [this, pool = loaded->first, owner = loaded->second]
+        {
+            hand_over(pool, *owner);
+            handing_over_.erase(pool);
+        });
     owners_.erase(loaded);
 }
 
@@ -199,7 +204,7 @@
             lost_.insert(pool);
         return;
     }
-    if (!session_.is_registered())
+    if (!session_.is_registered() || handing_over_.contains(pool))
         return;
     const auto ended = ended_fences_.find(pool);
     const bool has_ended = current != nullptr && ended != ended_fences_.end() &&
--- a/src/node/pool_claims.hpp
+++ b/src/node/pool_claims.hpp
@@ -89,6 +89,8 @@
     std::set<std::string> lost_;
     /// Fences of this instance's ended ownerships, by pool.
     std::map<std::string, std::int64_t> ended_fences_;
+    /// Pools whose role is being released.
+    std::set<std::string> handing_over_;
     std::map<std::string, base::time_point> free_since_;
     /// Since when another instance has enough more processor time to take
     /// over a role.
--- a/src/node/session.cpp
+++ b/src/node/session.cpp
@@ -244,7 +244,11 @@
 void session::release(std::string_view role, std::int64_t revision)
 {
     const std::string key = role_key(role);
+    // Either way the store holds the role at this revision no more.
     store_.commit({{{key, revision}}, {}, {key}});
+    const auto found = holders_.find(role);
+    if (found != holders_.end() && found->second.revision == revision)
+        holders_.erase(found);
 }
 
 std::optional<std::int64_t> session::claim(std::string_view role)
--- a/tests/disturbance/interruption_test.cpp
+++ b/tests/disturbance/interruption_test.cpp
@@ -374,3 +374,22 @@
     CHECK(eventually([&] { return all.owner() == 1; }));
     CHECK(all.platform.starts_of(task_a) == 1);
 }
+
+// Guards against a hand-over that the instance itself undoes: while the store
+// was slow, the instance claimed the role again before it had released it.
+TEST_CASE("a pool is handed over while the store is slow")
+{
+    cluster all(0);
+    all.entries.push_back(std::make_unique<entry>(all.platform, "weak", 0.1));
+    CHECK(eventually([&] { return all.owner() == 0; }));
+    CHECK(all.client.submit(*all.entries[0], id_a, lasting) == 200);
+    CHECK(eventually([&] { return all.platform.starts_of(task_a) == 1; }));
+    auto& store = all.platform.store;
+    const auto before = store.changes_of(pool_role_key);
+    store.faults.commit_delay = 300ms;
+    all.entries.push_back(std::make_unique<entry>(all.platform, "strong", 1.0));
+    CHECK(eventually([&] { return all.owner() == 1; }));
+    // The release and the claim of the other instance.
+    CHECK(store.changes_of(pool_role_key) - before == 2);
+    CHECK(all.platform.starts_of(task_a) == 1);
+}
--- a/tools/platform_standin/store_double.cpp
+++ b/tools/platform_standin/store_double.cpp
@@ -117,6 +117,12 @@
     return found == items_.end() ? 0 : found->second.revision;
 }
 
+std::int64_t store_double::changes_of(const std::string& key) const
+{
+    return std::count_if(history_.begin(), history_.end(),
+                         [&](const change& entry) { return entry.key == key; });
+}
+
 std::vector<std::string>
 store_double::keys_under(const std::string& prefix) const
 {
--- a/tools/platform_standin/store_double.hpp
+++ b/tools/platform_standin/store_double.hpp
@@ -49,6 +49,8 @@
     [[nodiscard]] std::string value_of(const std::string& key) const;
     /// Revision of the key's last change; 0 when there is no such key.
     [[nodiscard]] std::int64_t revision_of(const std::string& key) const;
+    /// How often the key was written or removed.
+    [[nodiscard]] std::int64_t changes_of(const std::string& key) const;
     [[nodiscard]] std::vector<std::string>
     keys_under(const std::string& prefix) const;
     store_faults faults;
