Permit an owner's orders only under the lease of its claim

Callers would see two runs of one task after a process had been suspended or cut off for longer than its lease: the process registers again within 150 ms, and from then on the permission to order looked only at the new lease. An owner whose role had ended with the earlier lease went on sending orders until the claim loop closed it; that loop may be waiting for the store, for seconds. The next owner waits for such orders only until 6 s after the last renewal of the earlier lease.

Evidence: the new test, run with the former condition, printed "CHECK( !may_order(*revision) ) is NOT correct" after the new registration.

`session::may_order` takes the role and the revision of the claim and holds only while the session knows this claim as the role's holder. A lost lease removes the holder at once, and a listing or change that shows another holder ends the permission before the claim loop runs.

--- a/src/node/pool_claims.cpp
+++ b/src/node/pool_claims.cpp
@@ -254,8 +254,10 @@
             .worker_lease(worker_lease_)
             .predecessor_has_ended(has_predecessor_ended)
             .may_order(
-                [this]
-                { return session_.may_order(base::suspend_aware_now()); })
+                [this, role = pool_role(pool), revision] {
+                    return session_.may_order(role, revision,
+                                              base::suspend_aware_now());
+                })
             .on_lost(
                 [this, pool](std::string_view)
                 {
--- a/src/node/session.cpp
+++ b/src/node/session.cpp
@@ -99,9 +99,13 @@
            candidate.incarnation != own_.incarnation;
 }
 
-bool session::may_order(base::time_point now) const
+// A renewal may belong to a later lease than the one that the role ended with.
+bool session::may_order(std::string_view role, std::int64_t revision,
+                        base::time_point now) const
 {
-    return lease_ != 0 && now - renewed_at_ < max_ordering_without_renewal;
+    const holder* current = holder_of(role);
+    return lease_ != 0 && current != nullptr && current->revision == revision &&
+           now - renewed_at_ < max_ordering_without_renewal;
 }
 
 bool session::holds_lease(base::time_point now) const
--- a/src/node/session.hpp
+++ b/src/node/session.hpp
@@ -91,9 +91,12 @@
     [[nodiscard]] bool is_own_previous_process(const holder& candidate) const;
     /// Secret shared by all members, for authentication between them.
     [[nodiscard]] const std::string& peer_secret() const { return secret_; }
-    /// Whether the last lease renewal is recent enough to send orders. `now` is
-    /// a time of the clock that also runs while the machine is suspended.
-    [[nodiscard]] bool may_order(base::time_point now) const;
+    /// Whether this instance, as far as it knows, still holds the role that it
+    /// claimed at `revision`, and the last lease renewal is recent enough to
+    /// send orders. `now` is a time of the clock that also runs while the
+    /// machine is suspended.
+    [[nodiscard]] bool may_order(std::string_view role, std::int64_t revision,
+                                 base::time_point now) const;
 
     /// Whether the lease is certainly valid, so that no other instance can hold
     /// a role of this one.
--- a/tests/node/session_test.cpp
+++ b/tests/node/session_test.cpp
@@ -71,3 +71,27 @@
     REQUIRE(one.members.holder_of("pool/a") != nullptr);
     CHECK(one.members.is_own(*one.members.holder_of("pool/a")));
 }
+
+// Guards against orders of an ended owner: its process has a new lease before
+// the claim loop, which may be waiting for the store, closes the owner.
+TEST_CASE("a new lease permits no orders under a role of the ended one")
+{
+    registered_session one;
+    const auto revision = one.members.claim("pool/a");
+    REQUIRE(revision);
+    const auto may_order = [&](std::int64_t claimed)
+    {
+        return one.members.may_order("pool/a", claimed,
+                                     base::suspend_aware_now());
+    };
+    CHECK(may_order(*revision));
+    one.platform.store.end_leases();
+    REQUIRE(eventually([&] { return one.losses == 1; }));
+    CHECK(!may_order(*revision));
+    REQUIRE(eventually([&] { return one.members.is_registered(); }));
+    CHECK(!may_order(*revision));
+    const auto next = one.members.claim("pool/a");
+    REQUIRE(next);
+    CHECK(may_order(*next));
+    CHECK(!may_order(*revision));
+}
