Wait for all earlier owners after a restart

Callers would see two runs of one task when an owner is cut off from the store, the instance that claims its pool is killed just after the claim, and its next process resumes the role. That process took its own last one for the only earlier owner and counted runs on silent workers as ended once a worker's lease had passed. The owner before may send orders until 6 s after its last renewal, 3.5 s after its role became free, and each of them extends the leases by their full length.

Evidence: the new test, with leases of 1.5 s, failed before: the task started on a second worker within 3.2 s of the claim while its first run was listed and extended, "CHECK( !eventually(... starts_of(...) > 1 ...) ) is NOT correct".

`predecessor_has_ended` is gone: every new owner allows for orders until 3.5 s after its own claim, which is later than the claim of each earlier owner. The cost: after a kill and a restart within the 2.5 s of the lease, inherited tasks that may run on a worker that is silent just then wait 3.5 s longer, as after a takeover by another instance. After a graceful end the roster states what is left of the leases, and nothing changes.

--- a/src/node/pool_claims.cpp
+++ b/src/node/pool_claims.cpp
@@ -212,7 +212,7 @@
     if (current != nullptr && session_.is_own(*current) && !has_ended)
     {
         // An earlier claim whose response was lost has taken effect.
-        open_owner(pool, current->revision, false);
+        open_owner(pool, current->revision);
         return;
     }
     // The known holder may predate the end of an ownership of this instance;
@@ -226,13 +226,11 @@
     if (now - since < session_.delay_before_claim(pool_role(pool), roles_, now))
         return;
     free_since_.erase(pool);
-    const bool has_predecessor_ended =
-        current != nullptr && session_.is_own_previous_process(*current);
     try
     {
         const auto revision = session_.claim(pool_role(pool));
         if (revision && !stop_.is_set())
-            open_owner(pool, *revision, has_predecessor_ended);
+            open_owner(pool, *revision);
     }
     catch (const std::exception& failure)
     {
@@ -241,8 +239,7 @@
     }
 }
 
-void pool_claims::open_owner(const std::string& pool, std::int64_t revision,
-                             bool has_predecessor_ended)
+void pool_claims::open_owner(const std::string& pool, std::int64_t revision)
 {
     log::write(event_pool_claimed, {{"pool", pool}, {"fence", revision}});
     std::shared_ptr<pools::pool_owner> owner =
@@ -252,7 +249,6 @@
             .store(store_)
             .http(http_)
             .worker_lease(worker_lease_)
-            .predecessor_has_ended(has_predecessor_ended)
             .may_order(
                 [this, role = pool_role(pool), revision] {
                     return session_.may_order(role, revision,
--- a/src/node/pool_claims.hpp
+++ b/src/node/pool_claims.hpp
@@ -68,8 +68,7 @@
     void run();
     void check_pools(base::time_point now);
     void check_pool(const std::string& pool, base::time_point now);
-    void open_owner(const std::string& pool, std::int64_t revision,
-                    bool has_predecessor_ended);
+    void open_owner(const std::string& pool, std::int64_t revision);
     void close_lost_owners();
     void hand_over_if_better(base::time_point now);
     void hand_over(const std::string& pool, pools::pool_owner& owner);
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -49,9 +49,7 @@
     explicit impl(const builder& parts)
         : pool(parts.pool_), fence(parts.revision_), store(*parts.store_),
           http(*parts.http_), lease(parts.lease_), may_order(parts.may_order_),
-          lost_hook(parts.lost_),
-          has_predecessor_ended(parts.has_predecessor_ended_),
-          state(parts.pool_),
+          lost_hook(parts.lost_), state(parts.pool_),
           roster(parts.pool_, parts.key_, parts.revision_, *parts.store_),
           writer(parts.pool_, parts.key_, parts.revision_, state, *parts.store_,
                  roster,
@@ -73,8 +71,6 @@
     base::duration lease;
     std::function<bool()> may_order;
     std::function<void(std::string_view)> lost_hook;
-    /// The process of the earlier owner has ended.
-    bool has_predecessor_ended;
     bool is_loaded = false;
     bool is_stopping = false;
     bool has_handed_over = false;
@@ -168,9 +164,7 @@
     const base::time_point now = base::steady_now();
     for (const auto& entry : entries)
     {
-        state.inherit_worker(
-            entry, now + inherited_lease(entry, lease, has_predecessor_ended),
-            now);
+        state.inherit_worker(entry, now + inherited_lease(entry, lease), now);
         link_of(entry.worker);
     }
 }
--- a/src/pools/pool_owner.hpp
+++ b/src/pools/pool_owner.hpp
@@ -68,9 +68,6 @@
         builder& worker_lease(base::duration length);
         /// Returns whether the instance's lease still allows orders.
         builder& may_order(std::function<bool()> check);
-        /// Whether the process of the earlier owner has ended, so that it
-        /// sends no more orders.
-        builder& predecessor_has_ended(bool has_ended);
         /// Called once when the ownership ends.
         builder& on_lost(std::function<void(std::string_view reason)> hook);
         std::unique_ptr<pool_owner> build();
@@ -83,7 +80,6 @@
         platform::store_client* store_ = nullptr;
         net::http_client* http_ = nullptr;
         base::duration lease_{};
-        bool has_predecessor_ended_ = false;
         std::function<bool()> may_order_;
         std::function<void(std::string_view)> lost_;
     };
--- a/src/pools/pool_owner_builder.cpp
+++ b/src/pools/pool_owner_builder.cpp
@@ -50,10 +50,4 @@
     return *this;
 }
 
-pool_owner::builder& pool_owner::builder::predecessor_has_ended(bool has_ended)
-{
-    has_predecessor_ended_ = has_ended;
-    return *this;
-}
-
 } // namespace pimentograde::pools
--- a/src/pools/stored_pool.cpp
+++ b/src/pools/stored_pool.cpp
@@ -80,15 +80,13 @@
     }
 }
 
+// The process of the last owner may have ended, but not that of one before it.
 base::duration inherited_lease(const jobs::roster_entry& entry,
-                               base::duration lease, bool has_predecessor_ended)
+                               base::duration lease)
 {
     if (entry.lease_left)
         return *entry.lease_left;
-    const base::duration last_order =
-        has_predecessor_ended ? base::duration::zero()
-                              : base::duration(max_orders_after_takeover);
-    return last_order + worker_link::longest_lease(lease);
+    return max_orders_after_takeover + worker_link::longest_lease(lease);
 }
 
 } // namespace pimentograde::pools
--- a/src/pools/stored_pool.hpp
+++ b/src/pools/stored_pool.hpp
@@ -36,8 +36,7 @@
 /// How long runs may last on a worker of an earlier owner that does not answer.
 /// `lease` is the longest one that workers grant.
 base::duration inherited_lease(const jobs::roster_entry& entry,
-                               base::duration lease,
-                               bool has_predecessor_ended);
+                               base::duration lease);
 
 } // namespace pimentograde::pools
 
--- a/tests/disturbance/pool_owner_test.cpp
+++ b/tests/disturbance/pool_owner_test.cpp
@@ -1,6 +1,7 @@
 // A single pool owner with the platform's test double.
 
 #include "base/error.hpp"
+#include "net/http_server.hpp"
 #include "node/cluster.hpp"
 #include "platform/worker_entry.hpp"
 #include "pools/collect_delay.hpp"
@@ -207,3 +208,84 @@
     boost::this_fiber::sleep_for(500ms);
     CHECK(all.starts() == 1);
 }
+
+// Guards against a second run of a task whose first one an owner before the
+// last keeps alive: it is cut off from the store and still sends orders, and
+// the last one was killed just after its claim and starts again.
+TEST_CASE("a restarted owner waits for the owner before it")
+{
+    platform_double platform;
+    platform.configure(1, "pool");
+    auto& first = platform.add_worker("w0", "pool", 100ms);
+    const std::string role = "pimentograde/role/pool/pool";
+    bool is_cut_off = false;
+    const auto reach_store =
+        net::http_server::builder{}
+            .listen_on({"127.0.0.1", 0})
+            .handle_with(
+                [&](const net::http_request& request)
+                {
+                    return is_cut_off ? net::http_response{503, "{}"}
+                                      : platform.store.handle(request);
+                })
+            .build();
+    const auto store = platform::store_client::builder{}
+                           .connect_to(reach_store->local_endpoint())
+                           .build();
+    const auto http = net::http_client::builder{}.max_idle(2).build();
+    platform.store.put(role, "{}");
+    bool may_order = true;
+    const auto earlier = pools::pool_owner::builder{}
+                             .pool("pool")
+                             .ownership(role, platform.store.revision_of(role))
+                             .store(*store)
+                             .http(*http)
+                             .worker_lease(1500ms)
+                             .may_order([&] { return may_order; })
+                             .on_lost([](std::string_view) {})
+                             .build();
+    earlier->set_policies(
+        std::vector{jobs::queue_policy{"queue", "pool", 0, 3, 1.6, 600ms}});
+    earlier->set_workers(std::vector{platform::read_worker_entry(
+        "w0", platform.store.value_of("servers/w0"))});
+    earlier->start();
+    jobs::job_spec spec;
+    spec.payload = "lasts";
+    spec.steps.resize(1);
+    spec.steps[0].need = {1000, 10, 0};
+    spec.steps[0].estimate = 100ms;
+    spec.steps[0].is_long_running = true;
+    REQUIRE(eventually(
+        [&]
+        {
+            return earlier->submit(id_a, spec, "queue", base::steady_now() + 2s)
+                       .outcome == pools::submission_answer::kind::accepted;
+        }));
+    REQUIRE(eventually([&] { return first.running_count() == 1; }));
+
+    // The lease of the earlier owner has ended, and `e0` was killed just after
+    // its claim.
+    is_cut_off = true;
+    const auto free_at = base::steady_now();
+    first.highest_reachable_fence = earlier->fence();
+    platform.add_worker("w1", "pool", 100ms);
+    platform.store.put(
+        role, R"({"node":"e0","incarnation":1,"address":"127.0.0.1:1"})");
+    const entry restarted(platform, "e0");
+    const caller client;
+    CHECK(eventually([&] { return client.owns_pool(restarted); }, 2s));
+    // The earlier owner orders until 6 s after a renewal that its lease of 2.5
+    // s has outlived, and the run lives for a lease after the last order.
+    CHECK(!eventually([&] { return platform.starts_of(id_a + ".0.0.0") > 1; },
+                      free_at + 3200ms - base::steady_now()));
+    CHECK(first.running_count() == 1);
+    may_order = false;
+    const auto last_order_at = base::steady_now();
+    CHECK(eventually([&] { return platform.starts_of(id_a + ".0.0.0") > 1; },
+                     10s));
+    CHECK(base::steady_now() - last_order_at >= 1500ms);
+    first.highest_reachable_fence = 0;
+    restarted.instance->stop();
+    is_cut_off = false;
+    earlier->quiesce();
+}
--- a/tools/platform_standin/worker_double.cpp
+++ b/tools/platform_standin/worker_double.cpp
@@ -79,6 +79,8 @@
     const json::value parsed = json::parse(request.body);
     const json::object& body = parsed.as_object();
     const auto fence = body.at("FencingToken").to_number<std::int64_t>();
+    while (highest_reachable_fence != 0 && fence > highest_reachable_fence)
+        boost::this_fiber::sleep_for(20ms);
     if (fence < fence_)
     {
         ++fenced_off;
--- a/tools/platform_standin/worker_double.hpp
+++ b/tools/platform_standin/worker_double.hpp
@@ -27,6 +27,9 @@
 
     /// Sends no answers while set.
     bool is_silent = false;
+    /// Sends no answers to callers with a higher fence than this, as if they
+    /// were cut off; 0 answers all.
+    std::int64_t highest_reachable_fence = 0;
     /// Answers carry bytes that are not the protocol's; nothing is done.
     bool is_garbled = false;
     std::string outcome = "done";
