Take no claim for valid whose lease has ended

Callers would see a pool without an owner, for good if no other instance is left to claim it: a claim whose answer came after its lease had been lost and the instance had registered again was noted as the role's holder. The owner that was opened on it was refused by the store, and each new claim expected the revision of a key that no longer existed. A missed removal had the same effect.

Evidence: the two new tests failed before; among others the next claim printed "CHECK( one.members.claim("pool/a").has_value() ) is NOT correct".

A claim now counts only if the lease under which it was written is still the session's, and a refused claim replaces the known holder by what the store returned.

--- a/src/node/session.cpp
+++ b/src/node/session.cpp
@@ -250,6 +250,11 @@
     const std::string key = role_key(role);
     // Either way the store holds the role at this revision no more.
     store_.commit({{{key, revision}}, {}, {key}});
+    forget_holder(role, revision);
+}
+
+void session::forget_holder(std::string_view role, std::int64_t revision)
+{
     const auto found = holders_.find(role);
     if (found != holders_.end() && found->second.revision == revision)
         holders_.erase(found);
@@ -260,9 +265,19 @@
     const std::string key = role_key(role);
     const holder* current = holder_of(role);
     const std::int64_t revision = current == nullptr ? 0 : current->revision;
+    const std::int64_t lease = lease_;
     const auto result =
-        store_.commit({{{key, revision}}, {{key, holder_value(), lease_}}, {}});
-    if (result.outcome != platform::commit_result::kind::committed)
+        store_.commit({{{key, revision}}, {{key, holder_value(), lease}}, {}});
+    if (result.outcome == platform::commit_result::kind::conflict)
+    {
+        // The watch may have missed the change, or tell of it later.
+        forget_holder(role, revision);
+        for (const auto& item : result.actual)
+            apply_item(item);
+    }
+    // The claim ends with its lease, which may have been lost meanwhile.
+    if (result.outcome != platform::commit_result::kind::committed ||
+        lease != lease_)
         return std::nullopt;
     holders_[std::string(role)] = {own_.name, own_.incarnation, own_.address,
                                    result.revision};
--- a/src/node/session.hpp
+++ b/src/node/session.hpp
@@ -139,6 +139,8 @@
     void renew();
     void apply_item(const platform::store_item& item);
     void read_item(const platform::store_item& item);
+    /// Forgets the role's holder if it is the one of this revision.
+    void forget_holder(std::string_view role, std::int64_t revision);
     void remove_key(std::string_view key, std::int64_t revision);
     [[nodiscard]] bool has_ended(const holder& candidate) const;
     void handle_lease_lost();
--- a/tests/node/session_test.cpp
+++ b/tests/node/session_test.cpp
@@ -95,3 +95,47 @@
     CHECK(may_order(*next));
     CHECK(!may_order(*revision));
 }
+
+// Guards against a role that nobody can claim: the answer to a claim came after
+// its lease had ended, and the instance took itself for the holder for good.
+TEST_CASE("a claim that is answered after the end of its lease does not count")
+{
+    registered_session one;
+    auto& store = one.platform.store;
+    store.faults.commit_answer_delay = 950ms;
+    std::optional<std::int64_t> revision;
+    net::task_group claims;
+    claims.spawn([&] { revision = one.members.claim("pool/a"); });
+    boost::this_fiber::sleep_for(50ms);
+    REQUIRE(store.revision_of(node::session::role_key("pool/a")) > 0);
+    store.end_leases();
+    store.faults.commit_answer_delay = {};
+    REQUIRE(eventually([&] { return one.losses == 1; }));
+    REQUIRE(eventually([&] { return one.members.is_registered(); }));
+    claims.join();
+    CHECK(!revision);
+    CHECK(one.members.holder_of("pool/a") == nullptr);
+    CHECK(one.members.claim("pool/a").has_value());
+}
+
+// Guards against a role that nobody can claim: the instance missed the change
+// that removed it, and each claim expected the revision of the removed key.
+TEST_CASE("a refused claim shows the present holder")
+{
+    registered_session one;
+    const std::int64_t removed = 1'000'000;
+    one.members.apply_changes(
+        std::vector{platform::store_event{one.stored_role(removed), false}});
+    REQUIRE(one.members.holder_of("pool/a") != nullptr);
+    CHECK(!one.members.claim("pool/a"));
+    CHECK(one.members.holder_of("pool/a") == nullptr);
+    CHECK(one.members.claim("pool/a").has_value());
+    one.members.apply_changes(
+        std::vector{platform::store_event{one.stored_role(removed), false}});
+    one.platform.store.put(
+        node::session::role_key("pool/a"),
+        R"({"node":"e1","incarnation":8,"address":"127.0.0.1:1"})");
+    CHECK(!one.members.claim("pool/a"));
+    REQUIRE(one.members.holder_of("pool/a") != nullptr);
+    CHECK(one.members.holder_of("pool/a")->node == "e1");
+}
--- a/tools/platform_standin/store_double.cpp
+++ b/tools/platform_standin/store_double.cpp
@@ -288,6 +288,12 @@
     }
     for (const json::value& row : removals)
         erase(std::string(row.as_string()), revision_);
+    if (faults.commit_answer_delay > base::duration::zero())
+    {
+        const std::int64_t committed = revision_;
+        boost::this_fiber::sleep_for(faults.commit_answer_delay);
+        return json_answer(200, {{"Rev", committed}});
+    }
     // 37 and 100 have no common factor: the losses are spread evenly.
     if (++commits_ * 37 % 100 < faults.lost_commits)
         boost::this_fiber::sleep_for(2s);
--- a/tools/platform_standin/store_double.hpp
+++ b/tools/platform_standin/store_double.hpp
@@ -29,6 +29,8 @@
     std::string kept_key;
     /// Commits take effect this long after they arrive.
     base::duration commit_delay{};
+    /// Commits are answered this long after they took effect.
+    base::duration commit_answer_delay{};
     /// Listings of workers take this long.
     base::duration worker_listing_delay{};
     /// Watches are told that the history is gone.
