Reject worker entries with values out of range

Sums of capacities overflowed, and orders went to port 0. An id with a line break became part of the header of each order.

Each number now has a named range, texts have a longest length, and an address must be one that a peer can have. An entry outside of them names no worker, as PROTOCOL.md says of entries of other writers. Both a negative RemainingMs and one too large are rejected: a worker that drains writes what is left.

--- a/src/net/endpoint.cpp
+++ b/src/net/endpoint.cpp
@@ -38,4 +38,15 @@
     return endpoint{std::string(host), port};
 }
 
+std::optional<endpoint> parse_peer_endpoint(std::string_view text)
+{
+    auto where = parse_endpoint(text);
+    if (!where || where->port == 0)
+        return std::nullopt;
+    const auto address = boost::asio::ip::make_address(where->address);
+    if (address.is_unspecified() || address.is_multicast())
+        return std::nullopt;
+    return where;
+}
+
 } // namespace pimentograde::net
--- a/src/net/endpoint.hpp
+++ b/src/net/endpoint.hpp
@@ -24,6 +24,9 @@
 
 /// Parses `address:port`; empty when the text is not an IP address and port.
 std::optional<endpoint> parse_endpoint(std::string_view text);
+/// The same; also empty when no peer can be reached there: port 0, or an
+/// unspecified or multicast address.
+std::optional<endpoint> parse_peer_endpoint(std::string_view text);
 
 } // namespace pimentograde::net
 
--- a/src/platform/json_call.cpp
+++ b/src/platform/json_call.cpp
@@ -82,6 +82,15 @@
     return value;
 }
 
+std::int64_t read_bounded(const json::object& source, std::string_view name,
+                          std::int64_t max, std::int64_t fallback)
+{
+    const std::int64_t value = read_integer(source, name, fallback);
+    if (value < 0 || value > max)
+        reject(name, "in its range");
+    return value;
+}
+
 double read_number(const json::object& source, std::string_view name,
                    double fallback)
 {
--- a/src/platform/json_call.hpp
+++ b/src/platform/json_call.hpp
@@ -62,6 +62,10 @@
 /// `invalid` error that names the member.
 std::int64_t read_integer(const boost::json::object& source,
                           std::string_view name, std::int64_t fallback = 0);
+/// The same for a number from 0 to `max`; any other is an `invalid` error.
+std::int64_t read_bounded(const boost::json::object& source,
+                          std::string_view name, std::int64_t max,
+                          std::int64_t fallback = 0);
 double read_number(const boost::json::object& source, std::string_view name,
                    double fallback);
 bool read_flag(const boost::json::object& source, std::string_view name);
--- a/src/platform/worker_entry.hpp
+++ b/src/platform/worker_entry.hpp
@@ -15,6 +15,7 @@
 jobs::worker_description read_worker_entry(std::string_view id,
                                            std::string_view text);
 
+/// Throws `base::error` with `invalid` for an amount out of range.
 jobs::resource_amount read_capacity(const boost::json::object& source);
 
 } // namespace pimentograde::platform
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -130,6 +130,61 @@
     }
 }
 
+// Guards against a worker at port 0, and against sums of capacities and times
+// that overflow.
+TEST_CASE("a worker entry with numbers or texts out of range is refused")
+{
+    const auto entry = [](const std::string& members)
+    {
+        return R"({"Service":"p","Zone":"z",)" + members + "}";
+    };
+    const std::string at = R"("State":"ready","Address":"10.0.0.1:80")";
+    const std::string cores = R"("Capacity":{"Cpu":4000,"MemMb":1,"Gpu":0})";
+    const std::string long_text(300, 'x');
+    CHECK_NOTHROW(read_worker_entry("w", entry(at + "," + cores)));
+    for (const char* address : {"10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1:70000",
+                                "0.0.0.0:80", "239.0.0.1:80", "[::]:80"})
+    {
+        CAPTURE(address);
+        CHECK_THROWS_AS(
+            read_worker_entry("w", entry(R"("State":"ready","Address":")" +
+                                         std::string(address) + "\"," + cores)),
+            base::error);
+    }
+    for (const char* members :
+         {R"("Capacity":{"Cpu":9223372036854775807})",
+          R"("Capacity":{"Cpu":1e18})", R"("Capacity":{"Cpu":1e300})",
+          R"("Capacity":{"Cpu":-5})", R"("Capacity":{"MemMb":-1})",
+          R"("Capacity":{"Gpu":9223372036854775807})"})
+    {
+        CAPTURE(members);
+        CHECK_THROWS_AS(read_worker_entry("w", entry(at + "," + members)),
+                        base::error);
+    }
+    for (const std::string& members :
+         {std::string(R"("RemainingMs":9223372036854775807)"),
+          std::string(R"("RemainingMs":-1)"),
+          std::string(R"("born":-9223372036854775807)"),
+          std::string(R"("born":9223372036854775807)"),
+          R"("Labels":[")" + long_text + R"("])",
+          R"("Labels":[)" + std::string(2000, '0') + "]",
+          R"("Zone":")" + long_text + R"(")"})
+    {
+        CAPTURE(members);
+        CHECK_THROWS_AS(
+            read_worker_entry("w", entry(at + "," + cores + "," + members)),
+            base::error);
+    }
+    for (const std::string& id :
+         {std::string(), long_text, std::string("a\r\nX-Other: b"),
+          std::string("\xff\xfe")})
+    {
+        CAPTURE(id);
+        CHECK_THROWS_AS(read_worker_entry(id, entry(at + "," + cores)),
+                        base::error);
+    }
+}
+
 TEST_CASE("settings are read, unknown members ignored, faults named")
 {
     const std::string text =
