Reject waves with a time limit or bound out of range

FinishByS 1e300 was converted to a 64-bit count, which is undefined, Cap became 1, and negative values were taken as they were. A machine that is no string raised an error without its step.

The test failed on the code before: four values "did NOT throw at all", and the odd machine "threw a DIFFERENT exception: not a string".

--- a/src/platform/configuration.cpp
+++ b/src/platform/configuration.cpp
@@ -10,6 +10,10 @@
 namespace
 {
 
+constexpr std::chrono::hours max_wave_time{24 * 365};
+// Machines.
+constexpr std::int64_t max_cap = 1'000'000;
+
 json::object parse_object(std::string_view text, std::string_view step)
 {
     boost::system::error_code failure;
@@ -80,12 +84,21 @@
     fleet::maintenance_wave wave;
     wave.number = read_integer(source, "Wave");
     for (const json::value& row : read_array(source, "Machines"))
-        wave.machines.emplace_back(row.as_string());
+    {
+        if (!row.is_string())
+            throw base::error(base::error_code::invalid, "read wave", "",
+                              "a machine is not a string");
+        wave.machines.emplace_back(row.get_string());
+    }
+    const double limit_s = read_number(source, "FinishByS", 0.0);
+    if (!(limit_s >= 0.0 && limit_s <= base::count_seconds(max_wave_time)))
+        throw base::error(base::error_code::invalid, "read wave", "",
+                          "FinishByS is out of range");
     constexpr double nanos_per_second = 1e9;
-    wave.time_limit = base::duration(static_cast<std::int64_t>(
-        read_number(source, "FinishByS", 0.0) * nanos_per_second));
+    wave.time_limit =
+        base::duration(static_cast<std::int64_t>(limit_s * nanos_per_second));
     // Bound of the machines that are down at once, not of their number.
-    wave.max_down = static_cast<int>(read_integer(source, "Cap", 1));
+    wave.max_down = static_cast<int>(read_bounded(source, "Cap", max_cap, 1));
     return wave;
 }
 
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -185,6 +185,21 @@
     }
 }
 
+// Guards against a time limit or bound of a wave that overflows.
+TEST_CASE("numbers of a wave that are out of range are refused")
+{
+    CHECK(read_wave(R"({"Wave":1,"Machines":["m"],"FinishByS":90,"Cap":2})")
+              .time_limit == 90s);
+    for (const char* text :
+         {R"({"Wave":1,"FinishByS":1e300})", R"({"Wave":1,"FinishByS":-1})",
+          R"({"Wave":1,"Cap":4294967297})", R"({"Wave":1,"Cap":-1})",
+          R"({"Wave":1,"Machines":[7]})"})
+    {
+        CAPTURE(text);
+        CHECK_THROWS_AS(read_wave(text), base::error);
+    }
+}
+
 TEST_CASE("settings are read, unknown members ignored, faults named")
 {
     const std::string text =
