Log an unusable worker entry once

The directory now keeps the reason for each id and reports an entry again only when the reason changes, or after the key was valid or gone. The contents are not compared, since a writer that raises Seq changes them with each heartbeat. pimentograde_foreign_worker_entries_total counts the reports.

--- a/src/node/node_instance.cpp
+++ b/src/node/node_instance.cpp
@@ -53,6 +53,12 @@
                                               .connect_to(settings.store)
                                               .build()),
           worker_http(net::http_client::builder{}.max_idle(2).build()),
+          directory(
+              [this] {
+                  metrics
+                      .get_counter("pimentograde_foreign_worker_entries_total")
+                      .add();
+              }),
           members({settings.name,
                    settings.zone,
                    base::random_source{}.bits(),
--- a/src/node/worker_directory.cpp
+++ b/src/node/worker_directory.cpp
@@ -31,6 +31,8 @@
             gone.push_back(id);
     for (const std::string& id : gone)
         remove(id);
+    std::erase_if(rejected_, [&](const auto& entry)
+                  { return !present.contains(entry.first); });
     for (const auto& item : items)
         apply_item(item);
     is_listed_ = true;
@@ -49,9 +51,11 @@
     for (const auto& event : events)
     {
         const std::string_view key = event.item.key;
-        const bool is_change = event.is_deleted
-                                   ? remove(key.substr(key_prefix.size()))
-                                   : apply_item(event.item);
+        const std::string_view id = key.substr(key_prefix.size());
+        if (event.is_deleted)
+            rejected_.erase(std::string(id));
+        const bool is_change =
+            event.is_deleted ? remove(id) : apply_item(event.item);
         has_changed = has_changed || is_change;
     }
     return has_changed;
@@ -63,6 +67,7 @@
     try
     {
         auto worker = platform::read_worker_entry(id, item.value);
+        rejected_.erase(id);
         auto& known = workers_[id];
         if (known == worker)
             return false;
@@ -71,12 +76,24 @@
     }
     catch (const std::exception& failure)
     {
-        log::write(platform::event_foreign_entry,
-                   {{"key", item.key}, {"reason", failure.what()}});
+        note_rejected(id, failure.what());
         return remove(id);
     }
 }
 
+// Another writer may renew its entry as often as the workers do.
+void worker_directory::note_rejected(const std::string& id,
+                                     std::string_view reason)
+{
+    std::string& known = rejected_[id];
+    if (known == reason)
+        return;
+    known = reason;
+    log::write(platform::event_foreign_entry,
+               {{"key", std::string(key_prefix) + id}, {"reason", reason}});
+    on_rejected_();
+}
+
 bool worker_directory::remove(std::string_view id)
 {
     const auto found = workers_.find(id);
