Treat a null list in an answer as missing

An answer {"Running":null} passed the check for required members and was read as an empty list. The owner would take all runs on that worker for absent and start them again; a null list of items, events or machines would remove all workers, changes or machines. A required member that is null now counts as missing, so that the answer is unreadable as a whole.

A row of Running or Finished that cannot be read also makes the answer unreadable, as before: the test for this guards the present handling, since a run whose row were left out would be started again.

The test for null lists failed on the code before with five checks "did NOT throw at all".

--- a/src/platform/json_call.cpp
+++ b/src/platform/json_call.cpp
@@ -46,7 +46,8 @@
                      const net::endpoint& where, std::string_view step)
 {
     for (const std::string_view name : names)
-        if (!response.body.contains(name))
+        if (const json::value* found = response.body.if_contains(name);
+            found == nullptr || found->is_null())
             throw base::error(base::error_code::cut_off, std::string(step),
                               net::to_string(where),
                               "the answer lacks " + std::string(name));
--- a/src/platform/json_call.hpp
+++ b/src/platform/json_call.hpp
@@ -44,8 +44,9 @@
                         const json_request& request, base::time_point deadline,
                         std::string_view step);
 
-/// Throws `cut_off` unless the response's body has all the members: an answer
-/// that is cut short or not the protocol's says nothing of the call's effect.
+/// Throws `cut_off` unless the response's body has all the members, and none is
+/// null: an answer that is cut short or not the protocol's says nothing of the
+/// call's effect.
 void require_members(const json_response& response,
                      std::initializer_list<std::string_view> names,
                      const net::endpoint& where, std::string_view step);
--- /dev/null
+++ b/tests/platform/odd_rows_test.cpp
@@ -0,0 +1,99 @@
+// Rows of lists that cannot be read.
+
+#include "base/error.hpp"
+#include "net/http_server.hpp"
+#include "platform/machine_client.hpp"
+#include "platform/store_client.hpp"
+#include "platform/worker_client.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace pimentograde;
+using namespace pimentograde::platform;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Answers each call with one body.
+struct fixed_server
+{
+    std::string body;
+    std::unique_ptr<net::http_server> server =
+        net::http_server::builder{}
+            .listen_on({"127.0.0.1", 0})
+            .handle_with(
+                [this](const net::http_request&) {
+                    return net::http_response{200, body};
+                })
+            .build();
+    std::unique_ptr<net::http_client> http =
+        net::http_client::builder{}.build();
+
+    explicit fixed_server(std::string answer) : body(std::move(answer)) {}
+    [[nodiscard]] std::unique_ptr<store_client> store() const
+    {
+        return store_client::builder{}
+            .connect_to(server->local_endpoint())
+            .build();
+    }
+    [[nodiscard]] std::vector<fleet::machine> machines() const
+    {
+        return machine_client(*http, server->local_endpoint())
+            .list(base::steady_now() + 5s);
+    }
+    [[nodiscard]] jobs::worker_report report() const
+    {
+        return worker_client(*http)
+            .list({server->local_endpoint(), "w", 1}, {},
+                  base::steady_now() + 5s)
+            .report;
+    }
+};
+
+} // namespace
+
+// Guards against runs, workers and machines that count as gone since their
+// list is null.
+TEST_CASE("a list that is null is not an empty one")
+{
+    CHECK_THROWS_AS(
+        fixed_server(R"({"ClockMs":1,"Running":null,"Finished":[]})").report(),
+        base::error);
+    CHECK_THROWS_AS(
+        fixed_server(R"({"ClockMs":1,"Running":[],"Finished":null})").report(),
+        base::error);
+    CHECK_THROWS_AS(
+        fixed_server(R"({"AsOf":7,"items":null})").store()->list("a/"),
+        base::error);
+    CHECK_THROWS_AS(fixed_server(R"({"AsOf":7,"events":null})")
+                        .store()
+                        ->watch("a/", 3, 10ms),
+                    base::error);
+    CHECK_THROWS_AS(fixed_server(R"({"Machines":null})").machines(),
+                    base::error);
+}
+
+// Guards against runs that count as absent, and are started again, since their
+// row is unreadable.
+TEST_CASE("an unreadable row of a worker's list makes the list unreadable")
+{
+    const auto listing = [](const std::string& running, const std::string& ends)
+    {
+        return fixed_server(R"({"ClockMs":1,"Running":[)" + running +
+                            R"(],"Finished":[)" + ends + "]}")
+            .report();
+    };
+    const std::string run = R"(["5c0e7a21d94b36f8.0.1.17",2,"",41])";
+    const std::string end = R"([58,"5c0e7a21d94b36f8.0.1.9",1,"done",""])";
+    CHECK(listing(run, end).running.size() == 1);
+    CHECK(listing(run, end).ended.size() == 1);
+    for (const char* odd : {"7", "null", "{}", "[]", R"([7,2,"",41])",
+                            R"(["5c0e7a21d94b36f8.0.1.18"])",
+                            R"(["5c0e7a21d94b36f8.0.1.18",1e300,"",41])"})
+    {
+        CAPTURE(odd);
+        CHECK_THROWS_AS(listing(run + "," + odd, end), std::exception);
+        CHECK_THROWS_AS(listing(run, end + "," + odd), std::exception);
+    }
+}
