Keep unreadable items of the store from hiding others

A value that is no base64 text, or a row that is no object, failed the whole listing or watch, again and again: the instance stopped following the prefix. An item whose value cannot be read is now delivered without one, so that the reader of its key rejects it; a row that names no key or revision is left out. A watch then lists again, the records of a pool count as not loaded (a job that were left out would be taken for unknown), and the holder of the machine role treats the orders of earlier holders as unreadable.

A page that names no later key made the listing ask for it forever; it is now an error.

--- a/src/node/fleet_records.cpp
+++ b/src/node/fleet_records.cpp
@@ -64,7 +64,9 @@
     // A record's key ends with its lease, so that none replaces another.
     const std::string own = std::string(orders_prefix) + std::to_string(fence);
     earlier_orders result;
-    for (const auto& item : store_.list(orders_prefix).items)
+    const auto listing = store_.list(orders_prefix);
+    result.is_readable = listing.is_complete;
+    for (const auto& item : listing.items)
     {
         if (item.key.starts_with(own + '/'))
             continue;
--- a/src/node/prefix_watch.cpp
+++ b/src/node/prefix_watch.cpp
@@ -105,12 +105,14 @@
         return;
     }
     revision_ = changes.revision;
+    // A change that cannot be read may be missing.
+    is_listed_ = changes.is_complete;
     if (changes.events.empty())
         return;
     // If applying the changes throws, the next step lists all keys again.
     is_listed_ = false;
     hooks_.changed(changes.events);
-    is_listed_ = is_active_;
+    is_listed_ = is_active_ && changes.is_complete;
     stop_.wait_for(batching_);
 }
 
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -1,7 +1,9 @@
 #include "platform/store_client.hpp"
 
 #include "base/error.hpp"
+#include "log/event.hpp"
 #include "platform/answer_watch.hpp"
+#include "platform/events.hpp"
 #include "platform/json_call.hpp"
 
 #include <openssl/evp.h>
@@ -34,6 +36,67 @@
     return item;
 }
 
+void log_unreadable(std::string_view key, std::string_view reason)
+{
+    log::write(event_foreign_entry, {{"key", key}, {"reason", reason}});
+}
+
+// An item whose value cannot be read has none, so that its key's reader rejects
+// it. Empty for a row that names no key or revision.
+std::optional<store_item> to_readable_item(const json::value& row,
+                                           bool& is_complete)
+{
+    store_item item;
+    try
+    {
+        if (!row.is_object())
+            throw base::error(base::error_code::invalid, "read item", "",
+                              "not an object");
+        const json::object& source = row.get_object();
+        item.key = read_text(source, "Key");
+        item.revision = read_integer(source, "Rev");
+        item.created = read_integer(source, "Created");
+        if (item.key.empty() || item.revision <= 0)
+            throw base::error(base::error_code::invalid, "read item", item.key,
+                              "no key or revision");
+    }
+    catch (const base::error& failure)
+    {
+        is_complete = false;
+        log_unreadable(item.key, failure.what());
+        return std::nullopt;
+    }
+    try
+    {
+        item.value = decode_base64(read_text(row.get_object(), "Value"));
+    }
+    catch (const base::error& failure)
+    {
+        is_complete = false;
+        log_unreadable(item.key, failure.what());
+    }
+    return item;
+}
+
+std::optional<store_event> to_readable_event(const json::value& row,
+                                             bool& is_complete)
+{
+    auto item = to_readable_item(row, is_complete);
+    if (!item)
+        return std::nullopt;
+    try
+    {
+        return store_event{std::move(*item),
+                           read_flag(row.get_object(), "Deleted")};
+    }
+    catch (const base::error& failure)
+    {
+        is_complete = false;
+        log_unreadable(item->key, failure.what());
+        return std::nullopt;
+    }
+}
+
 json::object to_body(const store_transaction& change)
 {
     json::array conditions;
@@ -175,9 +238,14 @@
         if (after.empty())
             listing.revision = read_integer(response.body, "AsOf");
         for (const json::value& row : read_array(response.body, "items"))
-            listing.items.push_back(to_item(row.as_object()));
-        if (!read_flag(response.body, "Truncated") || listing.items.empty())
+            if (auto item = to_readable_item(row, listing.is_complete))
+                listing.items.push_back(std::move(*item));
+        if (!read_flag(response.body, "Truncated"))
             return listing;
+        if (listing.items.empty() || listing.items.back().key <= after)
+            throw base::error(base::error_code::cut_off, "list",
+                              net::to_string(impl_->where),
+                              "a page names no later key");
         after = listing.items.back().key;
     }
 }
@@ -202,8 +270,8 @@
     require_members(response, {"events", "AsOf"}, impl_->where, "watch");
     changes.revision = read_integer(response.body, "AsOf", revision);
     for (const json::value& row : read_array(response.body, "events"))
-        changes.events.push_back(
-            {to_item(row.as_object()), read_flag(row.as_object(), "Deleted")});
+        if (auto event = to_readable_event(row, changes.is_complete))
+            changes.events.push_back(std::move(*event));
     return changes;
 }
 
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -30,6 +30,9 @@
 {
     std::vector<store_item> items;
     std::int64_t revision = 0;
+    /// False when an item was left out or has lost its value, since it cannot
+    /// be read.
+    bool is_complete = true;
 };
 
 struct store_event
@@ -45,6 +48,8 @@
     std::int64_t revision = 0;
     /// The history is gone: list the prefix again.
     bool is_compacted = false;
+    /// See `store_listing`.
+    bool is_complete = true;
 };
 
 /// Changes that take effect together, if all conditions hold. At most 32
--- a/src/pools/stored_pool.cpp
+++ b/src/pools/stored_pool.cpp
@@ -21,6 +21,18 @@
 // after its role has become free, see node/session.
 constexpr std::chrono::milliseconds max_orders_after_takeover{3500};
 
+// Without one of its records, a pool would take a job for unknown and start it
+// again.
+std::vector<platform::store_item> read_records(const std::string& pool,
+                                               platform::store_client& store)
+{
+    auto listing = store.list(record_prefix(pool));
+    if (!listing.is_complete)
+        throw base::error(base::error_code::invalid, "read records", pool,
+                          "an item of the listing is unreadable");
+    return std::move(listing.items);
+}
+
 } // namespace
 
 // Reads side by side, since a slow store takes hundreds of milliseconds a call.
@@ -50,7 +62,7 @@
             });
     };
     read([&] { result.statistics = roster.load_statistics(); });
-    read([&] { result.records = store.list(record_prefix(pool)).items; });
+    read([&] { result.records = read_records(pool, store); });
     read([&] { result.roster = roster.load(); });
     reads.join();
     if (missing > 0)
--- a/tests/platform/odd_rows_test.cpp
+++ b/tests/platform/odd_rows_test.cpp
@@ -51,6 +51,17 @@
     }
 };
 
+std::string joined(std::initializer_list<std::string> rows)
+{
+    std::string text;
+    for (const std::string& row : rows)
+        text += (text.empty() ? "" : ",") + row;
+    return text;
+}
+
+const std::string first_item = R"({"Key":"a/1","Value":"eA==","Rev":4})";
+const std::string last_item = R"({"Key":"a/9","Value":"eQ==","Rev":9})";
+
 } // namespace
 
 // Guards against runs, workers and machines that count as gone since their
@@ -97,3 +108,46 @@
         CHECK_THROWS_AS(listing(run, end + "," + odd), std::exception);
     }
 }
+
+// Guards against a listing or watch that fails again and again, since one item
+// is unreadable.
+TEST_CASE("an unreadable item of the store hides no other item")
+{
+    const std::string odd_value =
+        R"({"Key":"a/2","Value":"***","Rev":5},{"Key":"a/3","Value":7,"Rev":6})";
+    const std::string nameless =
+        R"(7,null,{"Key":8,"Value":"eA==","Rev":7},{"Key":"a/4","Rev":1e300})";
+    const std::string rows =
+        joined({first_item, odd_value, nameless, last_item});
+    const auto listing = fixed_server(R"({"AsOf":9,"items":[)" + rows + "]}")
+                             .store()
+                             ->list("a/");
+    REQUIRE(listing.items.size() == 4);
+    CHECK(listing.items.front().value == "x");
+    CHECK(listing.items.back().value == "y");
+    CHECK(listing.items[1].key == "a/2");
+    CHECK(listing.items[1].value.empty());
+    CHECK_FALSE(listing.is_complete);
+    const auto changes = fixed_server(R"({"AsOf":9,"events":[)" + rows + "]}")
+                             .store()
+                             ->watch("a/", 3, 10ms);
+    REQUIRE(changes.events.size() == 4);
+    CHECK(changes.events.front().item.value == "x");
+    CHECK(changes.events.back().item.value == "y");
+    CHECK_FALSE(changes.is_complete);
+    CHECK(fixed_server(R"({"AsOf":9,"items":[)" + first_item + "]}")
+              .store()
+              ->list("a/")
+              .is_complete);
+}
+
+// Guards against a listing that asks for the same page forever.
+TEST_CASE("a page that names no later key ends the listing with an error")
+{
+    for (const std::string& rows : {std::string("7"), first_item})
+        CHECK_THROWS_AS(fixed_server(R"({"AsOf":9,"Truncated":true,"items":[)" +
+                                     rows + "]}")
+                            .store()
+                            ->list("a/"),
+                        base::error);
+}
