Refuse a roster with an invalid address

The address of a worker in the roster was used without a check: the link to the worker dereferences the parsed address, which is empty for an invalid one, and the behaviour of the process is then undefined. The entry is not left out, since its worker would be taken for one without runs, whose tasks may start again.

The test failed without the check: three invalid addresses were loaded.

--- a/src/pools/stored_pool.cpp
+++ b/src/pools/stored_pool.cpp
@@ -3,6 +3,7 @@
 #include "base/error.hpp"
 #include "jobs/job_record.hpp"
 #include "log/event.hpp"
+#include "net/endpoint.hpp"
 #include "net/task_group.hpp"
 #include "pools/events.hpp"
 #include "pools/job_writer.hpp"
@@ -33,6 +34,18 @@
     return std::move(listing.items);
 }
 
+// A worker that was left out would be taken for one without runs.
+std::vector<jobs::roster_entry> read_roster(roster_store& roster)
+{
+    auto entries = roster.load();
+    for (const jobs::roster_entry& entry : entries)
+        if (!net::parse_endpoint(entry.worker.address))
+            throw base::error(base::error_code::invalid, "read roster",
+                              entry.worker.id,
+                              "the address is not an IP address and port");
+    return entries;
+}
+
 } // namespace
 
 // Reads side by side, since a slow store takes hundreds of milliseconds a call.
@@ -63,7 +76,7 @@
     };
     read([&] { result.statistics = roster.load_statistics(); });
     read([&] { result.records = read_records(pool, store); });
-    read([&] { result.roster = roster.load(); });
+    read([&] { result.roster = read_roster(roster); });
     reads.join();
     if (missing > 0)
         return std::nullopt;
--- a/tests/disturbance/pool_owner_test.cpp
+++ b/tests/disturbance/pool_owner_test.cpp
@@ -7,6 +7,7 @@
 #include "pools/collect_delay.hpp"
 #include "pools/pool_owner.hpp"
 #include "pools/roster_store.hpp"
+#include "pools/stored_pool.hpp"
 
 using namespace pimentograde;
 using namespace pimentograde::node_tests;
@@ -289,3 +290,28 @@
     is_cut_off = false;
     earlier->quiesce();
 }
+
+// Guards against an address in the roster that ends the process when the worker
+// is asked for its runs, and against a worker that is left out.
+TEST_CASE("a roster with an invalid address is not used")
+{
+    platform_double platform;
+    auto store = platform::store_client::builder{}
+                     .connect_to(platform.store_address())
+                     .build();
+    const auto claim = store->commit({{}, {{"owner", "x", 0}}, {}});
+    pools::roster_store roster("pool", "owner", claim.revision, *store);
+    jobs::worker_description worker;
+    worker.id = "w1";
+    const auto load = [&](const std::string& address)
+    {
+        worker.address = address;
+        platform.store.put(
+            pools::roster_key("pool"),
+            jobs::encode_roster(std::vector{jobs::roster_entry{worker}}));
+        return pools::read_stored_pool("pool", *store, roster);
+    };
+    for (const char* address : {"", "nowhere", "127.0.0.1:70000"})
+        CHECK_FALSE(load(address));
+    CHECK(load("127.0.0.1:80")->roster.size() == 1);
+}
