Keep an unreadable machine from hiding the others

One row with an odd capacity, label or pool made the whole list of the machine service unreadable: no wave and no move went on while it was there. It is not left out, since a machine that is missing counts as gone from its wave. A row that names no machine still makes the list unreadable, for the same reason.

The test failed on the code before: "test case THREW exception: read member: invalid: Cpu is not a whole number".

--- a/src/platform/machine_client.cpp
+++ b/src/platform/machine_client.cpp
@@ -1,6 +1,8 @@
 #include "platform/machine_client.hpp"
 
 #include "base/error.hpp"
+#include "log/event.hpp"
+#include "platform/events.hpp"
 #include "platform/json_call.hpp"
 #include "platform/worker_entry.hpp"
 
@@ -41,6 +43,33 @@
     return entry;
 }
 
+// A machine that were missing would count as gone from its wave, so one whose
+// other members are unreadable is listed as down.
+fleet::machine to_listed_machine(const json::value& row,
+                                 const net::endpoint& where)
+{
+    const json::object* source = row.if_object();
+    const json::value* id =
+        source == nullptr ? nullptr : source->if_contains("Machine");
+    if (id == nullptr || !id->is_string() || id->get_string().empty())
+        throw base::error(base::error_code::cut_off, "list machines",
+                          net::to_string(where), "a row names no machine");
+    try
+    {
+        return to_machine(*source);
+    }
+    catch (const base::error& failure)
+    {
+        log::write(event_machine_unreadable,
+                   {{"machine", std::string_view(id->get_string())},
+                    {"reason", failure.what()}});
+        fleet::machine entry;
+        entry.id = std::string(id->get_string());
+        entry.status = fleet::machine_status::down;
+        return entry;
+    }
+}
+
 machine_answer order(net::http_client& client, const net::endpoint& where,
                      const machine_authority& authority, const char* path,
                      json::object body, base::time_point deadline,
@@ -104,7 +133,7 @@
             throw unexpected_status(response.status, where_, "list machines");
         require_members(response, {"Machines"}, where_, "list machines");
         for (const json::value& row : read_array(response.body, "Machines"))
-            machines.push_back(to_machine(row.as_object()));
+            machines.push_back(to_listed_machine(row, where_));
         const json::value* next = response.body.if_contains("NextToken");
         token.clear();
         if (next != nullptr && next->is_string())
--- a/tests/platform/odd_rows_test.cpp
+++ b/tests/platform/odd_rows_test.cpp
@@ -151,3 +151,42 @@
                             ->list("a/"),
                         base::error);
 }
+
+// Guards against machines that cannot be used, or count as gone from their
+// wave, since another machine's row is unreadable.
+TEST_CASE("an unreadable row of the machines costs that machine")
+{
+    const auto row = [](const std::string& id, const std::string& members)
+    {
+        return R"({"Machine":")" + id +
+               R"(","Pool":"p","State":"up","Id":"w")" + members + "}";
+    };
+    const std::string capacity = R"(,"Capacity":{"Cpu":4000,"MemMb":1})";
+    const std::string good = row("m1", capacity);
+    const std::string last = row("m9", capacity);
+    for (const std::string& odd :
+         {row("m2", R"(,"Capacity":{"Cpu":1e300})"),
+          row("m2", R"(,"Capacity":{"Cpu":-5})"), row("m2", R"(,"Labels":7)"),
+          std::string(R"({"Machine":"m2","Pool":[],"State":"up"})")})
+    {
+        CAPTURE(odd);
+        const auto machines =
+            fixed_server(R"({"Machines":[)" + joined({good, odd, last}) + "]}")
+                .machines();
+        REQUIRE(machines.size() == 3);
+        CHECK(machines[0].status == fleet::machine_status::up);
+        CHECK(machines[2].status == fleet::machine_status::up);
+        CHECK(machines[2].capacity.cpu_millis == 4000);
+        CHECK(machines[1].id == "m2");
+        CHECK(machines[1].status == fleet::machine_status::down);
+        CHECK(machines[1].worker.empty());
+    }
+    for (const char* nameless : {"7", "{}", R"({"Machine":7})"})
+    {
+        CAPTURE(nameless);
+        CHECK_THROWS_AS(fixed_server(R"({"Machines":[)" +
+                                     joined({good, nameless, last}) + "]}")
+                            .machines(),
+                        base::error);
+    }
+}
