Test that an invalid entry of a worker leaves its tasks alone

Another writer replaces the entry of a worker at work for 2 s, with bytes that are no text, 100,000 levels, port 0 and a capacity of 1e300. The worker is taken off the list, but its link keeps asking for its runs while there are any: no task starts twice, the long-running one goes on, and the worker gets tasks again once its entry is valid.

--- a/tests/disturbance/untrusted_input_test.cpp
+++ b/tests/disturbance/untrusted_input_test.cpp
@@ -155,3 +155,40 @@
         },
         10s));
 }
+
+// Guards against tasks that start again, and a worker that is not used any
+// more, since another writer has replaced the entry of the worker for a while.
+TEST_CASE("an invalid entry of a worker at work leaves its tasks alone")
+{
+    cluster all(1, 1, 700ms);
+    const auto& only = *all.entries[0];
+    CHECK(all.client.submit(only, id_a, lasting) == 200);
+    CHECK(all.client.submit(only, id_b, two_steps) == 200);
+    CHECK(eventually(
+        [&]
+        {
+            return all.platform.starts_of(id_a + ".0.0.0") == 1 &&
+                   all.platform.starts_of(id_b + ".0.0.0") == 1;
+        }));
+    const std::string entries[] = {
+        "\xff\xfe", std::string(100'000, '['),
+        R"({"Service":"pool","Address":"127.0.0.1:0","State":"ready"})",
+        R"({"Service":"pool","Address":"127.0.0.1:1","State":"ready",
+        "Capacity":{"Cpu":1e300}})"};
+    for (const std::string& entry : entries)
+    {
+        all.platform.store.put("servers/w0", entry);
+        boost::this_fiber::sleep_for(500ms);
+    }
+    CHECK(all.client.state(only, id_a) == running);
+    all.platform.announce("w0");
+    CHECK(all.completes(0, id_b));
+    CHECK(all.client.state(only, id_a) == running);
+    for (const std::string& task :
+         {id_a + ".0.0.0", id_b + ".0.0.0", id_b + ".0.0.1", id_b + ".0.0.2",
+          id_b + ".0.1.0"})
+    {
+        CAPTURE(task);
+        CHECK(all.platform.starts_of(task) == 1);
+    }
+}
