Name the worker in the error for an unreadable list

A row of Running or Finished of another type raised an error of the JSON library, without step or peer, although the client's calls are to throw base::error. The list is unreadable as before, now with cut_off, the step and the worker's address.

--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -88,6 +88,22 @@
     return report;
 }
 
+// A run whose row were left out would be taken for absent and started again, so
+// an unreadable row makes the whole list unreadable.
+jobs::worker_report to_whole_report(const json::object& body,
+                                    const net::endpoint& where)
+{
+    try
+    {
+        return to_report(body);
+    }
+    catch (const std::exception& failure)
+    {
+        throw base::error(base::error_code::cut_off, "list runs",
+                          net::to_string(where), failure.what());
+    }
+}
+
 jobs::start_answer to_start_answer(std::string_view reason)
 {
     if (reason == "room")
@@ -187,10 +203,9 @@
         throw unexpected_status(response.status, target.where, "list runs");
     else
     {
-        // Runs that an incomplete list does not show would be started again.
         require_members(response, {"ClockMs", "Running", "Finished"},
                         target.where, "list runs");
-        listing.report = to_report(response.body);
+        listing.report = to_whole_report(response.body, target.where);
     }
     return listing;
 }
--- a/tests/platform/odd_rows_test.cpp
+++ b/tests/platform/odd_rows_test.cpp
@@ -104,8 +104,8 @@
                             R"(["5c0e7a21d94b36f8.0.1.18",1e300,"",41])"})
     {
         CAPTURE(odd);
-        CHECK_THROWS_AS(listing(run + "," + odd, end), std::exception);
-        CHECK_THROWS_AS(listing(run, end + "," + odd), std::exception);
+        CHECK_THROWS_AS(listing(run + "," + odd, end), base::error);
+        CHECK_THROWS_AS(listing(run, end + "," + odd), base::error);
     }
 }
 
