Refuse odd settings and configurations with the project's error

Rows of a configuration that are no objects and ports out of range raised errors of the JSON library, without their step; times of 1e300 seconds in the settings were converted to a 64-bit count, which is undefined.

--- a/src/platform/configuration.cpp
+++ b/src/platform/configuration.cpp
@@ -24,6 +24,14 @@
     return std::move(parsed.get_object());
 }
 
+const json::object& to_object(const json::value& row)
+{
+    if (!row.is_object())
+        throw base::error(base::error_code::invalid, "read configuration", "",
+                          "a row is not an object");
+    return row.get_object();
+}
+
 queue_route read_route(const json::object& source)
 {
     queue_route route;
@@ -63,10 +71,10 @@
     configuration result;
     result.version = read_integer(source, "Version");
     for (const json::value& row : read_array(source, "Routes"))
-        result.queues.push_back(read_route(row.as_object()));
+        result.queues.push_back(read_route(to_object(row)));
     for (const json::value& row : read_array(source, "Services"))
     {
-        const json::object& entry = row.as_object();
+        const json::object& entry = to_object(row);
         result.pools.push_back({read_text(entry, "Name"),
                                 read_flag(entry, "Standby"),
                                 read_flag(entry, "EnforcesCapacity")});
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -10,6 +10,8 @@
 namespace
 {
 
+constexpr std::chrono::hours max_time{24 * 365};
+
 [[noreturn]] void reject(std::string_view name, std::string_view expected)
 {
     throw base::error(base::error_code::invalid, "read settings", "",
@@ -37,7 +39,7 @@
                            std::int64_t fallback)
 {
     const std::int64_t value = read_integer(source, name, fallback);
-    if (value < 0)
+    if (value < 0 || value > base::count_millis(max_time))
         reject(name, "milliseconds");
     return std::chrono::milliseconds(value);
 }
@@ -47,16 +49,20 @@
 {
     constexpr double nanos_per_second = 1e9;
     const double value = read_number(source, name, fallback);
-    if (value < 0)
+    if (!(value >= 0 && value <= base::count_seconds(max_time)))
         reject(name, "seconds");
     return base::duration(static_cast<std::int64_t>(value * nanos_per_second));
 }
 
 std::uint16_t read_port(const json::array& ports, std::size_t index)
 {
-    if (ports.size() <= index || !ports[index].is_int64())
+    boost::system::error_code failure;
+    const auto port = ports.size() <= index
+                          ? std::uint16_t{0}
+                          : ports[index].to_number<std::uint16_t>(failure);
+    if (failure || port == 0)
         reject("InternalPorts", "two port numbers");
-    return ports[index].to_number<std::uint16_t>();
+    return port;
 }
 
 void read_bounds(const json::object& bounds, node_settings& settings)
