Withdraw the stored lease ends before extending any

Callers would see two runs of one task when an owner takes a pool over after an orderly hand-over, loses the store before it has written a roster of its own, and a third owner follows. The roster of the first owner says how long leases last at most, which holds for its first reader only: the second owner extends leases, and starts tasks on workers that the roster lists without runs. The third owner counted the runs on workers that are silent to it as ended after the time that the first had left.

Evidence: the new test, with commits refused after a hand-over, failed before: "CHECK( worker.calls == 0 )" printed 1 == 0, and the stored roster still had its lease ends after the takeover.

An owner that reads lease ends writes the roster without them before it is loaded, so that a later owner counts from its own claim. If this write fails, the pool is loaded later, as with a failed read.

--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -102,6 +102,7 @@
     void handle_ownership_lost(std::string_view reason);
     void changed();
     void load();
+    [[nodiscard]] bool withdraw_lease_ends(const stored_pool& stored);
     void inherit_workers(std::span<const jobs::roster_entry> entries);
     void hand_over();
     void plan_loop();
@@ -141,7 +142,7 @@
         if (!stored)
             boost::this_fiber::sleep_for(load_retry_delay);
     }
-    if (is_stopping)
+    if (is_stopping || !withdraw_lease_ends(*stored))
         return;
     // The workers' reports are compared with the records.
     state.restore_statistics(std::move(stored->statistics));
@@ -158,6 +159,39 @@
     fibers.spawn_restarting("plan", [this] { plan_loop(); });
 }
 
+// Lease ends in the roster hold for its reader only, who may extend them: if
+// this ownership ended without a roster of its own, the next owner would rely
+// on them. Returns false when the ownership ends.
+bool pool_owner::impl::withdraw_lease_ends(const stored_pool& stored)
+{
+    std::vector<jobs::roster_entry> entries = stored.roster;
+    bool is_needed = false;
+    for (jobs::roster_entry& entry : entries)
+    {
+        is_needed = is_needed || entry.lease_left;
+        entry.lease_left.reset();
+    }
+    while (is_needed && !is_stopping)
+    {
+        try
+        {
+            const roster_write result =
+                roster.write(entries, stored.statistics);
+            if (result == roster_write::stored)
+                return true;
+            if (result == roster_write::not_owner)
+                handle_ownership_lost("the store holds another owner");
+        }
+        catch (const std::exception& failure)
+        {
+            log::write(event_load_failed,
+                       {{"pool", pool}, {"reason", failure.what()}});
+            boost::this_fiber::sleep_for(load_retry_delay);
+        }
+    }
+    return !is_stopping;
+}
+
 void pool_owner::impl::inherit_workers(
     std::span<const jobs::roster_entry> entries)
 {
--- a/tests/disturbance/pool_owner_test.cpp
+++ b/tests/disturbance/pool_owner_test.cpp
@@ -315,3 +315,54 @@
         CHECK_FALSE(load(address));
     CHECK(load("127.0.0.1:80")->roster.size() == 1);
 }
+
+// Guards against a second run of a task whose first one an owner kept alive
+// that could not write: the owner after it took the lease ends that the one
+// before had left at its hand-over for those of the workers.
+TEST_CASE("an owner extends no lease while the stored lease ends look final")
+{
+    platform_double platform;
+    auto& worker = platform.add_worker("w0", "pool", 100ms);
+    bool refuses_commits = true;
+    const auto reach_store =
+        net::http_server::builder{}
+            .listen_on({"127.0.0.1", 0})
+            .handle_with(
+                [&](const net::http_request& request)
+                {
+                    return refuses_commits && request.target == "/-/kv-txn"
+                               ? net::http_response{503, "{}"}
+                               : platform.store.handle(request);
+                })
+            .build();
+    const auto store = platform::store_client::builder{}
+                           .connect_to(reach_store->local_endpoint())
+                           .build();
+    const auto http = net::http_client::builder{}.max_idle(2).build();
+    jobs::roster_entry left{platform::read_worker_entry(
+        "w0", platform.store.value_of("servers/w0"))};
+    left.lease_left = 200ms;
+    platform.store.put(pools::roster_key("pool"),
+                       jobs::encode_roster(std::vector{left}));
+    platform.store.put("owner", "x");
+    const auto owner =
+        pools::pool_owner::builder{}
+            .pool("pool")
+            .ownership("owner", platform.store.revision_of("owner"))
+            .store(*store)
+            .http(*http)
+            .worker_lease(1500ms)
+            .may_order([] { return true; })
+            .on_lost([](std::string_view) {})
+            .build();
+    owner->start();
+    boost::this_fiber::sleep_for(600ms);
+    CHECK(worker.calls == 0);
+    refuses_commits = false;
+    CHECK(eventually([&] { return worker.calls > 0; }, 2s));
+    const auto stored =
+        jobs::decode_roster(platform.store.value_of(pools::roster_key("pool")));
+    for (const jobs::roster_entry& entry : stored)
+        CHECK(!entry.lease_left);
+    owner->quiesce();
+}
--- a/tools/platform_standin/worker_double.cpp
+++ b/tools/platform_standin/worker_double.cpp
@@ -69,6 +69,7 @@
 {
     while (is_silent)
         boost::this_fiber::sleep_for(20ms);
+    ++calls;
     const base::time_point now = base::steady_now();
     advance(now);
     if (is_garbled)
--- a/tools/platform_standin/worker_double.hpp
+++ b/tools/platform_standin/worker_double.hpp
@@ -37,6 +37,8 @@
     std::map<std::string, int> starts;
     /// Runs of each task that ended as done, over all lives.
     std::map<std::string, int> completions;
+    /// Calls that reached it.
+    int calls = 0;
     /// Tasks of which two runs were told to run at once here.
     int fenced_off = 0;
     [[nodiscard]] std::size_t running_count() const { return running_.size(); }
