--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -607,16 +607,20 @@
     if (answer == start_answer::started || answer == start_answer::cut_off ||
         answer == start_answer::unknown)
     {
-        if (run.state != run_state::ordered)
+        // The worker has listed the run meanwhile.
+        if (run.state == run_state::running)
             return;
-        run.is_unconfirmed = answer != start_answer::started;
-        run.state =
-            run.is_unconfirmed ? run_state::unsettled : run_state::running;
-        run.since = now;
         if (answer == start_answer::unknown && worker != nullptr)
             note_late_start(*worker, order.task, order.run, *entry, now);
         else if (answer == start_answer::cut_off && worker != nullptr)
             worker->note_unanswered(order.task, order.run, now);
+        run.is_unconfirmed = answer != start_answer::started;
+        // A stop may have overtaken the order.
+        if (run.state != run_state::ordered)
+            return;
+        run.state =
+            run.is_unconfirmed ? run_state::unsettled : run_state::running;
+        run.since = now;
         if (worker != nullptr)
         {
             worker->note_begun(
--- a/tools/sanitize.sh
+++ b/tools/sanitize.sh
@@ -5,7 +5,7 @@
 set -eu
 build=$1
 jobs=$2
-tests="base config policy capacity jobs net node disturbance"
+tests="base config policy capacity jobs net node pools disturbance"
 targets=""
 for name in $tests; do
     ls tests/"$name"/*.cpp >/dev/null 2>&1 && targets="$targets test_$name"
