Acknowledge ends only to the incarnation that has listed them

Callers would see a task done twice (TWICE) after a worker started again under its id. Its numbers of ends begin anew, and the owner's next request still acknowledged the last end of the earlier incarnation: the worker forgot the new ends up to that number unread, and the owner started their tasks again. Idle workers are not polled, so a restart of one goes unnoticed until the next task; and the check after a listed restart carried the old number too.

An end is acknowledged only within 0.5 s after a report, until one answer shows that it has arrived; the check of a restart acknowledges nothing. Idle workers are polled until their last end is acknowledged.

--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -45,6 +45,9 @@
 // While the store is unavailable or slow, ended runs stay listed and each poll
 // returns at once, so polls are spaced by this interval.
 constexpr std::chrono::milliseconds unstored_poll_interval{250};
+// Ends are acknowledged only this soon after a report: a later incarnation of
+// the worker, whose numbers begin anew, would forget ends that nobody has read.
+constexpr std::chrono::milliseconds max_acknowledge_delay{500};
 // A worker's clock may be 2 % slow, so its lease may last longer here.
 constexpr double max_clock_factor = 1.03;
 constexpr std::chrono::milliseconds lapse_slack{150};
@@ -161,7 +164,8 @@
     const auto found = workers.find(worker_.id);
     return found != workers.end() &&
            (!found->second.has_reported || !found->second.runs.empty() ||
-            !found->second.is_reachable || unstored_);
+            !found->second.is_reachable || unstored_ ||
+            acknowledged_end_ != stored_end_);
 }
 
 base::duration worker_link::poll_wait() const
@@ -226,7 +230,7 @@
 void worker_link::poll(base::time_point now)
 {
     platform::listing_request request;
-    request.stored_end = stored_end_;
+    request.stored_end = end_to_acknowledge(now);
     // After a failure the worker should answer at once, so that the next poll
     // can renew the lease.
     request.wait = has_failed_ || is_report_overdue_ ? base::duration::zero()
@@ -239,8 +243,11 @@
     {
         const auto listing =
             client_.list(target(), request, poll_deadline(now, request.wait));
-        if (!is_stopping_ && apply(listing, now))
-            wait_for_storage(now);
+        if (is_stopping_ || !apply(listing, now))
+            return;
+        if (request.stored_end == stored_end_)
+            acknowledged_end_ = stored_end_;
+        wait_for_storage(now);
     }
     catch (const std::exception& failure)
     {
@@ -348,6 +355,13 @@
     unstored_.reset();
 }
 
+std::int64_t worker_link::end_to_acknowledge(base::time_point now) const
+{
+    const bool is_needed = acknowledged_end_ != stored_end_ &&
+                           now - clock_read_at_ < max_acknowledge_delay;
+    return is_needed ? stored_end_ : 0;
+}
+
 // The new incarnation may still carry out an order that was sent to the
 // previous one.
 void worker_link::note_restart(std::int64_t born_ms, base::time_point now)
@@ -356,6 +370,7 @@
                {{"worker", worker_.id}, {"born_ms", born_ms}});
     state_.set_lease_end(worker_.id, now + longest_lease(lease_));
     stored_end_ = 0;
+    acknowledged_end_ = 0;
     unstored_.reset();
     clock_ms_ = 0;
     lease_until_ms_ = 0;
@@ -365,12 +380,9 @@
 {
     if (!hooks_.may_order())
         return;
-    platform::listing_request request;
-    request.stored_end = stored_end_;
     try
     {
-        const auto listing =
-            client_.list(target(), request, now + order_timeout);
+        const auto listing = client_.list(target(), {}, now + order_timeout);
         if (!is_stopping_)
             apply(listing, now);
     }
--- a/src/pools/worker_link.hpp
+++ b/src/pools/worker_link.hpp
@@ -70,6 +70,8 @@
     void apply_report(const platform::worker_listing& listing,
                       base::time_point sent_at, base::time_point now);
     void wait_for_storage(base::time_point sent_at);
+    /// Returns 0 if no end should be acknowledged now.
+    [[nodiscard]] std::int64_t end_to_acknowledge(base::time_point now) const;
     void note_restart(std::int64_t born_ms, base::time_point now);
     void check_restart(base::time_point now);
     [[nodiscard]] bool answers_other_calls(base::time_point since) const;
@@ -111,6 +113,8 @@
     /// Time at which the latest report that was applied was requested.
     base::time_point report_sent_at_{};
     std::int64_t stored_end_ = 0;
+    /// The latest stored end that the worker is known to have forgotten.
+    std::int64_t acknowledged_end_ = 0;
     /// Ends of runs that were applied but are not known to be stored.
     struct unstored_ends
     {
--- a/tests/pools/pool_owner_test.cpp
+++ b/tests/pools/pool_owner_test.cpp
@@ -3,6 +3,7 @@
 #include "base/error.hpp"
 #include "net/http_server.hpp"
 #include "node/cluster.hpp"
+#include "platform/worker_client.hpp"
 #include "platform/worker_entry.hpp"
 #include "pools/collect_delay.hpp"
 #include "pools/pool_owner.hpp"
@@ -74,8 +75,8 @@
         }
         owner->set_workers(listed);
     }
-    bool submit_one_task() { return submit(1); }
-    bool submit(int tasks)
+    bool submit_one_task(const std::string& id = id_a) { return submit(1, id); }
+    bool submit(int tasks, const std::string& id = id_a)
     {
         jobs::job_spec spec;
         spec.payload = "s";
@@ -83,9 +84,13 @@
         spec.steps[0].task_count = tasks;
         spec.steps[0].need = {1000, 10, 0};
         spec.steps[0].estimate = 50ms;
-        return owner->submit(id_a, spec, "queue", base::steady_now() + 2s)
+        return owner->submit(id, spec, "queue", base::steady_now() + 2s)
                    .outcome == pools::submission_answer::kind::accepted;
     }
+    [[nodiscard]] bool is_completed(const std::string& id) const
+    {
+        return owner->state().status_of(id) == jobs::reported_status::completed;
+    }
     [[nodiscard]] int starts() const
     {
         return platform.starts_of(id_a + ".0.0.0");
@@ -412,3 +417,17 @@
     CHECK(was_reachable);
     worker.unanswered_path.clear();
 }
+
+// Guards against an end that a restarted worker forgets before it was read: the
+// owner acknowledged the number of an end of the earlier incarnation.
+TEST_CASE("ends of a new incarnation are not acknowledged unread")
+{
+    owned_pool all(std::vector<std::string>{"w0"}, 0ms);
+    REQUIRE(all.submit_one_task());
+    REQUIRE(eventually([&] { return all.is_completed(id_a); }, 3s));
+    boost::this_fiber::sleep_for(1s);
+    all.workers.at("w0")->restart();
+    REQUIRE(all.submit_one_task(id_b));
+    CHECK(eventually([&] { return all.is_completed(id_b); }, 3s));
+    CHECK(all.platform.starts_of(id_b + ".0.0.0") == 1);
+}
