Remember late starts of runs that were given up or stopped

An order without an answer was remembered only while its run waited for that answer. It was forgotten when the lease of the worker had lapsed meanwhile (a pause of this process: the failed poll is handled before the time limit of the order) or when the run was to be stopped; and late starts of jobs whose data had been freed were passed over after a restart.

An unanswered order is now remembered unless its run is known to have begun, and after a restart the run is stopped also when its job is no longer kept.

--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -210,10 +210,10 @@
     {
         job* subject = find(start.task.job);
         task* entry = subject == nullptr ? nullptr : subject->find(start.task);
-        if (entry == nullptr || now >= start.arrives_by)
+        if (now >= start.arrives_by)
             continue;
-        if (subject->status != job_status::open || entry->is_done ||
-            entry->active)
+        if (entry == nullptr || subject->status != job_status::open ||
+            entry->is_done || entry->active)
         {
             request_stop(start.task, start.run, worker.description.id,
                          "a late start may arrive");
@@ -601,6 +601,16 @@
     if (answer != start_answer::started)
         log_decision({"start_answered", order.task.job, to_string(order.task),
                       order.run, order.worker, std::string(to_string(answer))});
+    // The run may have been given up, or be about to be stopped.
+    const bool has_arrived =
+        is_current && entry->active->state == run_state::running;
+    if (answer == start_answer::unknown && worker != nullptr && !has_arrived)
+    {
+        if (entry == nullptr)
+            worker->note_unanswered(order.task, order.run, now);
+        else
+            note_late_start(*worker, order.task, order.run, *entry, now);
+    }
     if (!is_current)
         return;
     active_run& run = *entry->active;
@@ -610,9 +620,7 @@
         // The worker has listed the run meanwhile.
         if (run.state == run_state::running)
             return;
-        if (answer == start_answer::unknown && worker != nullptr)
-            note_late_start(*worker, order.task, order.run, *entry, now);
-        else if (answer == start_answer::cut_off && worker != nullptr)
+        if (answer == start_answer::cut_off && worker != nullptr)
             worker->note_unanswered(order.task, order.run, now);
         run.is_unconfirmed = answer != start_answer::started;
         // A stop may have overtaken the order.
--- a/tests/jobs/restart_test.cpp
+++ b/tests/jobs/restart_test.cpp
@@ -143,3 +143,34 @@
         CHECK(entry.runs->size() == (entry.worker.id == worker ? 1 : 0));
     }
 }
+
+// Guards against a late start that is forgotten because the worker's lease
+// ended before its time limit, as after a pause of this process.
+TEST_CASE("a late start is known although its run was given up meanwhile")
+{
+    pool_fixture pool({describe("w1"), describe("w2")});
+    pool.submit("j", make_job({make_step(1)}));
+    const auto orders = pool.plan();
+    REQUIRE(orders.size() == 1);
+    pool.state.set_reachable(orders[0].worker, false);
+    pool.state.lose_runs(orders[0].worker, run_loss::lapsed, pool.now, wall);
+    pool.state.apply_start_answer(orders[0], start_answer::unknown, pool.now);
+    CHECK(pool.plan().empty());
+}
+
+// Guards against a late start of a cancelled task that a worker carries out
+// after its restart.
+TEST_CASE("a late start is known although its run was to be stopped meanwhile")
+{
+    pool_fixture pool({describe("w1")});
+    pool.report("w1", of_incarnation(1));
+    pool.submit("j", make_job({make_step(1)}));
+    const auto orders = pool.plan();
+    REQUIRE(orders.size() == 1);
+    pool.state.cancel("j", wall);
+    pool.state.apply_start_answer(orders[0], start_answer::unknown, pool.now);
+    pool.state.apply_stop_answer(pool.state.take_stops().at(0), true, pool.now);
+    pool.report("w1", of_incarnation(1));
+    pool.report("w1", of_incarnation(2));
+    CHECK(pool.state.take_stops().size() == 1);
+}
