Ask a worker again while it lists runs that are to be stopped

Callers would see a worker that gets no tasks any more (LOST): an idle worker listed a run that its owner did not want, for example of a late order after a restart or of a job cancelled under an earlier owner. The run's room was set aside and a stop was sent, but a worker without wanted runs is not polled, so neither the end of that run nor a lost stop was ever noticed; a run of an unknown task kept the worker from all starts.

A worker that lists such runs is polled until it no longer does.

--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -102,6 +102,7 @@
     }
     check_causes(runs, now, wall);
     worker->has_reported = false;
+    worker->lists_other_runs = false;
     worker->used_by_others = {};
     worker->has_unknown_runs = false;
     worker->has_known_runs = true;
@@ -194,6 +195,7 @@
     }
     check_causes(lost, now, wall);
     worker.has_reported = false;
+    worker.lists_other_runs = false;
     worker.used_by_others = {};
     worker.has_unknown_runs = false;
     settle_late_starts(worker, now);
@@ -373,6 +375,7 @@
 void pool_state::note_other_runs(worker_view& worker,
                                  const worker_report& report)
 {
+    worker.lists_other_runs = false;
     worker.used_by_others = {};
     worker.has_unknown_runs = false;
     for (const listed_run& row : report.running)
@@ -380,6 +383,7 @@
         const auto current = worker.runs.find(row.task);
         if (current != worker.runs.end() && current->second == row.run)
             continue;
+        worker.lists_other_runs = true;
         const job* subject = find_job(row.task.job);
         const step_spec* part =
             subject == nullptr ? nullptr : subject->find_spec(row.task);
--- a/src/jobs/worker_view.hpp
+++ b/src/jobs/worker_view.hpp
@@ -119,7 +119,9 @@
     /// The last request to it failed.
     bool is_silent = false;
     resource_amount used;
-    /// Room of runs that it lists beside `runs`, and that are to be stopped.
+    /// It lists runs beside `runs`; they are to be stopped.
+    bool lists_other_runs = false;
+    /// Room of these runs.
     resource_amount used_by_others;
     /// One of these runs is of an unknown task.
     bool has_unknown_runs = false;
--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -164,8 +164,8 @@
     const auto found = workers.find(worker_.id);
     return found != workers.end() &&
            (!found->second.has_reported || !found->second.runs.empty() ||
-            !found->second.is_reachable || unstored_ ||
-            acknowledged_end_ != stored_end_);
+            found->second.lists_other_runs || !found->second.is_reachable ||
+            unstored_ || acknowledged_end_ != stored_end_);
 }
 
 base::duration worker_link::poll_wait() const
--- a/tests/pools/pool_owner_test.cpp
+++ b/tests/pools/pool_owner_test.cpp
@@ -431,3 +431,24 @@
     CHECK(eventually([&] { return all.is_completed(id_b); }, 3s));
     CHECK(all.platform.starts_of(id_b + ".0.0.0") == 1);
 }
+
+// Guards against a worker that is idle for good: it listed a run that was to be
+// stopped, and nobody asked it whether the run had ended.
+TEST_CASE("the room of a run that is to be stopped becomes free")
+{
+    owned_pool all(std::vector<std::string>{"w0"}, 50ms);
+    auto& worker = *all.workers.at("w0");
+    // A late order of an earlier owner is carried out.
+    platform::worker_client client(*all.http);
+    const auto& known = all.owner->state().workers().at("w0");
+    const auto where = net::parse_endpoint(known.description.address);
+    REQUIRE(where);
+    worker.restart();
+    client.start({*where, "w0", 0, {}}, {{id_b, 0, 0, 0}, 1, "w0", "lasts", {}},
+                 100'000, base::steady_now() + 1s);
+    REQUIRE(worker.running_count() == 1);
+    all.list_workers();
+    REQUIRE(eventually([&] { return worker.running_count() == 0; }, 3s));
+    REQUIRE(all.submit_one_task());
+    CHECK(eventually([&] { return all.starts() == 1; }, 3s));
+}
