Record a silent worker with its runs only once its ends are stored

Callers would see a task run again after it had ended done (TWICE): a worker listed the end and fell silent before the end was stored; the roster, which is written before the records, named it as a worker without runs; the owner was killed. The next owner did not wait for the worker and started the task elsewhere.

While a job with ends from a silent worker is not stored, the roster keeps the worker as one that has to be asked.

--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -7,7 +7,9 @@
 #include "jobs/task_id.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -131,6 +133,9 @@
     /// exist.
     bool is_inherited = false;
 
+    /// Workers that have listed ends of its runs; not stored.
+    std::set<std::string, std::less<>> ended_on;
+
     /// The store has acknowledged a record of the job.
     bool is_stored = false;
     /// Status in the last record that was sent to the store, and in the last
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -443,6 +443,7 @@
     task* entry = subject == nullptr ? nullptr : subject->find(row.task);
     if (entry == nullptr)
         return;
+    subject->ended_on.insert(worker.description.id);
     const std::size_t position = subject->position_of(row.task);
     const bool is_current = entry->active && entry->active->number == row.run &&
                             entry->active->worker == worker.description.id;
--- a/src/jobs/pool_roster.cpp
+++ b/src/jobs/pool_roster.cpp
@@ -80,12 +80,30 @@
     return runs;
 }
 
+// An end that is not stored is known to the worker alone: the next owner has to
+// ask.
+bool pool_state::has_unstored_ends(const worker_view& worker) const
+{
+    return std::any_of(
+        dirty_.begin(), dirty_.end(),
+        [&](const job* subject)
+        { return subject->ended_on.contains(worker.description.id); });
+}
+
+roster_mark pool_state::wanted_mark(const worker_view& worker) const
+{
+    const roster_mark mark = worker.wanted_mark();
+    return mark == roster_mark::without_starts && has_unstored_ends(worker)
+               ? roster_mark::with_starts
+               : mark;
+}
+
 std::vector<roster_entry> pool_state::roster()
 {
     std::vector<roster_entry> result;
     for (auto& [id, worker] : workers_)
     {
-        const roster_mark wanted = worker.wanted_mark();
+        const roster_mark wanted = wanted_mark(worker);
         if (wanted == roster_mark::absent)
             continue;
         result.push_back({worker.described_as_known(), worker.is_silent});
@@ -143,7 +161,7 @@
     std::size_t count = 0;
     for (const auto& [id, worker] : workers_)
     {
-        const roster_mark wanted = worker.wanted_mark();
+        const roster_mark wanted = wanted_mark(worker);
         if (wanted != roster_mark::absent)
             ++count;
         if (wanted != roster_mark::absent && worker.recorded != wanted)
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -266,6 +266,8 @@
                      base::time_point now);
     [[nodiscard]] std::vector<roster_run>
     runs_for_roster(const worker_view& worker);
+    [[nodiscard]] bool has_unstored_ends(const worker_view& worker) const;
+    [[nodiscard]] roster_mark wanted_mark(const worker_view& worker) const;
     void request_stop(const task_id& id, int run, std::string_view worker,
                       std::string_view reason);
     void stop_run(const task_id& id, task& entry, std::string_view reason,
--- a/src/jobs/worker_view.hpp
+++ b/src/jobs/worker_view.hpp
@@ -190,7 +190,8 @@
     {
         return is_listed || !has_known_runs || !runs.empty();
     }
-    /// What the roster should say about it.
+    /// What the roster should say about it if all ends that it has listed are
+    /// stored.
     [[nodiscard]] roster_mark wanted_mark() const;
     [[nodiscard]] bool has_label(const std::string& label) const;
 };
--- a/tests/jobs/roster_test.cpp
+++ b/tests/jobs/roster_test.cpp
@@ -270,3 +270,20 @@
     CHECK_THROWS_AS(decode_roster(R"([{"id":"w1"}])"), base::error);
     CHECK_THROWS_AS(decode_roster("{"), base::error);
 }
+
+// Guards against a second run after a run has ended: its worker fell silent
+// before the end was stored, and was recorded as one without runs.
+TEST_CASE("a silent worker is recorded with its runs only if ends are stored")
+{
+    pool_fixture pool({describe("w1"), describe("w2")});
+    pool.submit("a", make_job({make_step(1)}));
+    const std::string record = encode_record(*pool.state.find_job("a"));
+    const auto orders = pool.plan_and_start();
+    REQUIRE(orders.size() == 1);
+    pool.now += 100ms;
+    pool.state.apply_report(orders[0].worker, ended(orders[0], end_kind::done),
+                            pool.now, pool.now, wall);
+    pool.state.set_reachable(orders[0].worker, false);
+    for (const roster_entry& entry : pool.state.roster())
+        CHECK_FALSE(entry.runs);
+}
