Send a worker's orders one after the other again

What binds is the time that an unanswered start takes to settle: its time-out, a report and a stop, each of which may get no answer either.

--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -8,7 +8,6 @@
 #include <boost/fiber/operations.hpp>
 
 #include <algorithm>
-#include <memory>
 #include <utility>
 
 namespace pimentograde::pools
@@ -35,10 +34,6 @@
 // How long an idle link waits unless it is notified.
 constexpr std::chrono::seconds idle_wait{5};
 constexpr std::chrono::milliseconds order_timeout{450};
-// An order without an answer for this long no longer holds the next ones. Most
-// answers arrive sooner, so one connection carries the orders.
-constexpr std::chrono::milliseconds order_head_start{60};
-constexpr std::size_t max_orders_under_way = 8;
 constexpr std::chrono::milliseconds order_storage_timeout{1000};
 // The worker ignores an order that arrives later than this.
 constexpr std::chrono::milliseconds order_validity{1500};
@@ -52,13 +47,6 @@
 constexpr double max_clock_factor = 1.03;
 constexpr std::chrono::milliseconds lapse_slack{150};
 
-bool is_answer(jobs::start_answer answer)
-{
-    using jobs::start_answer;
-    return answer != start_answer::not_sent &&
-           answer != start_answer::cut_off && answer != start_answer::unknown;
-}
-
 } // namespace
 
 worker_link::worker_link(jobs::worker_description worker, std::int64_t fence,
@@ -233,8 +221,7 @@
     request.stored_end = end_to_acknowledge(now);
     // After a failure the worker should answer at once, so that the next poll
     // can renew the lease.
-    request.wait = has_failed_ || is_report_overdue_ ? base::duration::zero()
-                                                     : poll_wait();
+    request.wait = has_failed_ ? base::duration::zero() : poll_wait();
     // The lease of a worker that does not answer must be able to lapse: each
     // extension would postpone the time from which its runs count as lost.
     if (clock_ms_ > 0 && !has_failed_)
@@ -253,25 +240,11 @@
     {
         if (is_stopping_)
             return;
-        if (answers_other_calls(now))
-        {
-            if (!std::exchange(is_report_overdue_, true))
-                log::write(event_report_overdue, {{"worker", worker_.id},
-                                                  {"reason", failure.what()}});
-            return;
-        }
         note_unreachable(failure.what(), base::steady_now());
         poll_wakeup_.wait_until(base::steady_now() + poll_retry_delay);
     }
 }
 
-// A lost answer to a poll is no sign of a silent worker then.
-bool worker_link::answers_other_calls(base::time_point since) const
-{
-    return answered_at_ > since &&
-           base::steady_now() - report_sent_at_ < lease_;
-}
-
 bool worker_link::apply(const platform::worker_listing& listing,
                         base::time_point sent_at)
 {
@@ -309,8 +282,6 @@
                                base::time_point sent_at, base::time_point now)
 {
     report_sent_at_ = sent_at;
-    answered_at_ = now;
-    is_report_overdue_ = false;
     if (std::exchange(has_failed_, false))
         log::write(event_worker_reachable, {{"worker", worker_.id}});
     const auto& report = listing.report;
@@ -412,44 +383,20 @@
 {
     while (!is_stopping_)
     {
-        if (orders_.empty() || orders_under_way_ >= max_orders_under_way)
+        if (orders_.empty())
         {
             order_wakeup_.wait_until(base::steady_now() + idle_wait);
             continue;
         }
-        const auto is_answered = std::make_shared<bool>(false);
-        ++orders_under_way_;
-        fibers_.spawn(
-            [this, is_answered, next = std::move(orders_.front())]
-            {
-                send_any(next);
-                *is_answered = true;
-                --orders_under_way_;
-                poll_wakeup_.notify();
-                order_wakeup_.notify();
-            });
+        const any_order next = std::move(orders_.front());
         orders_.pop_front();
-        const base::time_point latest = base::steady_now() + order_head_start;
-        while (!*is_answered && !is_stopping_ && base::steady_now() < latest)
-            order_wakeup_.wait_until(latest);
-    }
-}
-
-void worker_link::send_any(const any_order& order)
-{
-    try
-    {
-        if (const auto* begin = std::get_if<jobs::start_order>(&order))
+        if (const auto* begin = std::get_if<jobs::start_order>(&next))
             send_start(*begin);
-        else if (const auto* stop = std::get_if<jobs::stop_order>(&order))
+        else if (const auto* stop = std::get_if<jobs::stop_order>(&next))
             send_stop(*stop);
         else
             check_restart(base::steady_now());
-    }
-    catch (const std::exception& failure)
-    {
-        log::write(event_worker_unreachable,
-                   {{"worker", worker_.id}, {"reason", failure.what()}});
+        poll_wakeup_.notify();
     }
 }
 
@@ -490,8 +437,6 @@
     }
     if (is_stopping_)
         return;
-    if (is_answer(result.answer))
-        answered_at_ = base::steady_now();
     state_.apply_start_answer(order, result.answer, base::steady_now());
     if (result.is_fenced_off)
         hooks_.fenced_off("worker " + worker_.id + " has seen a higher fence");
@@ -515,11 +460,8 @@
                        {{"worker", worker_.id}, {"reason", failure.what()}});
         }
     }
-    if (is_stopping_)
-        return;
-    if (is_acknowledged)
-        answered_at_ = base::steady_now();
-    state_.apply_stop_answer(order, is_acknowledged, base::steady_now());
+    if (!is_stopping_)
+        state_.apply_stop_answer(order, is_acknowledged, base::steady_now());
 }
 
 } // namespace pimentograde::pools
--- a/src/pools/worker_link.hpp
+++ b/src/pools/worker_link.hpp
@@ -74,10 +74,8 @@
     [[nodiscard]] std::int64_t end_to_acknowledge(base::time_point now) const;
     void note_restart(std::int64_t born_ms, base::time_point now);
     void check_restart(base::time_point now);
-    [[nodiscard]] bool answers_other_calls(base::time_point since) const;
     void note_unreachable(std::string_view reason, base::time_point now);
     void order_loop();
-    void send_any(const any_order& order);
     void send_start(const jobs::start_order& order);
     void send_stop(const jobs::stop_order& order);
     [[nodiscard]] bool needs_poll() const;
@@ -102,12 +100,7 @@
     net::wakeup order_wakeup_;
     std::deque<any_order> orders_;
     bool is_stopping_ = false;
-    std::size_t orders_under_way_ = 0;
     bool has_failed_ = false;
-    /// The last poll got no answer, but other calls did.
-    bool is_report_overdue_ = false;
-    /// Time of the worker's last answer to any call.
-    base::time_point answered_at_{};
     /// Start of the incarnation that has answered last; 0 if none has.
     std::int64_t born_ms_ = 0;
     /// Time at which the latest report that was applied was requested.
