Test that a foreign start time in an entry starts no task twice

Another writer replaces the entry of a worker at work by a well-formed one with another start time. Since then only the worker's own report tells of a restart.

--- a/tests/disturbance/untrusted_input_test.cpp
+++ b/tests/disturbance/untrusted_input_test.cpp
@@ -192,3 +192,32 @@
         CHECK(all.platform.starts_of(task) == 1);
     }
 }
+
+// Guards against tasks that start on a second worker while they run on the
+// first, whose entry another writer has replaced: the start time in it does not
+// show that the worker has restarted.
+TEST_CASE("an entry with another start time starts no task twice")
+{
+    cluster all(1, 2, 1500ms);
+    const auto& only = *all.entries[0];
+    CHECK(all.client.submit(only, id_b, two_steps) == 200);
+    const std::vector<std::string> tasks{id_b + ".0.0.0", id_b + ".0.0.1",
+                                         id_b + ".0.0.2"};
+    CHECK(eventually(
+        [&]
+        {
+            return std::all_of(tasks.begin(), tasks.end(),
+                               [&](const std::string& task)
+                               { return all.platform.starts_of(task) == 1; });
+        }));
+    const std::int64_t born = all.platform.worker("w0").born_ms() + 1;
+    all.platform.store.put("servers/w0",
+                           R"({"Service":"pool","Address":"127.0.0.1:1",
+        "State":"ready","Capacity":{"Cpu":4000,"MemMb":1000,"Gpu":0},"born":)" +
+                               std::to_string(born) + "}");
+    boost::this_fiber::sleep_for(900ms);
+    all.platform.announce("w0");
+    CHECK(all.completes(0, id_b));
+    for (const std::string& task : tasks)
+        CHECK(all.platform.starts_of(task) == 1);
+}
