Bind a long-running task only to a worker that takes starts

Callers would see a long-running task away for up to 12 s (LOST): its start got no answer, the run was stopped at the next report, and then the worker fell silent, refused starts or was forgotten. Without runs no lease lapses on such a worker, so nothing ended the wait for its late start.

Such a task now starts elsewhere while the worker takes no starts.

--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -244,12 +244,17 @@
         entry.late_start_until = {};
 }
 
-// A worker that drains is not started again under its id.
-bool pool_state::is_bound(const task& entry, base::time_point now) const
+// A worker that drains is not started again under its id. Long-running tasks
+// must not be away for long.
+bool pool_state::is_bound(const task& entry, const step_spec& part,
+                          base::time_point now) const
 {
     if (now >= entry.late_start_until)
         return false;
     const auto worker = workers_.find(entry.late_start_on);
+    if (part.is_long_running &&
+        (worker == workers_.end() || !worker->second.accepts_starts(now)))
+        return false;
     return worker == workers_.end() || !worker->second.may_end_as_planned(now);
 }
 
--- a/tests/jobs/restart_test.cpp
+++ b/tests/jobs/restart_test.cpp
@@ -174,3 +174,24 @@
     pool.report("w1", of_incarnation(2));
     CHECK(pool.state.take_stops().size() == 1);
 }
+
+// Guards against a long-running task that is away while its worker is silent.
+TEST_CASE("a long-running task does not wait for a silent worker")
+{
+    pool_fixture pool({describe("w1"), describe("w2")});
+    auto part = make_step(1);
+    part.is_long_running = true;
+    pool.submit("j", make_job({part}));
+    const auto orders = pool.plan();
+    REQUIRE(orders.size() == 1);
+    const std::string worker = orders[0].worker;
+    pool.state.apply_start_answer(orders[0], start_answer::unknown, pool.now);
+    pool.report(worker, of_incarnation(1));
+    pool.state.apply_stop_answer(pool.state.take_stops().at(0), true, pool.now);
+    pool.report(worker, of_incarnation(1));
+    pool.state.set_reachable(worker, false);
+    pool.now += 2s;
+    const auto next = pool.plan();
+    REQUIRE(next.size() == 1);
+    CHECK(next[0].worker != worker);
+}
