Hand over the tasks whose lapsed runs have no known outcome

Callers would see more failed runs of a task than its queue allows (BUDGET): an owner counts a run that lapsed on a silent worker as an attempt until the worker reports its end, but the roster named such a worker as one without runs and said nothing of the task. The next owner started it at once.

The roster names these tasks. Rosters without the field are read as before.

--- a/src/jobs/pool_roster.cpp
+++ b/src/jobs/pool_roster.cpp
@@ -25,6 +25,15 @@
         worker.description = entry.worker;
         worker.is_listed = false;
     }
+    for (const task_id& name : entry.unresolved)
+    {
+        job* subject = find(name.job);
+        task* lapsed = subject == nullptr ? nullptr : subject->find(name);
+        if (lapsed == nullptr)
+            continue;
+        ++lapsed->unresolved_runs;
+        worker.unresolved.push_back(name);
+    }
     if (!entry.runs)
         return;
     worker.has_known_runs = true;
@@ -107,6 +116,7 @@
         if (wanted == roster_mark::absent)
             continue;
         result.push_back({worker.described_as_known(), worker.is_silent});
+        result.back().unresolved = worker.unresolved;
         if (wanted == roster_mark::with_starts)
             continue;
         // From here on nothing is started there, whether the write succeeds or
@@ -127,6 +137,7 @@
         if (!worker.may_run_something())
             continue;
         roster_entry entry{worker.described_as_known(), worker.is_silent};
+        entry.unresolved = worker.unresolved;
         // An end that is not stored is known to the worker alone: the next
         // owner has to ask.
         if (worker.has_known_runs && dirty_.empty() && writing_.empty())
--- a/src/jobs/roster.cpp
+++ b/src/jobs/roster.cpp
@@ -33,23 +33,36 @@
                                        run.is_confirmed, run.is_starting});
         row["runs"] = std::move(runs);
     }
+    if (!entry.unresolved.empty())
+    {
+        json::array tasks;
+        for (const task_id& task : entry.unresolved)
+            tasks.emplace_back(to_string(task));
+        row["unresolved"] = std::move(tasks);
+    }
     if (entry.lease_left)
         row["lease_left_ms"] = base::count_millis(*entry.lease_left);
     return row;
 }
 
-roster_run decode_run(const json::array& row)
+task_id decode_task(const json::value& name)
 {
-    const auto task = parse_task_id(row.at(0).as_string());
+    const auto task = parse_task_id(name.as_string());
     if (!task)
         throw base::error(base::error_code::invalid, "decode roster", "",
                           "a task id is invalid");
+    return *task;
+}
+
+roster_run decode_run(const json::array& row)
+{
     const bool is_confirmed = row.at(2).as_bool();
     constexpr std::size_t starting_column = 3;
     const bool is_starting = row.size() > starting_column
                                  ? row.at(starting_column).as_bool()
                                  : !is_confirmed;
-    return {*task, row.at(1).to_number<int>(), is_confirmed, is_starting};
+    return {decode_task(row.at(0)), row.at(1).to_number<int>(), is_confirmed,
+            is_starting};
 }
 
 roster_entry decode_entry(const json::object& source)
@@ -73,6 +86,9 @@
         for (const json::value& run : runs->as_array())
             entry.runs->push_back(decode_run(run.as_array()));
     }
+    if (const json::value* tasks = source.if_contains("unresolved"))
+        for (const json::value& task : tasks->as_array())
+            entry.unresolved.push_back(decode_task(task));
     if (const json::value* left = source.if_contains("lease_left_ms"))
         entry.lease_left =
             std::chrono::milliseconds(left->to_number<std::int64_t>());
--- a/src/jobs/roster.hpp
+++ b/src/jobs/roster.hpp
@@ -37,6 +37,8 @@
     /// nothing more there: the worker is silent, or the ownership ends. The
     /// owner records the worker anew before it starts another run.
     std::optional<std::vector<roster_run>> runs{};
+    /// Tasks whose runs lapsed on the worker and whose outcome is not known.
+    std::vector<task_id> unresolved{};
     /// Upper bound of the time after which no run exists on the worker unless
     /// the next owner extends its lease. Set when the ownership ends.
     std::optional<base::duration> lease_left{};
--- a/tests/jobs/roster_test.cpp
+++ b/tests/jobs/roster_test.cpp
@@ -287,3 +287,23 @@
     for (const roster_entry& entry : pool.state.roster())
         CHECK_FALSE(entry.runs);
 }
+
+// Guards against more failed runs than attempts: an earlier owner waited for
+// the outcome of a run whose worker's lease had ended.
+TEST_CASE("the next owner counts lapsed runs whose outcome is unknown")
+{
+    pool_fixture before({describe("w1"), describe("w2")}, 1);
+    before.submit("a", make_job({make_step(1)}));
+    const auto orders = before.plan_and_start();
+    REQUIRE(orders.size() == 1);
+    const std::string worker = orders[0].worker;
+    before.report(worker, running(orders, 10));
+    before.state.set_reachable(worker, false);
+    before.state.lose_runs(worker, run_loss::lapsed, before.now, wall);
+    CHECK(before.plan().empty());
+    successor next(before.state, before.state.final_roster(before.now),
+                   before.now);
+    next.state.set_policy({"queue", "pool", 0, 1, 1.6, 600ms});
+    next.report(worker == "w1" ? "w2" : "w1");
+    CHECK(next.plan().empty());
+}
