Give runs of two owners of a pool different numbers

Callers would see more failed runs of a task than its queue allows (BUDGET). Starts are not stored, and a new owner went on one number above the record. If the earlier owner had started the task more than once since (a start refused for want of room is enough), both had given one number to runs on different workers, and the two failures counted as one.

A new owner leaves out 100 numbers.

--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -19,6 +19,9 @@
 constexpr std::chrono::minutes max_restored_age{10};
 // How long the peak size of the pool counts in admission.
 constexpr std::chrono::seconds peak_retention{60};
+// Starts of one task since its record was stored, at most; the runs of two
+// owners must not share a number.
+constexpr int max_unstored_starts = 100;
 // A submission this long after its first refusal counts as a new one.
 constexpr std::chrono::seconds refusal_retention{20};
 
@@ -200,12 +203,11 @@
         subject.refresh_estimates(statistics.run_times);
         statistics.note_job(subject.estimates.work);
     }
-    // An earlier owner may have started the next run without storing its
-    // number.
+    // An earlier owner may have started runs without storing their numbers.
     for (step& part : subject.steps)
         for (task& entry : part.tasks)
         {
-            ++entry.last_run;
+            entry.last_run += max_unstored_starts;
             entry.crashes.note_new_owner();
         }
     withdraw(subject.id);
--- a/tests/jobs/roster_test.cpp
+++ b/tests/jobs/roster_test.cpp
@@ -307,3 +307,31 @@
     next.report(worker == "w1" ? "w2" : "w1");
     CHECK(next.plan().empty());
 }
+
+// Guards against more failed runs than attempts: two owners gave different runs
+// one number, and their failures counted as one.
+TEST_CASE("runs of one number on two workers fail separately")
+{
+    pool_fixture before({describe("w1"), describe("w2"), describe("w3")});
+    before.submit("a", make_job({make_step(1)}));
+    const job* subject = before.state.find_job("a");
+    const job stored = decode_record("a", encode_record(*subject));
+    auto orders = before.plan();
+    REQUIRE(orders.size() == 1);
+    before.state.apply_start_answer(orders[0], start_answer::no_room,
+                                    before.now);
+    const auto second = before.plan_and_start();
+    REQUIRE(second.size() == 1);
+    REQUIRE(second[0].run == 2);
+    // The owner is killed, and the lease of the worker ends.
+    pool_fixture next({describe("w1"), describe("w2"), describe("w3")});
+    next.state.restore(stored, next.now, wall);
+    next.state.set_reachable(second[0].worker, false);
+    const auto third = next.plan_and_start();
+    REQUIRE(third.size() == 1);
+    REQUIRE(third[0].worker != second[0].worker);
+    next.report(third[0].worker, ended(third[0], end_kind::failed));
+    next.report(second[0].worker, ended(second[0], end_kind::failed));
+    next.now += 1s;
+    CHECK(next.plan().empty());
+}
