Register on top of the known registration only

What callers would see: an instance that holds its lease and pools is missing among the members, so others leave it out when roles are claimed.

Cause: the registration is written without a condition. One that gets no answer and takes effect seconds later replaces the registration under the next lease, and its key ends with the lease that nobody renews.

Change: the write holds only for the revision that the instance knows, which a conflict tells it, and is repeated beside a try without an answer.

--- a/src/node/session.cpp
+++ b/src/node/session.cpp
@@ -161,12 +161,25 @@
     const json::object value{{"zone", own_.zone},
                              {"address", net::to_string(own_.address)},
                              {"cores", own_.cores}};
-    const auto result = store_.commit({{},
-                                       {{std::string(member_prefix) + own_.name,
-                                         json::serialize(value), lease}},
-                                       {}});
+    const std::string key = std::string(member_prefix) + own_.name;
+    const auto write = [&]
+    {
+        return store_.commit_repeatedly({{{key, stored_revision_}},
+                                         {{key, json::serialize(value), lease}},
+                                         {}});
+    };
+    auto result = write();
+    if (result.outcome == platform::commit_result::kind::conflict)
+    {
+        // The key holds an earlier registration, of this process or of the
+        // previous one.
+        stored_revision_ =
+            result.actual.empty() ? 0 : result.actual.front().revision;
+        result = write();
+    }
     if (result.outcome != platform::commit_result::kind::committed)
         return;
+    stored_revision_ = result.revision;
     lease_ = lease;
     registered_revision_ = result.revision;
     renewed_at_ = sent_at;
--- a/src/node/session.hpp
+++ b/src/node/session.hpp
@@ -152,6 +152,10 @@
     std::int64_t lease_ = 0;
     /// Store revision of the registration under the present lease.
     std::int64_t registered_revision_ = 0;
+    /// Last known revision of the registration's key. A registration without an
+    /// answer may take effect seconds later, with a lease that ends, and must
+    /// not replace a newer one.
+    std::int64_t stored_revision_ = 0;
     base::time_point renewed_at_{};
     base::time_point registered_at_{};
     std::string secret_;
--- a/tests/node/session_test.cpp
+++ b/tests/node/session_test.cpp
@@ -181,3 +181,45 @@
     CHECK(one.losses == 0);
     CHECK(one.members.holds_lease(base::suspend_aware_now()));
 }
+
+// Guards against an instance that is no longer a member while its lease lasts:
+// a registration without an answer takes effect late, replaces the one that
+// followed, and ends with its own lease.
+TEST_CASE("a registration that takes effect late does not replace a newer one")
+{
+    platform_double platform;
+    auto& faults = platform.store.faults;
+    faults.late_from = 2s;
+    faults.late_to = 2s;
+    bool is_first = true;
+    const auto store =
+        platform::store_client::builder{}
+            .connect_to(platform.store_address())
+            .on_call(
+                [&](std::string_view step, bool is_ok, base::duration)
+                {
+                    if (step == "grant lease" && std::exchange(is_first, false))
+                        faults.lost_writes = 100;
+                    else if (step == "commit" && !is_ok)
+                        faults.lost_writes = 0;
+                })
+            .build();
+    node::session members{{"e0", "z", 7, {"127.0.0.1", 1}, 1.0},
+                          *store,
+                          {[] {},
+                           [] {
+                           }}};
+    members.start();
+    CHECK(eventually([&] { return members.is_registered(); }, 3s));
+    const std::string key = "pimentograde/member/e0";
+    const base::time_point end = base::steady_now() + 4s;
+    int absent = 0;
+    while (base::steady_now() < end)
+    {
+        absent += platform.store.value_of(key).empty() ? 1 : 0;
+        boost::this_fiber::sleep_for(20ms);
+    }
+    CHECK(absent == 0);
+    CHECK(members.is_registered());
+    members.stop();
+}
