End the wait for a late start with the lease of its worker

Callers saw tasks wait up to 12 s although other workers had room: a start to a worker that had just fallen silent timed out, and its task was bound to that worker until the order could no longer arrive, also after the worker's lease had ended.

Evidence: "jobs go on after a graceful stop although a worker is silent" failed in two runs of all tests ("values: CHECK( 8307327577ns < 6s )"); the reviewer's run of it passed with the binding off. It passes twice with this change.

Change: a lapsed lease ends the binding. On the clock of a worker that has not restarted the order's time is over then.

--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -89,11 +89,8 @@
         if (entry == nullptr || !entry->active)
             continue;
         lose_run(*subject, name, *entry, loss, now);
-        // A worker whose address another one has taken does not come back, and
-        // long-running tasks must not be away for that long.
-        if (loss == run_loss::ended ||
-            subject->spec_of(subject->position_of(name)).is_long_running)
-            entry->late_start_until = {};
+        // On the worker's clock the order's time is over by now.
+        entry->late_start_until = {};
         if (loss == run_loss::lapsed)
         {
             ++entry->unresolved_runs;
