Repeat roster writes without an answer

What callers saw: while the store loses two answers of five, a pool's jobs still wait a second now and then: the roster is written by the fiber that starts the writes of job records, and a lost answer holds it until the time-out.

Change: the roster write is sent again beside a try without an answer, on the same condition. A conflict that shows the same roster counts as stored, since an earlier try has taken effect. "a roster that takes effect late does not replace a newer one" passes as before.

test_disturbance (24) passes.

--- a/src/pools/roster_store.cpp
+++ b/src/pools/roster_store.cpp
@@ -56,9 +56,10 @@
 roster_write roster_store::write(std::span<const jobs::roster_entry> roster,
                                  const jobs::statistics_table& statistics)
 {
-    const auto result = store_.commit(
+    const std::string value = jobs::encode_roster(roster);
+    const auto result = store_.commit_repeatedly(
         {{{owner_key_, owner_revision_}, {key_, revision_}},
-         {{key_, jobs::encode_roster(roster), 0},
+         {{key_, value, 0},
           {statistics_key_, jobs::encode_statistics(statistics), 0}},
          {}});
     if (result.outcome == platform::commit_result::kind::committed)
@@ -67,15 +68,22 @@
         return roster_write::stored;
     }
     bool is_owner = false;
+    bool is_stored = false;
     revision_ = 0;
     for (const platform::store_item& item : result.actual)
     {
         if (item.key == owner_key_)
             is_owner = item.revision == owner_revision_;
         if (item.key == key_)
+        {
             revision_ = item.revision;
+            // An earlier try of this write has taken effect.
+            is_stored = item.value == value;
+        }
     }
-    return is_owner ? roster_write::outdated : roster_write::not_owner;
+    if (!is_owner)
+        return roster_write::not_owner;
+    return is_stored ? roster_write::stored : roster_write::outdated;
 }
 
 } // namespace pimentograde::pools
--- a/tests/pools/pool_owner_test.cpp
+++ b/tests/pools/pool_owner_test.cpp
@@ -406,3 +406,30 @@
     REQUIRE(all.submit_one_task());
     CHECK(eventually([&] { return all.starts() == 1; }, 3s));
 }
+
+// Guards against a pool whose record writes wait a second for each roster whose
+// answer is lost: both are sent by one fiber.
+TEST_CASE("a roster whose answer is lost is stored without delay")
+{
+    platform_double platform;
+    auto store = platform::store_client::builder{}
+                     .connect_to(platform.store_address())
+                     .build();
+    const auto claim = store->commit({{}, {{"owner", "x", 0}}, {}});
+    pools::roster_store roster("pool", "owner", claim.revision, *store);
+    CHECK(roster.load().empty());
+    jobs::worker_description worker;
+    worker.id = "w1";
+    const std::vector entries{jobs::roster_entry{worker}};
+    auto& faults = platform.store.faults;
+    // The answer of the first write is lost, and that of the second is not.
+    faults.loss_seed = 1;
+    faults.lost_writes = 40;
+    auto result = pools::roster_write::not_owner;
+    const base::time_point begin = base::steady_now();
+    CHECK_NOTHROW(result = roster.write(entries, {}));
+    CHECK(result == pools::roster_write::stored);
+    CHECK(base::steady_now() - begin < 500ms);
+    faults.lost_writes = 0;
+    CHECK(roster.load() == entries);
+}
