--- a/src/jobs/pool_crashes.cpp
+++ b/src/jobs/pool_crashes.cpp
@@ -201,7 +201,7 @@
     if (level != suspicion::none &&
         subject.stored_crash_changes != subject.crash_changes)
         return nullptr;
-    if (is_bound(entry, wanted, now))
+    if (is_bound_to_late_start(entry, wanted, now))
     {
         // Another start there may crash the worker again.
         if (level != suspicion::none)
--- /dev/null
+++ b/src/jobs/pool_losses.cpp
@@ -0,0 +1,221 @@
+// Runs that are gone with their worker or its lease, and start orders without
+// an answer that may still arrive.
+
+#include "jobs/pool_state.hpp"
+
+#include <algorithm>
+
+namespace pimentograde::jobs
+{
+
+std::string_view to_string(run_loss loss)
+{
+    switch (loss)
+    {
+    case run_loss::lapsed:
+        return "the lease has lapsed";
+    case run_loss::ended:
+        return "the worker has ended";
+    case run_loss::restarted:
+        break;
+    }
+    return "the worker has restarted";
+}
+
+void pool_state::lose_runs(std::string_view id, run_loss loss,
+                           base::time_point now, base::wall_time wall)
+{
+    worker_view* worker = find_worker(id);
+    if (worker == nullptr)
+        return;
+    // Crashes that an earlier silence or restart has left open.
+    if (loss != run_loss::lapsed)
+        confirm_crashes(*worker, now, wall);
+    note_crash(*worker, loss, {}, now);
+    const auto runs = worker->runs;
+    for (const auto& [name, run] : runs)
+    {
+        job* subject = find(name.job);
+        task* entry = subject == nullptr ? nullptr : subject->find(name);
+        if (entry == nullptr || !entry->active)
+            continue;
+        lose_run(*subject, name, *entry, loss, now);
+        // On the worker's clock the order's time is over by now.
+        entry->late_start_until = {};
+        if (loss == run_loss::lapsed)
+        {
+            ++entry->unresolved_runs;
+            worker->unresolved.push_back(name);
+        }
+    }
+    check_causes(runs, now, wall);
+    worker->has_reported = false;
+    worker->lists_other_runs = false;
+    worker->used_by_others = {};
+    worker->has_unknown_runs = false;
+    worker->has_known_runs = true;
+    if (loss == run_loss::lapsed)
+        return;
+    worker->applied_end = 0;
+    resolve_runs(*worker);
+}
+
+void pool_state::lose_run(job& subject, const task_id& name, task& entry,
+                          run_loss loss, base::time_point now)
+{
+    log_decision({"run_lost", name.job, to_string(name), entry.active->number,
+                  entry.active->worker,
+                  std::string(to_string(loss)) + " age_ms=" +
+                      std::to_string(
+                          base::count_millis(now - entry.active->ordered_at))});
+    clear_run(subject, name, entry);
+    entry.not_before = now;
+}
+
+void pool_state::check_causes(const std::map<task_id, int>& runs,
+                              base::time_point now, base::wall_time wall)
+{
+    for (const auto& [name, run] : runs)
+    {
+        job* subject = find(name.job);
+        const task* entry = subject == nullptr ? nullptr : subject->find(name);
+        if (entry != nullptr)
+            fail_cause(*subject, name, *entry, now, wall);
+        if (subject != nullptr)
+            release_if_idle(*subject);
+    }
+}
+
+// The runs that the new incarnation lists, or may have begun after it was asked
+// for the list.
+std::set<task_id> pool_state::runs_after_restart(const worker_view& worker,
+                                                 const worker_report& report,
+                                                 base::time_point sent_at) const
+{
+    std::set<task_id> kept;
+    for (const listed_run& row : report.running)
+    {
+        const auto found = worker.runs.find(row.task);
+        if (found != worker.runs.end() && found->second == row.run)
+            kept.insert(row.task);
+    }
+    for (const auto& [name, number] : worker.runs)
+    {
+        const job* subject = find_job(name.job);
+        const task* entry = subject == nullptr ? nullptr : subject->find(name);
+        if (entry != nullptr && entry->active &&
+            entry->active->state != run_state::ordered &&
+            !entry->active->is_unconfirmed && entry->active->since > sent_at)
+            kept.insert(name);
+    }
+    return kept;
+}
+
+// Only the worker's own report tells of a restart: with the list of runs that
+// comes with it, and after the runs that it may not list yet.
+void pool_state::apply_restart(worker_view& worker, const worker_report& report,
+                               base::time_point sent_at, base::time_point now,
+                               base::wall_time wall)
+{
+    confirm_crashes(worker, now, wall);
+    const std::set<task_id> kept = runs_after_restart(worker, report, sent_at);
+    note_crash(worker, run_loss::restarted, kept, now);
+    auto lost = worker.runs;
+    std::erase_if(lost,
+                  [&](const auto& run) { return kept.contains(run.first); });
+    for (const auto& [name, run] : lost)
+    {
+        job* subject = find(name.job);
+        task* entry = subject == nullptr ? nullptr : subject->find(name);
+        // The answer to a start that is under way tells what became of it.
+        if (entry == nullptr || !entry->active ||
+            entry->active->state == run_state::ordered)
+            continue;
+        if (!entry->active->is_unconfirmed)
+        {
+            lose_run(*subject, name, *entry, run_loss::restarted, now);
+            continue;
+        }
+        // The start order may still reach the new incarnation. After the next
+        // report the run is stopped there, so that it cannot start.
+        entry->active->state = run_state::unsettled;
+        entry->active->since = now;
+    }
+    check_causes(lost, now, wall);
+    worker.has_reported = false;
+    worker.lists_other_runs = false;
+    worker.used_by_others = {};
+    worker.has_unknown_runs = false;
+    settle_late_starts(worker, now);
+    worker.applied_end = 0;
+    resolve_runs(worker);
+}
+
+// The new incarnation would carry out a late start, although the previous one
+// had acknowledged its stop. A task that waits does so until the run is stopped
+// there again.
+void pool_state::settle_late_starts(worker_view& worker, base::time_point now)
+{
+    for (const unanswered_start& start : worker.unanswered)
+    {
+        job* subject = find(start.task.job);
+        task* entry = subject == nullptr ? nullptr : subject->find(start.task);
+        if (now >= start.arrives_by)
+            continue;
+        if (entry == nullptr || subject->status != job_status::open ||
+            entry->is_done || entry->active)
+        {
+            request_stop(start.task, start.run, worker.description.id,
+                         "a late start may arrive");
+            continue;
+        }
+        begin_run(*subject, subject->position_of(start.task), start.task.index,
+                  start.run, worker, run_state::unsettled, now);
+        entry->active->is_unconfirmed = true;
+    }
+}
+
+void pool_state::note_late_start(worker_view& worker, const task_id& name,
+                                 int run, task& entry, base::time_point now)
+{
+    entry.late_start_until = worker.note_unanswered(name, run, now);
+    entry.late_start_on = worker.description.id;
+}
+
+// An order is carried out once.
+void pool_state::note_arrived(worker_view& worker, const task_id& name, int run,
+                              task& entry)
+{
+    worker.note_arrived(name, run);
+    if (entry.late_start_on == worker.description.id &&
+        !worker.awaits_late_start(name))
+        entry.late_start_until = {};
+}
+
+// A worker that drains is not started again under its id. Long-running tasks
+// must not be away for long.
+bool pool_state::is_bound_to_late_start(const task& entry,
+                                        const step_spec& part,
+                                        base::time_point now) const
+{
+    if (now >= entry.late_start_until)
+        return false;
+    const auto worker = workers_.find(entry.late_start_on);
+    if (part.is_long_running &&
+        (worker == workers_.end() || !worker->second.accepts_starts(now)))
+        return false;
+    return worker == workers_.end() || !worker->second.may_end_as_planned(now);
+}
+
+void pool_state::resolve_runs(worker_view& worker)
+{
+    for (const task_id& name : worker.unresolved)
+    {
+        job* subject = find(name.job);
+        if (task* entry = subject == nullptr ? nullptr : subject->find(name))
+            --entry->unresolved_runs;
+    }
+    worker.unresolved.clear();
+}
+
+} // namespace pimentograde::jobs
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -320,8 +320,9 @@
     void note_arrived(worker_view& worker, const task_id& name, int run,
                       task& entry);
     /// Whether the task may start only where an earlier start may still arrive.
-    [[nodiscard]] bool is_bound(const task& entry, const step_spec& part,
-                                base::time_point now) const;
+    [[nodiscard]] bool is_bound_to_late_start(const task& entry,
+                                              const step_spec& part,
+                                              base::time_point now) const;
     /// `kept` are the tasks whose runs are known to have begun later.
     void note_crash(worker_view& worker, run_loss loss,
                     const std::set<task_id>& kept, base::time_point now);
