--- a/review/2/case.py
+++ b/review/2/case.py
@@ -40,8 +40,8 @@
 
 async def play(run, is_disturbed):
     await run.start_platform()
-    for number in range(4):
-        run.add_worker(f"i-a{number}", "desk", ["a", "r1-1"])
+    for number in range(7):
+        run.add_worker(f"i-a{number}", "desk", ["a", f"r1-{number // 4}"])
     only = run.add_worker("i-b0", "desk", ["b", "r1-2"])
     await run.put("op/config", config())
     nodes = [run.add_node(f"frontend-{number}", zone)
