Let a suspect return to the only worker that can run it

What callers saw: an accepted job was shown as running for good after the only worker with the required label had crashed right after the start and come back.

Cause: a suspect of a crash avoids the address of the crash if another worker is possible. Any other worker of the pool counted as possible, also one without the label, the resources or a place under MaxPerServer. Only a run of the task ends the suspicion, so the wait had no end.

Change: an address is avoided only if another worker meets the constraints of the step and will have room once the tasks there that end have ended. This is the condition under which the wait ends by itself.

Related paths: tasks that last, members of the same gang and places of the same step do not make room, so they do not count as room elsewhere.

--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -42,10 +42,7 @@
         (request.level != suspicion::none && request.crashes != nullptr &&
          request.crashes->contains_address(worker.description.address)))
         return false;
-    if (!step.required_label.empty() && !worker.has_label(step.required_label))
-        return false;
-    return step.max_per_worker == 0 ||
-           request.same_step_count(worker) < step.max_per_worker;
+    return meets_constraints(worker, request);
 }
 
 struct preference
@@ -75,6 +72,16 @@
     return room;
 }
 
+bool meets_constraints(const worker_view& worker,
+                       const placement_request& request)
+{
+    const step_spec& step = *request.step;
+    if (!step.required_label.empty() && !worker.has_label(step.required_label))
+        return false;
+    return step.max_per_worker == 0 ||
+           request.same_step_count(worker) < step.max_per_worker;
+}
+
 worker_view* choose_worker(std::span<worker_view* const> workers,
                            const placement_request& request,
                            base::time_point now)
--- a/src/jobs/placement.hpp
+++ b/src/jobs/placement.hpp
@@ -36,6 +36,11 @@
 /// reserve no CPU.
 resource_amount reserved_resources(const step_spec& step);
 
+/// Whether the worker has what the step asks for beside resources: the label,
+/// and a place under the limit of tasks of the step on one worker.
+bool meets_constraints(const worker_view& worker,
+                       const placement_request& request);
+
 /// Chooses the worker for a task; returns null when no worker fits. For
 /// long-running tasks, avoids workers that are to be maintained soon. Prefers
 /// the rack of the task's data, then the worker with the least free CPU (best
--- a/src/jobs/pool_crashes.cpp
+++ b/src/jobs/pool_crashes.cpp
@@ -188,6 +188,26 @@
     }
 }
 
+// Whether the task fits on the worker once the other tasks there have ended.
+// Those that last, and those that start together with it, do not end first.
+bool pool_state::will_have_room(const worker_view& worker,
+                                const placement_request& request) const
+{
+    if (!meets_constraints(worker, request))
+        return false;
+    resource_amount room = worker.description.capacity;
+    for (const auto& [name, run] : worker.runs)
+    {
+        const job* subject = find_job(name.job);
+        const step_spec* part =
+            subject == nullptr ? nullptr : subject->find_spec(name);
+        if (part != nullptr &&
+            (part->is_long_running || request.is_same_unit(name)))
+            room -= reserved_resources(*part);
+    }
+    return room.covers(reserved_resources(*request.step));
+}
+
 worker_view*
 pool_state::choose_worker_for(const job& subject, std::size_t position,
                               int index, const step_spec& wanted,
@@ -215,23 +235,29 @@
         workers = std::span(late, 1);
     }
     const task_id id = subject.id_of(position, index);
-    const bool is_elsewhere_possible = std::any_of(
-        workers.begin(), workers.end(),
-        [&](const worker_view* worker) {
-            return !entry.crashes.contains_address(worker->description.address);
-        });
-    const placement_request request{
+    placement_request request{
         &wanted,
         entry.failed_on,
         [&](const worker_view& worker)
         { return same_step_count(worker, subject, position); },
         level,
-        is_elsewhere_possible ? &entry.crashes : nullptr,
+        nullptr,
         is_crashing(now),
         [&](const task_id& other)
         {
             return is_same_unit(id, other);
         }};
+    const bool is_elsewhere_possible =
+        level != suspicion::none &&
+        std::any_of(workers.begin(), workers.end(),
+                    [&](const worker_view* worker)
+                    {
+                        return !entry.crashes.contains_address(
+                                   worker->description.address) &&
+                               will_have_room(*worker, request);
+                    });
+    if (is_elsewhere_possible)
+        request.crashes = &entry.crashes;
     worker_view* worker = choose_worker(workers, request, now);
     if (worker == nullptr && level != suspicion::none)
     {
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -25,6 +25,8 @@
 namespace pimentograde::jobs
 {
 
+struct placement_request;
+
 /// Outcome of submitting a job.
 struct submit_result
 {
@@ -342,6 +344,8 @@
                                    int index, const step_spec& wanted,
                                    std::span<worker_view* const> workers,
                                    base::time_point now);
+    [[nodiscard]] bool will_have_room(const worker_view& worker,
+                                      const placement_request& request) const;
     void release_held_workers(std::span<worker_view* const> workers,
                               base::time_point now);
     [[nodiscard]] bool is_crashing(base::time_point now) const;
--- a/tests/jobs/crash_test.cpp
+++ b/tests/jobs/crash_test.cpp
@@ -28,11 +28,14 @@
     crashing_pool() : pool_fixture({}) {}
     std::string add(const std::string& address)
     {
-        const std::string id = "w" + std::to_string(++workers);
-        state.update_worker(describe_at(id, address));
+        return add(describe_at("w" + std::to_string(++workers), address));
+    }
+    std::string add(const worker_description& worker)
+    {
+        state.update_worker(worker);
         state.note_recorded(state.roster());
-        report(id, {});
-        return id;
+        report(worker.id, {});
+        return worker.id;
     }
     /// The next owner learns of the crash only from the worker's successor.
     void crash(const std::string& id)
@@ -289,3 +292,92 @@
     pool.state.apply_start_answer(orders[0], start_answer::not_sent, pool.now);
     CHECK(pool.first_task("j").crashes.crashes().size() == 1);
 }
+
+// Guards against a task that waits for ever for a worker at another address
+// although no worker there can run it (review, case 2).
+TEST_CASE("a suspect returns to the only worker that can run it")
+{
+    crashing_pool pool;
+    pool.add("a:1");
+    auto special = describe_at("special", "b:1");
+    step_spec part = make_step(1);
+    SUBCASE("by its label")
+    {
+        special.labels.emplace_back("b");
+        part.required_label = "b";
+    }
+    SUBCASE("by its capacity")
+    {
+        special.capacity.gpus = 1;
+        part.need.gpus = 1;
+    }
+    pool.add(special);
+    pool.submit("j", make_job({part}));
+    const auto orders = pool.plan_and_start();
+    REQUIRE(worker_of(orders, "j") == "special");
+    pool.state.lose_runs("special", run_loss::ended, pool.now, wall);
+    pool.store();
+    special.born_ms = 2;
+    pool.add(special);
+    CHECK(worker_of(pool.plan(), "j") == "special");
+}
+
+// The same where other tasks that last take the room at the other address.
+TEST_CASE("a suspect does not wait for room that tasks without end take")
+{
+    crashing_pool pool;
+    pool.add("a:1");
+    step_spec lasting = make_step(1, 8000);
+    lasting.is_long_running = true;
+    pool.submit("lasting", make_job({lasting}));
+    REQUIRE(pool.plan_and_start().size() == 1);
+    pool.add("b:1");
+    pool.submit("j", make_job({make_step(1)}));
+    pool.crash(worker_of(pool.plan_and_start(), "j"));
+    CHECK(worker_of(pool.plan(), "j") == "w3");
+}
+
+// The same where tasks of its own step take the places at the other address.
+TEST_CASE("a suspect does not wait for places that its own step takes")
+{
+    crashing_pool pool;
+    step_spec part = make_step(2);
+    part.max_per_worker = 1;
+    part.is_long_running = true;
+    pool.add("a:1");
+    pool.add("b:1");
+    pool.submit("j", make_job({part}));
+    const auto orders = pool.plan_and_start();
+    REQUIRE(orders.size() == 2);
+    pool.crash("w2");
+    CHECK(worker_of(pool.plan(), "j") == "w3");
+}
+
+// The same for a gang that needs the worker where it has crashed.
+TEST_CASE("a suspected gang uses all workers when it needs them")
+{
+    crashing_pool pool;
+    step_spec part = make_step(2, 8000);
+    part.is_gang = true;
+    pool.add("a:1");
+    pool.add("b:1");
+    pool.submit("j", make_job({part}));
+    REQUIRE(pool.plan_and_start().size() == 2);
+    pool.crash("w2");
+    pool.report("w1", {});
+    CHECK(pool.plan().size() == 2);
+}
+
+// Guards against starting a suspect where it has crashed while another worker
+// will have room.
+TEST_CASE("a suspect waits for room at another address")
+{
+    crashing_pool pool;
+    pool.add("a:1");
+    pool.submit("other", make_job({make_step(1, 8000)}));
+    REQUIRE(pool.plan_and_start().size() == 1);
+    pool.add("b:1");
+    pool.submit("j", make_job({make_step(1)}));
+    pool.crash(worker_of(pool.plan_and_start(), "j"));
+    CHECK(pool.plan().empty());
+}
