Keep the pools of each queue in the store

What callers saw: after a version had sent a queue to another service and the instances had been restarted in turn, all of them answered 410 for an accepted job that ran.

Cause: the earlier pools of a queue were derived from the versions that a process had seen. A process that starts later reads the newest version only.

Change: the pools of each queue are stored under the prefix that all instances watch, by compare-and-swap and before the first job of the queue is accepted in a pool. So whoever starts later and reads the list knows each pool in which a job can lie. An instance is ready once it has read the list. While the assignment cannot be stored, jobs of the queue are refused at once.

Related paths: queues are told apart by host and path, so that a route that is renamed, or removed and added again, keeps its jobs; an instance that does not have the newest version yet asks the new pool as well.

--- a/src/node/caller_api.cpp
+++ b/src/node/caller_api.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds default_time_left{3000};
 constexpr std::chrono::milliseconds max_time_left{10'000};
 constexpr std::chrono::seconds outage_retry_after{1};
+// Time reserved for sending a refusal.
+constexpr std::chrono::milliseconds refusal_reserve{150};
 
 constexpr unsigned ok = 200;
 constexpr unsigned bad_request = 400;
@@ -57,21 +59,14 @@
     std::string reason;
 };
 
-caller_api::caller_api(pool_gateway& gateway, metrics::registry& metrics)
-    : gateway_(gateway), metrics_(metrics)
+caller_api::caller_api(pool_gateway& gateway, queue_recorder& queues,
+                       metrics::registry& metrics)
+    : gateway_(gateway), queues_(queues), metrics_(metrics)
 {
 }
 
 void caller_api::set_configuration(const platform::configuration& current)
 {
-    if (configuration_)
-        for (const auto& route : configuration_->queues)
-        {
-            auto& pools = earlier_pools_[route.policy.name];
-            if (std::find(pools.begin(), pools.end(), route.policy.pool) ==
-                pools.end())
-                pools.push_back(route.policy.pool);
-        }
     configuration_ = current;
 }
 
@@ -91,7 +86,7 @@
 
 net::http_response caller_api::answer(call& current)
 {
-    if (!configuration_)
+    if (!is_configured())
     {
         current.reason = "no configuration yet";
         return retry_later(outage_retry_after, current.reason);
@@ -130,8 +125,8 @@
         current.reason = "the body is too large";
         return {too_large, platform::write_reason(current.reason)};
     }
-    // Copied: the configuration may change during the call to the owner.
-    const jobs::queue_policy queue = current.route->policy;
+    // Copied: the configuration may change during the calls.
+    const platform::queue_route route = *current.route;
     jobs::job_spec spec;
     try
     {
@@ -144,8 +139,13 @@
     }
     if (auto known = find_in_earlier_pools(current))
         return *known;
-    const auto reply =
-        gateway_.submit(queue, current.job, std::move(spec), current.deadline);
+    if (!queues_.wait_stored(route, current.deadline - refusal_reserve))
+    {
+        current.reason = "the queue's pool is not stored yet";
+        return retry_later(outage_retry_after, current.reason);
+    }
+    const auto reply = gateway_.submit(route.policy, current.job,
+                                       std::move(spec), current.deadline);
     current.reason = reply.reason;
     if (reply.outcome == submission_kind::accepted)
         return {ok, "{}"};
@@ -182,15 +182,11 @@
 caller_api::policies_of(const platform::queue_route& route) const
 {
     std::vector<jobs::queue_policy> policies{route.policy};
-    const auto earlier = earlier_pools_.find(route.policy.name);
-    if (earlier == earlier_pools_.end())
-        return policies;
-    for (const std::string& pool : earlier->second)
-        if (pool != route.policy.pool)
-        {
-            policies.push_back(route.policy);
-            policies.back().pool = pool;
-        }
+    for (const std::string& pool : queues_.earlier_pools(route))
+    {
+        policies.push_back(route.policy);
+        policies.back().pool = pool;
+    }
     return policies;
 }
 
--- a/src/node/caller_api.hpp
+++ b/src/node/caller_api.hpp
@@ -4,9 +4,9 @@
 #include "metrics/registry.hpp"
 #include "net/http_message.hpp"
 #include "node/pool_gateway.hpp"
+#include "node/queue_recorder.hpp"
 #include "platform/configuration.hpp"
 
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,12 +20,14 @@
 class caller_api
 {
 public:
-    caller_api(pool_gateway& gateway, metrics::registry& metrics);
+    caller_api(pool_gateway& gateway, queue_recorder& queues,
+               metrics::registry& metrics);
 
     void set_configuration(const platform::configuration& current);
-    [[nodiscard]] bool has_configuration() const
+    /// Whether it knows the queues, and the pools that they had before.
+    [[nodiscard]] bool is_configured() const
     {
-        return configuration_.has_value();
+        return configuration_.has_value() && queues_.is_listed();
     }
     net::http_response handle(const net::http_request& request);
 
@@ -46,9 +48,9 @@
                      base::time_point begin);
 
     pool_gateway& gateway_;
+    queue_recorder& queues_;
     metrics::registry& metrics_;
     std::optional<platform::configuration> configuration_;
-    std::map<std::string, std::vector<std::string>> earlier_pools_;
 };
 
 } // namespace pimentograde::node
--- a/src/node/events.hpp
+++ b/src/node/events.hpp
@@ -58,6 +58,11 @@
 inline constexpr log::event event_orders_not_recorded{
     3324, log::severity::warning,
     "recording machine orders failed; they are not sent"};
+inline constexpr log::event event_queues_not_recorded{
+    3325, log::severity::warning, "storing the queues' pools failed; retrying"};
+inline constexpr log::event event_queues_invalid{
+    3326, log::severity::error,
+    "the stored pools of the queues are unreadable"};
 
 } // namespace pimentograde::node
 
--- a/src/node/node_instance.cpp
+++ b/src/node/node_instance.cpp
@@ -13,6 +13,7 @@
 #include "node/pool_claims.hpp"
 #include "node/pool_gateway.hpp"
 #include "node/prefix_watch.hpp"
+#include "node/queue_recorder.hpp"
 #include "node/session.hpp"
 #include "node/state_dump.hpp"
 #include "node/worker_directory.hpp"
@@ -73,7 +74,8 @@
           claims(members, directory, *store, *worker_http,
                  settings.longest_worker_lease,
                  [this](bool is_needed) { set_worker_watch(is_needed); }),
-          gateway(members, claims, *store), caller_requests(gateway, metrics),
+          gateway(members, claims, *store), queues(*store),
+          caller_requests(gateway, queues, metrics),
           fleet(members, gateway, *store, *worker_http,
                 settings.machine_service,
                 {settings.move_time, settings.maintenance_time,
@@ -96,6 +98,7 @@
     session members;
     pool_claims claims;
     pool_gateway gateway;
+    queue_recorder queues;
     caller_api caller_requests;
     fleet_manager fleet;
     prefix_watch member_watch;
@@ -129,9 +132,15 @@
 prefix_watch::hooks node_instance::impl::member_hooks()
 {
     return {[this](std::span<const platform::store_item> items)
-            { members.apply_listing(items); },
+            {
+                members.apply_listing(items);
+                queues.apply_listing(items);
+            },
             [this](std::span<const platform::store_event> events)
-            { members.apply_changes(events); },
+            {
+                members.apply_changes(events);
+                queues.apply_changes(events);
+            },
             [this](bool is_ok)
             {
                 log_store_state(is_ok);
@@ -208,6 +217,7 @@
     if (current.version <= version)
         return;
     version = current.version;
+    queues.set_configuration(current);
     caller_requests.set_configuration(current);
     claims.set_configuration(current);
     fleet.set_configuration(current);
@@ -219,8 +229,7 @@
 
 bool node_instance::impl::is_ready() const
 {
-    return !is_stopping && caller_requests.has_configuration() &&
-           peers != nullptr;
+    return !is_stopping && caller_requests.is_configured() && peers != nullptr;
 }
 
 void node_instance::impl::open_listeners()
@@ -283,6 +292,7 @@
     worker_watch.set_active(false);
     worker_watch.start();
     members.start();
+    queues.start();
     claims.start();
     fleet.start();
     fibers.spawn([this] { open_peer_listener(); });
@@ -324,6 +334,7 @@
     fleet.stop();
     claims.quiesce();
     members.stop();
+    queues.stop();
     callers->close_after_responses();
     boost::this_fiber::sleep_until(begin + rotation_removal_time);
     const bool all_ended = callers->stop_gracefully(deadline);
--- /dev/null
+++ b/src/node/queue_pools.hpp
@@ -0,0 +1,57 @@
+#ifndef PIMENTOGRADE_NODE_QUEUE_POOLS_HPP
+#define PIMENTOGRADE_NODE_QUEUE_POOLS_HPP
+
+#include "platform/configuration.hpp"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pimentograde::node
+{
+
+/// The pools that each queue has been assigned to, in the order of assignment.
+/// Jobs stay in the pool that accepted them, so a job of the queue may lie in
+/// any of them. Queues are told apart by host and path prefix, as callers do.
+class queue_pools
+{
+public:
+    /// Adds the assignments of a configuration. Beyond `max_queues`, drops the
+    /// queues that it does not have, the ones that were added first before
+    /// others. Returns whether anything has changed.
+    bool add(const platform::configuration& current);
+    /// Adds what another instance knows.
+    void merge(const queue_pools& other);
+    [[nodiscard]] bool contains(const platform::queue_route& route) const;
+    /// The queue's pools without the one that the route names.
+    [[nodiscard]] std::vector<std::string>
+    earlier_pools(const platform::queue_route& route) const;
+    bool operator==(const queue_pools&) const = default;
+
+    [[nodiscard]] std::string encode() const;
+    /// Throws `base::error` with `invalid`.
+    static queue_pools decode(std::string_view text);
+
+    /// Queues that are kept; the users' size in two years is about 600.
+    static constexpr std::size_t max_queues = 2000;
+
+private:
+    struct entry
+    {
+        std::string queue;
+        std::vector<std::string> pools;
+        bool operator==(const entry&) const = default;
+    };
+
+    [[nodiscard]] const entry* find(std::string_view queue) const;
+    bool add(std::string_view queue, const std::string& pool);
+
+    /// In the order in which the queues were added.
+    std::vector<entry> entries_;
+    std::map<std::string, std::size_t, std::less<>> positions_;
+};
+
+} // namespace pimentograde::node
+
+#endif
--- /dev/null
+++ b/src/node/queue_recorder.hpp
@@ -0,0 +1,75 @@
+#ifndef PIMENTOGRADE_NODE_QUEUE_RECORDER_HPP
+#define PIMENTOGRADE_NODE_QUEUE_RECORDER_HPP
+
+#include "base/time.hpp"
+#include "net/task_group.hpp"
+#include "net/wakeup.hpp"
+#include "node/queue_pools.hpp"
+#include "platform/store_client.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pimentograde::node
+{
+
+/// Keeps the queues' pools in the store, for instances that start after a
+/// change of the configuration: they read the newest version only. An
+/// assignment is stored before the first job is accepted under it.
+class queue_recorder
+{
+public:
+    explicit queue_recorder(platform::store_client& store);
+    ~queue_recorder();
+    queue_recorder(const queue_recorder&) = delete;
+    queue_recorder& operator=(const queue_recorder&) = delete;
+
+    void start();
+    /// Ends the loop; a write in progress must be cancelled at the client.
+    void stop();
+
+    void set_configuration(const platform::configuration& current);
+    /// Items and changes under `session::prefix()`.
+    void apply_listing(std::span<const platform::store_item> items);
+    void apply_changes(std::span<const platform::store_event> events);
+
+    /// The store's list has been read.
+    [[nodiscard]] bool is_listed() const { return is_listed_; }
+    [[nodiscard]] std::vector<std::string>
+    earlier_pools(const platform::queue_route& route) const
+    {
+        return known_.earlier_pools(route);
+    }
+    /// Waits until the route's assignment is stored, or until `deadline`;
+    /// returns at once while the store does not answer. Returns whether it is
+    /// stored.
+    bool wait_stored(const platform::queue_route& route,
+                     base::time_point deadline);
+
+private:
+    void run();
+    void write();
+    void adopt(const platform::store_item& item);
+    [[nodiscard]] bool is_outdated() const;
+
+    platform::store_client& store_;
+    std::optional<platform::configuration> configuration_;
+    /// All assignments that this instance has heard of.
+    queue_pools known_;
+    queue_pools stored_;
+    std::int64_t revision_ = 0;
+    bool is_listed_ = false;
+    bool is_failing_ = false;
+    net::wakeup work_;
+    net::wakeup written_;
+    net::stop_signal stop_;
+    net::task_group fibers_;
+};
+
+} // namespace pimentograde::node
+
+#endif
--- a/tests/node/cluster.hpp
+++ b/tests/node/cluster.hpp
@@ -150,6 +150,9 @@
 inline const std::string two_steps =
     R"({"Spec":"s","Steps":[{"Count":3,"Cpu":1000,"MemMb":10,"EstimateMs":100},
     {"Count":1,"Cpu":1000,"MemMb":10,"EstimateMs":100,"After":[0]}]})";
+inline const std::string one_task =
+    R"({"Spec":"s","Steps":[{"Count":1,"Cpu":1000,"MemMb":10,
+    "EstimateMs":100}]})";
 inline const std::string lasting =
     R"({"Spec":"lasts","Steps":[{"Count":1,"Cpu":1000,"MemMb":10,
     "EstimateMs":100,"LongRunning":true}]})";
--- a/tests/node/node_instance_test.cpp
+++ b/tests/node/node_instance_test.cpp
@@ -260,6 +260,45 @@
     CHECK(all.platform.starts_of(id_a + ".0.0.0") == 1);
 }
 
+// Guards against an instance that starts after its queue has moved to another
+// pool: it knew the newest version only, answered 410 for a job that ran, and
+// accepted the same job a second time (review, case 5).
+TEST_CASE("jobs of a queue's earlier pool are found after all have restarted")
+{
+    cluster all(2, 1, 20s);
+    all.platform.add_worker("x0", "other", 100ms);
+    const std::vector<std::string> pools{"other"};
+    all.platform.configure(2, "pool", pools);
+    REQUIRE(eventually(
+        [&]
+        { return all.client.submit(*all.entries[0], id_a, one_task) == 200; }));
+    REQUIRE(eventually(
+        [&] { return all.platform.starts_of(id_a + ".0.0.0") == 1; }));
+    const std::vector<std::string> old_pools{"pool"};
+    all.platform.configure(3, "other", old_pools);
+    for (std::size_t index = 0; index < all.entries.size(); ++index)
+    {
+        auto& one = all.entries[index];
+        one->instance->stop();
+        one.reset();
+        one =
+            std::make_unique<entry>(all.platform, "e" + std::to_string(index));
+        REQUIRE(eventually([&] { return one->instance->is_ready(); }));
+        CHECK(all.client.state(*one, id_a) != "410");
+    }
+    const auto& last = *all.entries[1];
+    REQUIRE(eventually(
+        [&] { return all.client.submit(last, id_b, one_task) == 200; }));
+    CHECK(all.client.submit(last, id_a, one_task) == 200);
+    CHECK(all.completes(1, id_b));
+    CHECK(all.client.state(last, id_a) == running);
+    CHECK(all.platform.starts_of(id_a + ".0.0.0") == 1);
+    CHECK(eventually(
+        [&] {
+            return all.client.call(last, "DELETE", "/q/" + id_a).status == 200;
+        }));
+}
+
 // Guards against a wave that is not completed, and against orders of one wave
 // under different fences.
 TEST_CASE("a maintenance wave is carried out and reported")
