Count waiting jobs of a queue's earlier pools as pending

Cause: the count asked the pool of the newest version only, while jobs stay in the pool that accepted them.

Change: the count adds up the queue's pools that the configuration has. Pools that it no longer has are left out: nobody owns them, and nothing starts there.

--- a/src/node/caller_api.cpp
+++ b/src/node/caller_api.cpp
@@ -230,13 +230,26 @@
     return retry_later(outage_retry_after, current.reason);
 }
 
+// Jobs wait in each pool that the queue has had. Nobody owns a pool that is no
+// longer configured, and nothing starts there.
 net::http_response caller_api::pending_count(call& current)
 {
-    const jobs::queue_policy queue = current.route->policy;
-    if (const auto pending = gateway_.pending(queue, current.deadline))
-        return {ok, platform::write_pending(*pending)};
-    current.reason = "the pool's owner does not answer";
-    return retry_later(outage_retry_after, current.reason);
+    std::int64_t count = 0;
+    const std::string current_pool = current.route->policy.pool;
+    for (const auto& queue : policies_of(*current.route))
+    {
+        if (queue.pool != current_pool &&
+            !configuration_->has_active_pool(queue.pool))
+            continue;
+        const auto pending = gateway_.pending(queue, current.deadline);
+        if (!pending)
+        {
+            current.reason = "the pool's owner does not answer";
+            return retry_later(outage_retry_after, current.reason);
+        }
+        count += *pending;
+    }
+    return {ok, platform::write_pending(count)};
 }
 
 void caller_api::log_request(const call& current,
--- a/src/platform/configuration.cpp
+++ b/src/platform/configuration.cpp
@@ -2,6 +2,8 @@
 
 #include "platform/json_call.hpp"
 
+#include <algorithm>
+
 namespace pimentograde::platform
 {
 
@@ -53,6 +55,13 @@
 
 } // namespace
 
+bool configuration::has_active_pool(std::string_view pool) const
+{
+    return std::any_of(pools.begin(), pools.end(),
+                       [pool](const pool_settings& entry)
+                       { return entry.name == pool && !entry.is_standby; });
+}
+
 const queue_route* configuration::match(std::string_view host,
                                         std::string_view path) const
 {
--- a/src/platform/configuration.hpp
+++ b/src/platform/configuration.hpp
@@ -42,6 +42,9 @@
     std::vector<pool_settings> pools;
     std::size_t max_body_bytes = 262'144;
 
+    /// Whether the pool is configured with machines that are on, so that an
+    /// instance owns it.
+    [[nodiscard]] bool has_active_pool(std::string_view pool) const;
     /// The queue of a request; null when none matches.
     [[nodiscard]] const queue_route* match(std::string_view host,
                                            std::string_view path) const;
--- a/tests/node/cluster.hpp
+++ b/tests/node/cluster.hpp
@@ -153,6 +153,9 @@
 inline const std::string one_task =
     R"({"Spec":"s","Steps":[{"Count":1,"Cpu":1000,"MemMb":10,
     "EstimateMs":100}]})";
+inline const std::string whole_worker =
+    R"({"Spec":"s","Steps":[{"Count":1,"Cpu":4000,"MemMb":10,
+    "EstimateMs":100}]})";
 inline const std::string lasting =
     R"({"Spec":"lasts","Steps":[{"Count":1,"Cpu":1000,"MemMb":10,
     "EstimateMs":100,"LongRunning":true}]})";
--- a/tests/node/node_instance_test.cpp
+++ b/tests/node/node_instance_test.cpp
@@ -299,6 +299,43 @@
         }));
 }
 
+// Guards against waiting jobs that are missing in the count once their queue
+// has moved to another pool.
+TEST_CASE("jobs that wait in a queue's earlier pool are counted as pending")
+{
+    cluster all(1, 1, 20s);
+    const auto& only = *all.entries[0];
+    all.platform.add_worker("x0", "other", 100ms);
+    const std::vector<std::string> other{"other"};
+    all.platform.configure(2, "pool", other);
+    constexpr int jobs = 6;
+    for (int index = 0; index < jobs; ++index)
+        REQUIRE(eventually(
+            [&]
+            {
+                return all.client.submit(
+                           only, "00000000000000" + std::to_string(10 + index),
+                           whole_worker) == 200;
+            }));
+    const auto pending = [&]
+    {
+        return all.client.call(only, "GET", "/q/").body;
+    };
+    const std::string all_but_one = R"({"Pending":5})";
+    REQUIRE(eventually([&] { return pending() == all_but_one; }));
+    const std::vector<std::string> pool{"pool"};
+    all.platform.configure(3, "other", pool);
+    REQUIRE(eventually(
+        [&] {
+            return all.client.state_contains(only,
+                                             "\"configuration_version\":3");
+        }));
+    REQUIRE(eventually(
+        [&] { return all.client.submit(only, id_a, one_task) == 200; }));
+    CHECK(all.completes(0, id_a));
+    CHECK(pending() == all_but_one);
+}
+
 // Guards against a wave that is not completed, and against orders of one wave
 // under different fences.
 TEST_CASE("a maintenance wave is carried out and reported")
