Let the pool's state decide which workers can be forgotten

No change of behaviour: the owner's condition moves beside the state that it reads. The clause on ended workers is dropped, since losing the runs of a worker that has ended makes its runs known.

--- a/src/jobs/pool_roster.cpp
+++ b/src/jobs/pool_roster.cpp
@@ -107,6 +107,16 @@
                : mark;
 }
 
+bool pool_state::can_forget(std::string_view id, base::time_point now) const
+{
+    const auto found = workers_.find(id);
+    if (found == workers_.end())
+        return true;
+    const worker_view& worker = found->second;
+    return !worker.is_listed && worker.runs.empty() &&
+           (worker.has_known_runs || now >= worker.lease_ends_by);
+}
+
 std::vector<roster_entry> pool_state::roster()
 {
     std::vector<roster_entry> result;
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -152,6 +152,9 @@
     /// incarnation tells which runs are gone.
     void lose_runs(std::string_view id, run_loss loss, base::time_point now,
                    base::wall_time wall);
+    /// Whether the worker is no longer listed and nothing depends on asking it.
+    [[nodiscard]] bool can_forget(std::string_view id,
+                                  base::time_point now) const;
     void forget_worker(std::string_view id);
     /// Places no new runs on the worker until `until` and stops its
     /// long-running tasks, as far as the availability of their steps allows, so
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -268,14 +268,7 @@
     const base::time_point now = base::steady_now();
     for (auto entry = links.begin(); entry != links.end();)
     {
-        const auto found = state.workers().find(entry->first);
-        const bool can_remove =
-            found == state.workers().end() ||
-            (!found->second.is_listed && found->second.runs.empty() &&
-             (found->second.has_known_runs ||
-              ended_workers.contains(entry->first) ||
-              now >= found->second.lease_ends_by));
-        if (!can_remove)
+        if (!state.can_forget(entry->first, now))
         {
             ++entry;
             continue;
