Keep ends on their way to the store out of the roster's runs

Cause: the roster states the runs of a silent worker once the ends that it has listed are stored. Only records to be written counted as not stored, not those on their way, whose write may fail. The next owner trusted the roster and did not wait for the worker.

The new unit test fails without it.

Change: both sets of jobs that hold unstored changes are asked. The ends that a job has listed are forgotten once its record is stored, so that a later change of the job does not make the worker count as one with unstored ends.

The check of starts after an end now also applies to histories with partitions. An end is excused if the worker's lease has lapsed since, which is what the rule says, instead of excusing all histories with partitions.

--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -133,7 +133,8 @@
     /// exist.
     bool is_inherited = false;
 
-    /// Workers that have listed ends of its runs; not stored.
+    /// Workers that have listed ends of its runs that are not known to be
+    /// stored.
     std::set<std::string, std::less<>> ended_on;
 
     /// The store has acknowledged a record of the job.
--- a/src/jobs/pool_roster.cpp
+++ b/src/jobs/pool_roster.cpp
@@ -90,13 +90,15 @@
 }
 
 // An end that is not stored is known to the worker alone: the next owner has to
-// ask.
+// ask. A write under way may fail.
 bool pool_state::has_unstored_ends(const worker_view& worker) const
 {
-    return std::any_of(
-        dirty_.begin(), dirty_.end(),
-        [&](const job* subject)
-        { return subject->ended_on.contains(worker.description.id); });
+    const auto has_ended_there = [&](const job* subject)
+    {
+        return subject->ended_on.contains(worker.description.id);
+    };
+    return std::any_of(dirty_.begin(), dirty_.end(), has_ended_there) ||
+           std::any_of(writing_.begin(), writing_.end(), has_ended_there);
 }
 
 roster_mark pool_state::wanted_mark(const worker_view& worker) const
--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -481,6 +481,8 @@
     if (subject == nullptr)
         return;
     end_write(*subject);
+    if (!is_dirty(*subject))
+        subject->ended_on.clear();
     subject->is_stored = true;
     subject->stored_status = subject->written_status;
     subject->stored_crash_changes = subject->written_crash_changes;
--- a/tests/jobs/pool_history_test.cpp
+++ b/tests/jobs/pool_history_test.cpp
@@ -118,6 +118,15 @@
         {.lost_answer = 5, .late_order = 5, .takeover = 3, .record_outage = 3});
 }
 
+// Guards against a start after a run has ended, and against two runs at once:
+// the next owner reads a roster that was written while the records of ended
+// runs were still on their way (kavango-cues, lcq-sched, TWICE).
+TEST_CASE("owners change while writes are slow and workers are silent")
+{
+    check("slow writes",
+          {.lost_answer = 5, .cut = 2, .takeover = 2, .slow_write = 30});
+}
+
 TEST_CASE("failed runs are started again")
 {
     check("failures", {.lost_answer = 5, .failure = 20});
--- a/tests/jobs/pool_world.cpp
+++ b/tests/jobs/pool_world.cpp
@@ -18,6 +18,7 @@
 constexpr auto lapse_slack = 100ms;
 constexpr auto down_time = 400ms;
 constexpr int max_slow_steps = 4;
+constexpr int max_write_steps = 20;
 // How long starts may go by a room that has shrunk since.
 constexpr auto shrink_grace = 4500ms;
 constexpr int crashes_to_give_up = 2;
@@ -49,6 +50,8 @@
 void simulated_worker::advance(base::time_point now)
 {
     const bool has_lapsed = now >= lease_until;
+    if (has_lapsed)
+        lapsed_end = last_number;
     for (auto entry = running.begin(); entry != running.end();)
     {
         const live_run run = entry->second;
@@ -71,8 +74,10 @@
     const std::string name = id;
     const std::int64_t born = born_ms + 1;
     const int unchanged_room = room;
+    const bool was_listed = is_listed;
     *this = {};
     id = name;
+    is_listed = was_listed;
     born_ms = born;
     room = unchanged_room;
 }
@@ -113,8 +118,7 @@
 
 pool_world::pool_world(std::uint64_t seed, int workers, fault_odds odds)
     : random_(seed), odds_(odds),
-      state_(std::make_unique<jobs::pool_state>("pool")),
-      has_partitions_(odds.cut > 0)
+      state_(std::make_unique<jobs::pool_state>("pool"))
 {
     state_->set_policy({"queue", "pool", 0, 1'000'000, 1.5, 600ms});
     for (int index = 0; index < workers; ++index)
@@ -160,13 +164,15 @@
         accepted_.push_back(id);
     // A job counts as accepted once it is stored.
     const bool is_away = std::exchange(is_record_away_, false);
+    const int slow = std::exchange(odds_.slow_write, 0);
     store();
     is_record_away_ = is_away;
+    odds_.slow_write = slow;
 }
 
 void pool_world::execute(simulated_worker& worker,
                          const jobs::start_order& order, std::int64_t fence,
-                         base::time_point until)
+                         base::time_point until, bool is_late)
 {
     const bool was_running = worker.running.contains(order.task);
     const auto length = 100ms + std::chrono::milliseconds(random_() % 300);
@@ -174,6 +180,8 @@
                       chance(odds_.failure)) ||
         was_running)
         return;
+    if (!is_late)
+        note_repeated_ends(order.task);
     for (const simulated_worker& other : workers_)
         if (other.id != worker.id && other.running.contains(order.task))
             violations_.push_back("two runs of " + to_string(order.task));
@@ -228,9 +236,7 @@
     using jobs::start_answer;
     const jobs::start_order& order = entry.order;
     simulated_worker& worker = workers_[entry.worker];
-    if (has_ended(order.task))
-        started_after_end_.insert(order.task);
-    execute(worker, order, entry.fence, entry.until);
+    execute(worker, order, entry.fence, entry.until, false);
     if (entry.fence != fence_)
         return;
     const auto found = worker.running.find(order.task);
@@ -267,25 +273,21 @@
     }
 }
 
-bool pool_world::has_ended(const jobs::task_id& task) const
+void pool_world::note_repeated_ends(const jobs::task_id& task)
 {
-    return std::any_of(workers_.begin(), workers_.end(),
-                       [&](const simulated_worker& worker)
-                       {
-                           return std::any_of(
-                               worker.ended.begin(), worker.ended.end(),
-                               [&](const jobs::listed_end& row) {
-                                   return row.task == task &&
-                                          row.how == jobs::end_kind::done;
-                               });
-                       });
+    for (simulated_worker& worker : workers_)
+        for (const jobs::listed_end& row : worker.ended)
+            if (row.task == task && row.how == jobs::end_kind::done)
+                worker.repeated_ends.insert(row.number);
 }
 
-void pool_world::acknowledge(const jobs::task_id& task)
+void pool_world::acknowledge(const simulated_worker& worker,
+                             const jobs::listed_end& row)
 {
-    acknowledged_.insert(task);
-    if (!has_partitions_ && started_after_end_.contains(task))
-        violations_.push_back("start after an end of " + to_string(task) +
+    acknowledged_.insert(row.task);
+    if (row.number > worker.lapsed_end &&
+        worker.repeated_ends.contains(row.number))
+        violations_.push_back("start after an end of " + to_string(row.task) +
                               " that was acknowledged later");
 }
 
@@ -298,14 +300,16 @@
             state_->lose_runs(worker.id, jobs::run_loss::lapsed, now_, wall);
         return;
     }
-    if (worker.fence > fence_)
+    if (worker.fence > fence_ || !state_->workers().contains(worker.id))
         return;
     worker.fence = fence_;
     if (known_born_[worker.id] != worker.born_ms)
     {
         known_born_[worker.id] = worker.born_ms;
         stored_end_[worker.id] = 0;
-        state_->update_worker(describe(worker));
+        if (worker.is_listed)
+            state_->update_worker(describe(worker));
+        unstored_ends_.erase(worker.id);
     }
     worker.lease_until = std::max(worker.lease_until, now_ + lease_length);
     auto& extended = extended_until_[worker.id];
@@ -317,7 +321,7 @@
                       const bool is_noted =
                           row.number <= stored_end_[worker.id];
                       if (is_noted && row.how == jobs::end_kind::done)
-                          acknowledge(row.task);
+                          acknowledge(worker, row);
                       return is_noted;
                   });
     jobs::worker_report report;
@@ -327,46 +331,199 @@
     report.ended = worker.ended;
     // Asked a little earlier than the last order, as on a real network.
     state_->apply_report(worker.id, report, now_, now_, wall);
+    if (!report.ended.empty() && !unstored_ends_.contains(worker.id))
+        unstored_ends_[worker.id] = {report.ended.back().number,
+                                     state_->change_number()};
     store();
-    if (!report.ended.empty() && is_all_stored_)
-        stored_end_[worker.id] = report.ended.back().number;
+}
+
+void pool_world::note_stored_ends()
+{
+    std::erase_if(unstored_ends_,
+                  [&](const auto& entry)
+                  {
+                      const auto& [worker, ends] = entry;
+                      if (state_->stored_change() < ends.change)
+                          return false;
+                      stored_end_[worker] = ends.last_end;
+                      return true;
+                  });
 }
 
 void pool_world::store()
 {
     store_roster();
-    is_all_stored_ = true;
     for (const auto& change : state_->take_changes(1000))
     {
         if (is_record_away_)
         {
             if (chance(33))
-                stored_[change.job] = change.value;
+                stored_[change.job] = {change.value, ++revision_};
             state_->note_not_stored(change.job, true);
-            is_all_stored_ = false;
             continue;
         }
-        stored_[change.job] = change.value;
-        state_->note_stored(change.job, ++revision_);
+        auto entry =
+            begin_write(change.job, change.value, change.expected_revision);
+        if (now_ >= entry.answered_at)
+        {
+            arrive(entry);
+            note_answer(entry);
+        }
+        else
+            writes_.push_back(std::move(entry));
+    }
+    note_stored_ends();
+}
+
+base::duration pool_world::some_steps(int most)
+{
+    return step_length * (random_() % static_cast<unsigned>(most));
+}
+
+pool_world::pending_write
+pool_world::begin_write(std::string job, std::string value,
+                        std::int64_t expected_revision)
+{
+    pending_write entry{
+        fence_,           now_, now_, false, std::move(job), std::move(value),
+        expected_revision};
+    if (odds_.slow_write == 0 || !chance(odds_.slow_write))
+        return entry;
+    entry.arrives_at += some_steps(max_write_steps);
+    entry.answered_at += step_length + some_steps(max_write_steps);
+    // No answer is later than the caller waits, and none is earlier than the
+    // effect.
+    entry.is_answer_lost = entry.answered_at < entry.arrives_at || chance(50);
+    return entry;
+}
+
+void pool_world::advance_writes()
+{
+    std::vector<pending_write> answered;
+    for (pending_write& entry : writes_)
+    {
+        if (!entry.has_arrived && now_ >= entry.arrives_at)
+            arrive(entry);
+        if (now_ >= entry.answered_at && entry.fence == fence_)
+        {
+            answered.push_back(entry);
+            // It may still arrive.
+            entry.answered_at = base::time_point::max();
+        }
+    }
+    std::erase_if(writes_,
+                  [&](const pending_write& entry)
+                  {
+                      return entry.has_arrived &&
+                             (entry.fence != fence_ ||
+                              entry.answered_at == base::time_point::max());
+                  });
+    for (const pending_write& entry : answered)
+        note_answer(entry);
+}
+
+// Holds only while its sender owns the pool.
+void pool_world::arrive(pending_write& entry)
+{
+    entry.has_arrived = true;
+    stored_item& item = entry.job.empty() ? stored_roster_ : stored_[entry.job];
+    if (entry.fence != fence_ || item.revision != entry.expected_revision)
+        return;
+    entry.revision = ++revision_;
+    item = {entry.value, entry.revision};
+}
+
+void pool_world::note_answer(const pending_write& entry)
+{
+    if (entry.job.empty())
+    {
+        note_roster_answer(entry);
+        return;
     }
+    const stored_item& item = stored_[entry.job];
+    if (entry.is_answer_lost || !entry.has_arrived)
+        state_->note_not_stored(entry.job, true);
+    else if (entry.revision > 0)
+        state_->note_stored(entry.job, entry.revision);
+    else if (item.value == entry.value)
+        state_->note_stored(entry.job, item.revision);
+    else
+        state_->note_store_revision(entry.job, item.revision);
+}
+
+void pool_world::note_roster_answer(const pending_write& entry)
+{
+    is_writing_roster_ = false;
+    if (entry.is_answer_lost || !entry.has_arrived)
+        return;
+    known_roster_revision_ = stored_roster_.revision;
+    if (stored_roster_.value == entry.value)
+        state_->note_recorded(entry.roster);
 }
 
 // The write may take effect although its answer is lost.
 void pool_world::store_roster()
 {
-    if (!state_->is_roster_outdated())
+    if (is_writing_roster_ || !state_->is_roster_outdated())
         return;
     const auto roster = state_->roster();
     if (is_roster_away_)
         return;
-    stored_roster_ = jobs::encode_roster(roster);
-    if (!chance(odds_.lost_answer))
-        state_->note_recorded(roster);
+    auto entry =
+        begin_write({}, jobs::encode_roster(roster), known_roster_revision_);
+    entry.roster = roster;
+    if (odds_.slow_write == 0)
+        entry.is_answer_lost = chance(odds_.lost_answer);
+    if (now_ >= entry.answered_at)
+    {
+        arrive(entry);
+        note_answer(entry);
+        return;
+    }
+    is_writing_roster_ = true;
+    writes_.push_back(std::move(entry));
+}
+
+// Entries lapse while the store is away, and come back after it.
+void pool_world::change_listing(simulated_worker& worker)
+{
+    if (worker.is_listed ? !chance(odds_.unlist)
+                         : !chance(5) && odds_.unlist > 0)
+        return;
+    worker.is_listed = !worker.is_listed;
+    if (!worker.is_listed)
+    {
+        state_->unlist_worker(worker.id);
+        return;
+    }
+    if (!state_->workers().contains(worker.id))
+        stored_end_[worker.id] = 0;
+    state_->update_worker(describe(worker));
+}
+
+void pool_world::forget_unlisted()
+{
+    for (const simulated_worker& worker : workers_)
+        if (!worker.is_listed && state_->can_forget(worker.id, now_))
+        {
+            state_->forget_worker(worker.id);
+            unstored_ends_.erase(worker.id);
+        }
 }
 
-// A roster that says which runs a worker may have must not miss any.
+// A roster that says which runs a worker may have must not miss any, and must
+// name all workers with runs.
 void pool_world::check_roster(std::span<const jobs::roster_entry> roster)
 {
+    for (const simulated_worker& worker : workers_)
+    {
+        const bool is_named =
+            std::any_of(roster.begin(), roster.end(),
+                        [&](const jobs::roster_entry& entry)
+                        { return entry.worker.id == worker.id; });
+        if (!is_named && !worker.running.empty())
+            violations_.push_back("the roster lacks " + worker.id);
+    }
     for (const jobs::roster_entry& entry : roster)
     {
         if (!entry.runs)
@@ -385,19 +542,40 @@
     }
 }
 
+// An owner writes this before it extends a lease.
+void pool_world::withdraw_lease_ends(std::vector<jobs::roster_entry> roster)
+{
+    for (jobs::roster_entry& entry : roster)
+        entry.lease_left.reset();
+    stored_roster_ = {jobs::encode_roster(roster), ++revision_};
+}
+
 // Orders of the earlier owner may still be in flight. It ends in order and
 // hands its runs over, or it is killed.
 void pool_world::take_over()
 {
     ++fence_;
     if (!is_roster_away_ && chance(50))
-        stored_roster_ = jobs::encode_roster(state_->final_roster(now_));
-    const auto roster = jobs::decode_roster(stored_roster_);
+        stored_roster_ = {jobs::encode_roster(state_->final_roster(now_)),
+                          ++revision_};
+    is_writing_roster_ = false;
+    unstored_ends_.clear();
+    const auto roster = stored_roster_.revision == 0
+                            ? std::vector<jobs::roster_entry>{}
+                            : jobs::decode_roster(stored_roster_.value);
     check_roster(roster);
+    withdraw_lease_ends(roster);
+    known_roster_revision_ = stored_roster_.revision;
     state_ = std::make_unique<jobs::pool_state>("pool");
     state_->set_policy({"queue", "pool", 0, 1'000'000, 1.5, 600ms});
-    for (const auto& [id, value] : stored_)
-        state_->restore(jobs::decode_record(id, value), now_, wall);
+    for (const auto& [id, item] : stored_)
+    {
+        if (item.revision == 0)
+            continue;
+        jobs::job subject = jobs::decode_record(id, item.value);
+        subject.stored_revision = item.revision;
+        state_->restore(std::move(subject), now_, wall);
+    }
     for (const jobs::roster_entry& entry : roster)
     {
         const base::time_point lease_end =
@@ -407,7 +585,8 @@
     }
     for (const simulated_worker& worker : workers_)
     {
-        state_->update_worker(describe(worker));
+        if (worker.is_listed)
+            state_->update_worker(describe(worker));
         stored_end_[worker.id] = 0;
         known_born_[worker.id] = worker.born_ms;
     }
@@ -431,7 +610,8 @@
                       return true;
                   });
     for (const late_order& entry : due)
-        execute(workers_[entry.worker], entry.order, entry.fence, entry.until);
+        execute(workers_[entry.worker], entry.order, entry.fence, entry.until,
+                true);
     deliver_due_orders();
     for (simulated_worker& worker : workers_)
     {
@@ -456,6 +636,10 @@
             is_record_away_ ? !chance(5) : chance(odds_.record_outage);
     else
         is_record_away_ = false;
+    if (odds_.unlist > 0 || !all_listed())
+        for (simulated_worker& worker : workers_)
+            change_listing(worker);
+    advance_writes();
     if (chance(odds_.takeover))
         take_over();
     store();
@@ -472,12 +656,20 @@
         state_->apply_stop_answer(order, is_done, now_);
     }
     const auto orders = state_->plan(now_, wall);
+    forget_unlisted();
     store();
     for (const auto& order : orders)
         deliver(order);
     store();
 }
 
+bool pool_world::all_listed() const
+{
+    return std::all_of(workers_.begin(), workers_.end(),
+                       [](const simulated_worker& worker)
+                       { return worker.is_listed; });
+}
+
 bool pool_world::is_deadly(const jobs::task_id& task) const
 {
     return static_cast<int>(std::hash<std::string>{}(to_string(task)) % 100) <
@@ -511,7 +703,8 @@
         worker.shrunk_until = now_ + shrink_grace;
     worker.room = room;
     worker.earlier_room = std::max(worker.earlier_room, room);
-    state_->update_worker(describe(worker));
+    if (worker.is_listed)
+        state_->update_worker(describe(worker));
 }
 
 // A task under which two workers have crashed may be given up.
--- a/tests/jobs/pool_world.hpp
+++ b/tests/jobs/pool_world.hpp
@@ -35,6 +35,7 @@
     std::int64_t fence = 0;
     base::time_point lease_until{};
     bool is_partitioned = false;
+    bool is_listed = true;
     /// Number of tasks that it has room for; it does not check this.
     int room = default_room;
     /// The room counts as `earlier_room` until then.
@@ -44,6 +45,11 @@
     std::map<jobs::task_id, int> refused_up_to;
     std::vector<jobs::listed_end> ended;
     std::int64_t last_number = 0;
+    /// Ends up to this number were listed when the lease lapsed; later they do
+    /// not count as taken note of.
+    std::int64_t lapsed_end = 0;
+    /// Numbers of the ends `done` after which the task was started again.
+    std::set<std::int64_t> repeated_ends;
 
     void end(const jobs::task_id& task, int run, jobs::end_kind how);
     void advance(base::time_point now);
@@ -71,6 +77,12 @@
     /// Periods of 1 s on average in which record writes get no answer; a third
     /// of them takes effect.
     int record_outage = 0;
+    /// Writes of records and rosters that take some steps to take effect, and
+    /// to be answered or not; a late one takes effect only if its conditions
+    /// still hold.
+    int slow_write = 0;
+    /// Entries of workers that lapse in the store, for 1 s on average.
+    int unlist = 0;
     /// Changes of a worker's room, while tasks run.
     int resize = 0;
     /// Tasks that crash each worker that starts them; they stay when the other
@@ -107,18 +119,53 @@
         base::time_point at;
     };
 
+    /// A transaction on its way to the store, or its answer on the way back.
+    struct pending_write
+    {
+        std::int64_t fence = 0;
+        base::time_point arrives_at;
+        base::time_point answered_at;
+        bool is_answer_lost = false;
+        /// Empty for the roster.
+        std::string job;
+        std::string value;
+        std::int64_t expected_revision = 0;
+        std::vector<jobs::roster_entry> roster{};
+        bool has_arrived = false;
+        /// The revision that it got; 0: a condition did not hold.
+        std::int64_t revision = 0;
+    };
+    struct stored_item
+    {
+        std::string value;
+        std::int64_t revision = 0;
+    };
+
     bool chance(int odds);
+    [[nodiscard]] base::duration some_steps(int most);
+    pending_write begin_write(std::string job, std::string value,
+                              std::int64_t expected_revision);
+    void advance_writes();
+    void arrive(pending_write& entry);
+    void note_answer(const pending_write& entry);
+    void note_roster_answer(const pending_write& entry);
+    void note_stored_ends();
+    void change_listing(simulated_worker& worker);
+    void forget_unlisted();
+    [[nodiscard]] bool all_listed() const;
     void deliver(const jobs::start_order& order);
     void carry_out(const late_order& entry);
     void deliver_due_orders();
     void execute(simulated_worker& worker, const jobs::start_order& order,
-                 std::int64_t fence, base::time_point until);
+                 std::int64_t fence, base::time_point until, bool is_late);
     void poll(simulated_worker& worker);
-    [[nodiscard]] bool has_ended(const jobs::task_id& task) const;
-    void acknowledge(const jobs::task_id& task);
+    void note_repeated_ends(const jobs::task_id& task);
+    void acknowledge(const simulated_worker& worker,
+                     const jobs::listed_end& row);
     void store();
     void store_roster();
     void check_roster(std::span<const jobs::roster_entry> roster);
+    void withdraw_lease_ends(std::vector<jobs::roster_entry> roster);
     void take_over();
     [[nodiscard]] bool is_deadly(const jobs::task_id& task) const;
     [[nodiscard]] bool has_deadly_start(const simulated_worker& worker) const;
@@ -136,14 +183,24 @@
     std::vector<late_order> delayed_orders_;
     /// Orders on their way whose answers the owner waits for.
     std::vector<late_order> slow_orders_;
-    std::map<std::string, std::string> stored_;
+    std::map<std::string, stored_item> stored_;
     bool is_record_away_ = false;
-    bool is_all_stored_ = true;
-    std::string stored_roster_;
+    stored_item stored_roster_;
+    /// The revision of the roster that the owner knows.
+    std::int64_t known_roster_revision_ = 0;
+    bool is_writing_roster_ = false;
+    std::vector<pending_write> writes_;
     bool is_roster_away_ = false;
     std::map<std::string, base::time_point> extended_until_;
     std::map<std::string, std::int64_t> known_born_;
     std::map<std::string, std::int64_t> stored_end_;
+    /// Ends that were applied: the last number, and the change to be stored.
+    struct unstored_ends
+    {
+        std::int64_t last_end = 0;
+        std::uint64_t change = 0;
+    };
+    std::map<std::string, unstored_ends> unstored_ends_;
     /// Tasks whose end `done` the pool has acknowledged.
     std::set<jobs::task_id> acknowledged_;
     /// Number of workers that crashed under a task.
@@ -151,11 +208,6 @@
     /// Number of starts after three workers had crashed under a task.
     std::map<jobs::task_id, int> excess_starts_;
     std::map<std::string, base::time_point> down_until_;
-    /// Tasks that were started after a run of them had ended `done`; only the
-    /// worker may know of that end at the time. Such a start is allowed after
-    /// the worker's lease has lapsed, so partitions are excluded.
-    std::set<jobs::task_id> started_after_end_;
-    bool has_partitions_ = false;
     int next_job_ = 0;
     std::vector<std::string> accepted_;
     std::int64_t revision_ = 1;
--- a/tests/jobs/roster_test.cpp
+++ b/tests/jobs/roster_test.cpp
@@ -288,6 +288,29 @@
         CHECK_FALSE(entry.runs);
 }
 
+// The same while the record is on its way to the store, and after its write
+// got no answer.
+TEST_CASE("a silent worker is recorded with its runs only if writes have ended")
+{
+    pool_fixture pool({describe("w1")});
+    pool.submit("a", make_job({make_step(1)}));
+    const auto orders = pool.plan_and_start();
+    REQUIRE(orders.size() == 1);
+    pool.now += 100ms;
+    pool.state.apply_report("w1", ended(orders[0], end_kind::done), pool.now,
+                            pool.now, wall);
+    const auto writes = pool.state.take_changes(1);
+    REQUIRE(writes.size() == 1);
+    pool.state.set_reachable("w1", false);
+    CHECK_FALSE(pool.state.roster().at(0).runs);
+    pool.state.note_not_stored("a", true);
+    CHECK_FALSE(pool.state.roster().at(0).runs);
+    pool.state.take_changes(1);
+    pool.state.note_stored("a", 2);
+    CHECK(pool.state.roster().at(0).runs);
+    CHECK(pool.state.is_roster_outdated());
+}
+
 // Guards against more failed runs than attempts: an earlier owner waited for
 // the outcome of a run whose worker's lease had ended.
 TEST_CASE("the next owner counts lapsed runs whose outcome is unknown")
