Start nothing on a worker that the roster leaves out

Cause: a worker without runs whose entry has lapsed is left out of the roster. Its mark "recorded with starts" stayed until the write was answered, so that it got tasks again as soon as its entry was back. The next owner, if it read this roster, did not ask the worker.

Evidence: found by reading. The new unit test plans a start on such a worker without the change and none with it.

Change: a roster that is about to be written withdraws the mark from each worker that it does not name with starts, as it did for silent workers.

--- a/src/jobs/pool_roster.cpp
+++ b/src/jobs/pool_roster.cpp
@@ -125,17 +125,17 @@
     for (auto& [id, worker] : workers_)
     {
         const roster_mark wanted = wanted_mark(worker);
+        // From here on nothing is started there, whether the write succeeds or
+        // not.
+        if (wanted != roster_mark::with_starts &&
+            worker.recorded == roster_mark::with_starts)
+            worker.recorded = roster_mark::absent;
         if (wanted == roster_mark::absent)
             continue;
         result.push_back({worker.described_as_known(), worker.is_silent});
         result.back().unresolved = worker.unresolved;
-        if (wanted == roster_mark::with_starts)
-            continue;
-        // From here on nothing is started there, whether the write succeeds or
-        // not.
-        if (worker.recorded == roster_mark::with_starts)
-            worker.recorded = roster_mark::absent;
-        result.back().runs = runs_for_roster(worker);
+        if (wanted == roster_mark::without_starts)
+            result.back().runs = runs_for_roster(worker);
     }
     return result;
 }
--- a/tests/jobs/roster_test.cpp
+++ b/tests/jobs/roster_test.cpp
@@ -311,6 +311,24 @@
     CHECK(pool.state.is_roster_outdated());
 }
 
+// Guards against two runs at once: the worker's entry lapsed and came back
+// while a roster without the worker was being written, and the next owner read
+// that roster.
+TEST_CASE("a worker that the roster leaves out gets no runs until it is in it")
+{
+    pool_fixture pool({describe("w1")});
+    pool.state.unlist_worker("w1");
+    const auto roster = pool.state.roster();
+    CHECK(roster.empty());
+    pool.state.update_worker(describe("w1"));
+    pool.submit("a", make_job({make_step(1)}));
+    CHECK(pool.plan().empty());
+    pool.state.note_recorded(roster);
+    CHECK(pool.plan().empty());
+    pool.state.note_recorded(pool.state.roster());
+    CHECK(starts(pool.plan(), "a"));
+}
+
 // Guards against more failed runs than attempts: an earlier owner waited for
 // the outcome of a run whose worker's lease had ended.
 TEST_CASE("the next owner counts lapsed runs whose outcome is unknown")
