Keep unlisted workers in the roster until their ends are stored

What callers would see: a task that ended as done runs again under the next owner of its pool (TWICE).

Cause: a worker that is no longer listed and has no run was forgotten, also while the record of an end that it had listed was not stored. Around an outage of the store entries lapse although the worker lives. The next owner knew neither the worker nor the end.

The new unit test fails without it.

Change: such a worker stays known, and in the ordinary and the final roster, until its ends are stored; ends of an incarnation that has certainly ended are dropped.

The histories now forget unlisted workers in half of the steps, as the planner does nothing while the lease is uncertain.

--- a/src/jobs/pool_losses.cpp
+++ b/src/jobs/pool_losses.cpp
@@ -57,6 +57,7 @@
     if (loss == run_loss::lapsed)
         return;
     worker->applied_end = 0;
+    forget_ends(*worker);
     resolve_runs(*worker);
 }
 
@@ -148,6 +149,7 @@
     worker.has_unknown_runs = false;
     settle_late_starts(worker, now);
     worker.applied_end = 0;
+    forget_ends(worker);
     resolve_runs(worker);
 }
 
--- a/src/jobs/pool_roster.cpp
+++ b/src/jobs/pool_roster.cpp
@@ -101,10 +101,18 @@
            std::any_of(writing_.begin(), writing_.end(), has_ended_there);
 }
 
+// The worker's incarnation is gone, and the ends that it has listed with it.
+void pool_state::forget_ends(const worker_view& worker)
+{
+    for (const auto* jobs : {&dirty_, &writing_})
+        for (job* subject : *jobs)
+            subject->ended_on.erase(worker.description.id);
+}
+
 roster_mark pool_state::wanted_mark(const worker_view& worker) const
 {
     const roster_mark mark = worker.wanted_mark();
-    return mark == roster_mark::without_starts && has_unstored_ends(worker)
+    return mark != roster_mark::with_starts && has_unstored_ends(worker)
                ? roster_mark::with_starts
                : mark;
 }
@@ -116,6 +124,7 @@
         return true;
     const worker_view& worker = found->second;
     return !worker.is_listed && worker.runs.empty() &&
+           !has_unstored_ends(worker) &&
            (worker.has_known_runs || now >= worker.lease_ends_by);
 }
 
@@ -146,7 +155,7 @@
     for (auto& [id, worker] : workers_)
     {
         worker.recorded = roster_mark::absent;
-        if (!worker.may_run_something())
+        if (!worker.may_run_something() && !has_unstored_ends(worker))
             continue;
         roster_entry entry{worker.described_as_known(), worker.is_silent};
         entry.unresolved = worker.unresolved;
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -152,7 +152,8 @@
     /// incarnation tells which runs are gone.
     void lose_runs(std::string_view id, run_loss loss, base::time_point now,
                    base::wall_time wall);
-    /// Whether the worker is no longer listed and nothing depends on asking it.
+    /// Whether the worker is no longer listed and nothing depends on asking it:
+    /// it has no run, and the ends that it has listed are stored.
     [[nodiscard]] bool can_forget(std::string_view id,
                                   base::time_point now) const;
     void forget_worker(std::string_view id);
@@ -272,6 +273,7 @@
     [[nodiscard]] std::vector<roster_run>
     runs_for_roster(const worker_view& worker);
     [[nodiscard]] bool has_unstored_ends(const worker_view& worker) const;
+    void forget_ends(const worker_view& worker);
     [[nodiscard]] roster_mark wanted_mark(const worker_view& worker) const;
     void request_stop(const task_id& id, int run, std::string_view worker,
                       std::string_view reason);
--- a/tests/jobs/pool_history_test.cpp
+++ b/tests/jobs/pool_history_test.cpp
@@ -127,6 +127,13 @@
           {.lost_answer = 5, .cut = 2, .takeover = 2, .slow_write = 30});
 }
 
+// The same while entries of workers lapse in the store and come back.
+TEST_CASE("owners change while writes are slow and workers' entries lapse")
+{
+    check("slow writes and lapsed entries",
+          {.lost_answer = 5, .takeover = 2, .slow_write = 30, .unlist = 2});
+}
+
 TEST_CASE("failed runs are started again")
 {
     check("failures", {.lost_answer = 5, .failure = 20});
--- a/tests/jobs/pool_world.cpp
+++ b/tests/jobs/pool_world.cpp
@@ -656,7 +656,8 @@
         state_->apply_stop_answer(order, is_done, now_);
     }
     const auto orders = state_->plan(now_, wall);
-    forget_unlisted();
+    if (odds_.unlist == 0 || chance(50))
+        forget_unlisted();
     store();
     for (const auto& order : orders)
         deliver(order);
--- a/tests/jobs/roster_test.cpp
+++ b/tests/jobs/roster_test.cpp
@@ -311,6 +311,42 @@
     CHECK(pool.state.is_roster_outdated());
 }
 
+// Guards against a second run after a run has ended: the worker's entry lapsed
+// before the end was stored, so the next owner did not ask the worker.
+TEST_CASE("an unlisted worker stays in the roster until its ends are stored")
+{
+    pool_fixture pool({describe("w1"), describe("w2")});
+    pool.submit("a", make_job({make_step(1)}));
+    const auto orders = pool.plan_and_start();
+    REQUIRE(orders.size() == 1);
+    const std::string worker = orders[0].worker;
+    pool.now += 100ms;
+    pool.state.apply_report(worker, ended(orders[0], end_kind::done), pool.now,
+                            pool.now, wall);
+    pool.state.unlist_worker(worker);
+    CHECK_FALSE(pool.state.can_forget(worker, pool.now));
+    CHECK(pool.state.roster().size() == 2);
+    CHECK(pool.state.final_roster(pool.now).size() == 2);
+    pool.store();
+    CHECK(pool.state.can_forget(worker, pool.now));
+    CHECK(pool.state.roster().size() == 1);
+}
+
+// The worker's end is certain: nobody can tell how its runs have ended.
+TEST_CASE("a worker that has ended is forgotten although ends are not stored")
+{
+    pool_fixture pool({describe("w1")});
+    pool.submit("a", make_job({make_step(1)}));
+    const auto orders = pool.plan_and_start();
+    REQUIRE(orders.size() == 1);
+    pool.now += 100ms;
+    pool.state.apply_report("w1", ended(orders[0], end_kind::done), pool.now,
+                            pool.now, wall);
+    pool.state.unlist_worker("w1");
+    pool.state.lose_runs("w1", run_loss::ended, pool.now, wall);
+    CHECK(pool.state.can_forget("w1", pool.now));
+}
+
 // Guards against two runs at once: the worker's entry lapsed and came back
 // while a roster without the worker was being written, and the next owner read
 // that roster.
