Isolate lasting tasks that crash their workers instead of failing the job

Cause: a task that is taken for the cause of crashes ends its job. For tasks that last there is no limit of attempts that this could keep, and a task that is alone on its worker is the only suspect of each crash there.

Evidence: the new unit test ends after two crashes without the change and goes through twenty with it. Without the fallback to a shared worker the test "an isolated task shares a worker" fails.

Change: such a task starts alone where a worker can be free of others that last, else apart from other starts, after a pause of 1 to 4 s. Log and state dump name it. The crashes that are kept of one task are limited.

--- a/src/jobs/crash_history.cpp
+++ b/src/jobs/crash_history.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t min_crashes_of_cause = 2;
 // Limits the workers that one task may crash.
 constexpr std::size_t max_crashes_of_cause = 5;
+// A task that lasts may crash workers without end.
+constexpr std::size_t max_recorded_crashes = 12;
 // Chance that an innocent task is taken for the cause.
 constexpr double max_error_chance = 1e-5;
 
@@ -41,8 +43,11 @@
     const bool is_known = std::any_of(crashes_.begin(), crashes_.end(),
                                       [&](const worker_crash& earlier)
                                       { return earlier.run == crash.run; });
-    if (!is_known)
-        crashes_.push_back(std::move(crash));
+    if (is_known)
+        return;
+    crashes_.push_back(std::move(crash));
+    if (crashes_.size() > max_recorded_crashes)
+        crashes_.erase(crashes_.begin());
 }
 
 bool crash_history::withdraw_start(int run)
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -76,6 +76,10 @@
     /// from the workers' reports.
     std::optional<active_run> active;
     base::time_point not_before{};
+    /// Taken for the cause of crashes, but lasting: it goes on alone.
+    bool is_isolated = false;
+    /// Since when workers are kept free for it, see `pool_state::hold_worker`.
+    base::time_point holds_since{};
     /// Worker of the last failed run; the next run prefers another one.
     std::string failed_on;
     /// Worker that a start order without an answer may still reach, and until
@@ -83,6 +87,13 @@
     /// which knows of no stop, then has no second run beside it.
     std::string late_start_on;
     base::time_point late_start_until{};
+
+    /// How it is to be started.
+    [[nodiscard]] suspicion level() const
+    {
+        return is_isolated && !crashes.empty() ? suspicion::runs_alone
+                                               : crashes.level();
+    }
 };
 
 struct step
--- a/src/jobs/pool_crashes.cpp
+++ b/src/jobs/pool_crashes.cpp
@@ -25,6 +25,19 @@
 constexpr std::chrono::seconds min_observation{5};
 // Until a worker is known to have survived a start.
 constexpr std::chrono::milliseconds start_to_report{250};
+// Before a task that lasts and crashes its workers starts again. Users expect
+// such a task back within 6 s.
+constexpr std::chrono::seconds min_isolated_restart_pause{1};
+constexpr std::chrono::seconds max_isolated_restart_pause{4};
+
+// Doubles with each crash after the second.
+base::duration isolated_restart_pause(std::size_t crashes)
+{
+    base::duration pause = min_isolated_restart_pause;
+    for (; crashes > 2 && pause < max_isolated_restart_pause; --crashes)
+        pause *= 2;
+    return std::min<base::duration>(pause, max_isolated_restart_pause);
+}
 
 } // namespace
 
@@ -51,7 +64,7 @@
 // change to store before it, or 0.
 std::uint64_t pool_state::record_start(job& subject, task& entry)
 {
-    if (entry.crashes.level() == suspicion::none)
+    if (entry.level() == suspicion::none)
         return 0;
     const auto worker = workers_.find(entry.active->worker);
     entry.crashes.add({entry.active->number, entry.active->worker,
@@ -139,23 +152,50 @@
             continue;
         entry->crashes.confirm(worker.description.id);
         note_crash_change(*subject);
-        fail_cause(*subject, name, *entry, now, wall);
+        handle_cause(*subject, name, *entry, now, wall);
     }
 }
 
-void pool_state::fail_cause(job& subject, const task_id& id, const task& entry,
-                            base::time_point now, base::wall_time wall)
+// A task that lasts has no limit of attempts, so its job goes on.
+void pool_state::handle_cause(job& subject, const task_id& id, task& entry,
+                              base::time_point now, base::wall_time wall)
 {
     if (subject.status != job_status::open || entry.is_done ||
         entry.crashes.empty() ||
         !entry.crashes.is_cause(crash_chance_at_start(now)))
         return;
+    const bool is_lasting =
+        subject.spec_of(subject.position_of(id)).is_long_running;
+    const std::size_t crashes = entry.crashes.crashes().size();
     log_decision(
-        {"job_failed", subject.id, to_string(id), entry.last_run,
-         entry.crashes.crashes().back().worker,
-         "crashes=" + std::to_string(entry.crashes.crashes().size()) +
+        {is_lasting ? "task_isolated" : "job_failed", subject.id, to_string(id),
+         entry.last_run, entry.crashes.crashes().back().worker,
+         "crashes=" + std::to_string(crashes) +
              " unexplained=" + std::to_string(unexplained_crashes_.size())});
-    end_job(subject, job_status::failed, wall);
+    if (!is_lasting)
+    {
+        end_job(subject, job_status::failed, wall);
+        return;
+    }
+    entry.is_isolated = true;
+    entry.not_before = std::max<base::time_point>(
+        entry.not_before, now + isolated_restart_pause(crashes));
+}
+
+std::vector<task_id> pool_state::isolated_tasks() const
+{
+    std::vector<task_id> result;
+    for (const job* subject : open_)
+        for (std::size_t position = 0; position < subject->steps.size();
+             ++position)
+        {
+            const auto& tasks = subject->steps[position].tasks;
+            for (std::size_t index = 0; index < tasks.size(); ++index)
+                if (tasks[index].is_isolated && !tasks[index].crashes.empty())
+                    result.push_back(
+                        subject->id_of(position, static_cast<int>(index)));
+        }
+    return result;
 }
 
 // Chance that a worker which crashes by itself does so right after a start.
@@ -183,14 +223,15 @@
             continue;
         if (entry->crashes.note_survived_start())
             unexplained_crashes_.push_back(at);
-        if (entry->crashes.level() == suspicion::none)
+        if (entry->level() == suspicion::none)
             worker.stop_observing(name);
     }
 }
 
-// Whether the task fits on the worker once the other tasks there have ended.
-// Those that last, and those that start together with it, do not end first.
-bool pool_state::will_have_room(const worker_view& worker,
+// Whether the task can start on the worker once the other tasks there have
+// ended. Those that last, and those that start together with it, do not end
+// first.
+bool pool_state::can_host_later(const worker_view& worker,
                                 const placement_request& request) const
 {
     if (!meets_constraints(worker, request))
@@ -201,8 +242,13 @@
         const job* subject = find_job(name.job);
         const step_spec* part =
             subject == nullptr ? nullptr : subject->find_spec(name);
-        if (part != nullptr &&
-            (part->is_long_running || request.is_same_unit(name)))
+        if (part == nullptr)
+            continue;
+        const bool is_own = request.is_same_unit(name);
+        if (part->is_long_running && !is_own &&
+            request.level == suspicion::runs_alone)
+            return false;
+        if (part->is_long_running || is_own)
             room -= reserved_resources(*part);
     }
     return room.covers(reserved_resources(*request.step));
@@ -216,7 +262,7 @@
 {
     const task& entry =
         subject.steps[position].tasks[static_cast<std::size_t>(index)];
-    const suspicion level = entry.crashes.level();
+    const suspicion level = entry.level();
     // A new owner must know of the crashes before the next one.
     if (level != suspicion::none &&
         subject.stored_crash_changes != subject.crash_changes)
@@ -247,22 +293,26 @@
         {
             return is_same_unit(id, other);
         }};
-    const bool is_elsewhere_possible =
-        level != suspicion::none &&
-        std::any_of(workers.begin(), workers.end(),
-                    [&](const worker_view* worker)
-                    {
-                        return !entry.crashes.contains_address(
-                                   worker->description.address) &&
-                               will_have_room(*worker, request);
-                    });
-    if (is_elsewhere_possible)
+    const auto can_host = [&](const worker_view* worker)
+    {
+        return can_host_later(*worker, request);
+    };
+    const auto can_host_elsewhere = [&](const worker_view* worker)
+    {
+        return !entry.crashes.contains_address(worker->description.address) &&
+               can_host_later(*worker, request);
+    };
+    if (level == suspicion::runs_alone &&
+        std::none_of(workers.begin(), workers.end(), can_host))
+        request.level = suspicion::starts_apart;
+    if (level != suspicion::none &&
+        std::any_of(workers.begin(), workers.end(), can_host_elsewhere))
         request.crashes = &entry.crashes;
     worker_view* worker = choose_worker(workers, request, now);
     if (worker == nullptr && level != suspicion::none)
     {
         has_waiting_suspect_ = true;
-        hold_worker(wanted, level, workers, now);
+        hold_worker(wanted, request.level, workers, now);
     }
     return worker;
 }
--- a/src/jobs/pool_losses.cpp
+++ b/src/jobs/pool_losses.cpp
@@ -79,9 +79,9 @@
     for (const auto& [name, run] : runs)
     {
         job* subject = find(name.job);
-        const task* entry = subject == nullptr ? nullptr : subject->find(name);
+        task* entry = subject == nullptr ? nullptr : subject->find(name);
         if (entry != nullptr)
-            fail_cause(*subject, name, *entry, now, wall);
+            handle_cause(*subject, name, *entry, now, wall);
         if (subject != nullptr)
             release_if_idle(*subject);
     }
--- a/src/jobs/pool_planner.cpp
+++ b/src/jobs/pool_planner.cpp
@@ -171,7 +171,7 @@
             continue;
         worker_view* worker = choose_worker_for(
             subject, position, static_cast<int>(index), part, workers, now);
-        if (worker == nullptr && (entry.crashes.level() != suspicion::none ||
+        if (worker == nullptr && (entry.level() != suspicion::none ||
                                   is_bound_to_late_start(entry, part, now)))
             continue;
         // The tasks of a step are identical: the next one does not fit either.
--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -319,7 +319,7 @@
         active_run{run, worker.description.id, state, now, now, 0, now};
     const task_id id = subject.id_of(position, index);
     worker.recent_starts.push_back({id, base::time_point::max()});
-    if (entry.crashes.level() != suspicion::none)
+    if (entry.level() != suspicion::none)
         worker.observed.push_back(id);
     ++part.active;
     const step_spec& spec = subject.spec_of(position);
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -139,6 +139,8 @@
     {
         return subject.written_since != 0;
     }
+    /// Tasks that last and are taken for the cause of crashes.
+    [[nodiscard]] std::vector<task_id> isolated_tasks() const;
     /// Number of stored open jobs of the queue with no started task.
     [[nodiscard]] int pending(std::string_view queue) const;
 
@@ -337,8 +339,8 @@
                       bool at_start, bool is_only_suspect);
     void confirm_crashes(worker_view& worker, base::time_point now,
                          base::wall_time wall);
-    void fail_cause(job& subject, const task_id& id, const task& entry,
-                    base::time_point now, base::wall_time wall);
+    void handle_cause(job& subject, const task_id& id, task& entry,
+                      base::time_point now, base::wall_time wall);
     [[nodiscard]] double crash_chance_at_start(base::time_point now);
     void note_alive(worker_view& worker, base::time_point at);
     void note_crash_change(job& subject);
@@ -349,7 +351,7 @@
                                    int index, const step_spec& wanted,
                                    std::span<worker_view* const> workers,
                                    base::time_point now);
-    [[nodiscard]] bool will_have_room(const worker_view& worker,
+    [[nodiscard]] bool can_host_later(const worker_view& worker,
                                       const placement_request& request) const;
     void release_held_workers(std::span<worker_view* const> workers,
                               base::time_point now);
--- a/src/node/state_dump.cpp
+++ b/src/node/state_dump.cpp
@@ -29,11 +29,15 @@
     json::object workers;
     for (const auto& [id, worker] : owner.state().workers())
         workers[id] = dump_worker(worker, now);
+    json::array isolated;
+    for (const jobs::task_id& task : owner.state().isolated_tasks())
+        isolated.emplace_back(jobs::to_string(task));
     return {{"fence", owner.fence()},
             {"loaded", owner.is_loaded()},
             {"jobs", owner.state().job_count()},
             {"backlog_core_seconds", owner.state().backlog()},
             {"usable_cores", owner.state().usable_cores(now)},
+            {"isolated_tasks", std::move(isolated)},
             {"workers", std::move(workers)}};
 }
 
--- a/tests/jobs/crash_test.cpp
+++ b/tests/jobs/crash_test.cpp
@@ -381,3 +381,84 @@
     pool.crash(worker_of(pool.plan_and_start(), "j"));
     CHECK(pool.plan().empty());
 }
+
+// Guards against a healthy job that is given up since the workers under its
+// task crashed twice (review, case 1).
+TEST_CASE("a job that lasts is never given up for crashes")
+{
+    crashing_pool pool;
+    for (const char* address : {"a:1", "b:1", "c:1", "d:1"})
+        pool.add(address);
+    step_spec part = make_step(1);
+    part.is_long_running = true;
+    pool.submit("j", make_job({part}));
+    base::time_point crashed_at = pool.now;
+    for (int crashes = 0; crashes < 20; ++crashes)
+    {
+        std::vector<start_order> orders;
+        while (orders.empty() && pool.now < crashed_at + 6s)
+        {
+            pool.now += 250ms;
+            orders = pool.plan_and_start();
+        }
+        CAPTURE(crashes);
+        REQUIRE(orders.size() == 1);
+        crashed_at = pool.now;
+        pool.crash(orders[0].worker);
+    }
+    CHECK(pool.state.status_of("j") == reported_status::running);
+    CHECK(pool.state.isolated_tasks().size() == 1);
+}
+
+// Guards against an isolated task that takes others down with its worker.
+TEST_CASE("a lasting task that crashes its workers is started alone")
+{
+    crashing_pool pool;
+    for (const char* address : {"a:1", "b:1", "c:1"})
+        pool.add(address);
+    step_spec part = make_step(1);
+    part.is_long_running = true;
+    pool.submit("cause", make_job({part}));
+    for (int crashes = 0; crashes < 2; ++crashes)
+    {
+        pool.crash(worker_of(pool.plan_and_start(), "cause"));
+        pool.now += 1s;
+    }
+    pool.submit("other", make_job({make_step(1)}));
+    const auto orders = pool.plan_and_start();
+    REQUIRE(orders.size() == 2);
+    CHECK(worker_of(orders, "cause") != worker_of(orders, "other"));
+}
+
+// Guards against a task that never starts since no worker can be free of the
+// others that last.
+TEST_CASE("an isolated task shares a worker where all run tasks that last")
+{
+    crashing_pool pool;
+    step_spec part = make_step(1);
+    part.is_long_running = true;
+    pool.add("a:1");
+    pool.submit("cause", make_job({part}));
+    std::string worker = worker_of(pool.plan_and_start(), "cause");
+    for (const char* address : {"b:1", "c:1"})
+    {
+        pool.add(address);
+        pool.crash(worker);
+        pool.now += 1s;
+        worker = worker_of(pool.plan_and_start(), "cause");
+        REQUIRE_FALSE(worker.empty());
+    }
+    pool.crash(worker);
+    const int workers = static_cast<int>(pool.state.workers().size());
+    step_spec everywhere = make_step(workers);
+    everywhere.is_long_running = true;
+    everywhere.max_per_worker = 1;
+    pool.submit("everywhere", make_job({everywhere}));
+    const auto others = pool.plan_and_start();
+    REQUIRE(others.size() == pool.state.workers().size());
+    for (int round = 0; round < 2; ++round)
+        for (const start_order& order : others)
+            pool.report(order.worker, running({order}, 100));
+    pool.now += 4s;
+    CHECK_FALSE(worker_of(pool.plan(), "cause").empty());
+}
