Keep workers free only for suspects that can start there, for a limited time

Cause: the worker that is kept free for a suspect was chosen by its size alone, and kept anew at each expiry, before jobs of lower rank were looked at.

Evidence: both new unit tests ("no worker is kept free for a suspect that cannot run there", "workers are kept free for a suspect for a limited time") fail on and pass with the change.

Change: the condition under which a suspect can start on a worker later also decides whether the worker is kept free. It is kept for at most 4 s on end and then for as long not, so that a suspect that cannot start for another reason leaves room to others.

--- a/src/jobs/pool_crashes.cpp
+++ b/src/jobs/pool_crashes.cpp
@@ -16,6 +16,8 @@
 // and for one that runs alone.
 constexpr std::chrono::milliseconds hold_to_start_apart{1000};
 constexpr std::chrono::milliseconds hold_to_run_alone{2000};
+// How long workers are kept free for one suspect on end; then as long not.
+constexpr std::chrono::seconds max_hold{4};
 // At most one in this many workers is used to tell suspects apart at a time.
 constexpr std::size_t observed_share_divisor = 2;
 // How long starts are spread over time after a crash.
@@ -254,13 +256,11 @@
     return room.covers(reserved_resources(*request.step));
 }
 
-worker_view*
-pool_state::choose_worker_for(const job& subject, std::size_t position,
-                              int index, const step_spec& wanted,
-                              std::span<worker_view* const> workers,
-                              base::time_point now)
+worker_view* pool_state::choose_worker_for(
+    job& subject, std::size_t position, int index, const step_spec& wanted,
+    std::span<worker_view* const> workers, base::time_point now)
 {
-    const task& entry =
+    task& entry =
         subject.steps[position].tasks[static_cast<std::size_t>(index)];
     const suspicion level = entry.level();
     // A new owner must know of the crashes before the next one.
@@ -310,10 +310,7 @@
         request.crashes = &entry.crashes;
     worker_view* worker = choose_worker(workers, request, now);
     if (worker == nullptr && level != suspicion::none)
-    {
-        has_waiting_suspect_ = true;
-        hold_worker(wanted, request.level, workers, now);
-    }
+        hold_worker(entry, request, workers, now);
     return worker;
 }
 
@@ -329,11 +326,16 @@
         worker->held_until = std::min(worker->held_until, now);
 }
 
-// Keeps a worker free of other starts until a suspect can start there.
-void pool_state::hold_worker(const step_spec& part, suspicion level,
+// Keeps a worker free of other starts until a suspect can start there. A
+// suspect that goes on waiting for other reasons does so without it.
+void pool_state::hold_worker(task& suspect, const placement_request& request,
                              std::span<worker_view* const> workers,
                              base::time_point now)
 {
+    if (now - suspect.holds_since >= 2 * max_hold)
+        suspect.holds_since = now;
+    if (now - suspect.holds_since >= max_hold)
+        return;
     const auto held = static_cast<std::size_t>(std::count_if(
         workers.begin(), workers.end(),
         [&](const worker_view* worker) { return worker->is_reserved(now); }));
@@ -343,19 +345,22 @@
     worker_view* best = nullptr;
     for (worker_view* worker : workers)
     {
-        if (worker->is_reserved(now) ||
-            !worker->description.capacity.covers(reserved_resources(part)))
-            continue;
-        if (level == suspicion::runs_alone && worker->long_running_millis > 0)
+        const bool is_avoided =
+            request.crashes != nullptr &&
+            request.crashes->contains_address(worker->description.address);
+        if (worker->is_reserved(now) || is_avoided ||
+            !can_host_later(*worker, request))
             continue;
         if (best == nullptr ||
             worker->free().cpu_millis > best->free().cpu_millis)
             best = worker;
     }
-    if (best != nullptr)
-        best->held_until =
-            now + (level == suspicion::runs_alone ? hold_to_run_alone
-                                                  : hold_to_start_apart);
+    if (best == nullptr)
+        return;
+    has_waiting_suspect_ = true;
+    best->held_until =
+        now + (request.level == suspicion::runs_alone ? hold_to_run_alone
+                                                      : hold_to_start_apart);
 }
 
 } // namespace pimentograde::jobs
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -347,7 +347,7 @@
     std::uint64_t record_start(job& subject, task& entry);
     [[nodiscard]] bool is_same_unit(const task_id& left,
                                     const task_id& right) const;
-    worker_view* choose_worker_for(const job& subject, std::size_t position,
+    worker_view* choose_worker_for(job& subject, std::size_t position,
                                    int index, const step_spec& wanted,
                                    std::span<worker_view* const> workers,
                                    base::time_point now);
@@ -356,7 +356,7 @@
     void release_held_workers(std::span<worker_view* const> workers,
                               base::time_point now);
     [[nodiscard]] bool is_crashing(base::time_point now) const;
-    void hold_worker(const step_spec& part, suspicion level,
+    void hold_worker(task& suspect, const placement_request& request,
                      std::span<worker_view* const> workers,
                      base::time_point now);
     void evacuate(worker_view& worker, base::time_point now);
--- a/tests/jobs/crash_test.cpp
+++ b/tests/jobs/crash_test.cpp
@@ -462,3 +462,58 @@
     pool.now += 4s;
     CHECK_FALSE(worker_of(pool.plan(), "cause").empty());
 }
+
+// Guards against idle workers that are kept free for a task that none of them
+// can run, while other jobs wait (review, case 3).
+TEST_CASE("no worker is kept free for a suspect that cannot run there")
+{
+    crashing_pool pool;
+    pool.add("a:1");
+    pool.add("b:1");
+    auto special = describe_at("special", "c:1");
+    special.labels.emplace_back("b");
+    pool.add(special);
+    step_spec part = make_step(1);
+    part.required_label = "b";
+    part.is_long_running = true;
+    pool.submit("suspect", make_job({part}));
+    REQUIRE(worker_of(pool.plan_and_start(), "suspect") == "special");
+    pool.state.unlist_worker("special");
+    pool.state.lose_runs("special", run_loss::ended, pool.now, wall);
+    pool.state.forget_worker("special");
+    pool.store();
+    CHECK(pool.plan().empty());
+    pool.submit("other", make_job({make_step(2, 8000)}));
+    CHECK(pool.plan().size() == 2);
+}
+
+// Guards against a suspect that keeps workers free without end although it
+// cannot start on them.
+TEST_CASE("workers are kept free for a suspect for a limited time")
+{
+    crashing_pool pool;
+    pool.add("a:1");
+    // Three crashes after its start: it runs alone.
+    pool.submit("suspect", make_job({make_step(1)}));
+    for (int crashes = 0; crashes < 3; ++crashes)
+    {
+        const auto orders = pool.plan_and_start();
+        REQUIRE(orders.size() == 1);
+        for (int round = 1; round < 4; ++round)
+            pool.report(orders[0].worker, running(orders, round));
+        pool.crash(orders[0].worker);
+    }
+    REQUIRE(pool.state.status_of("suspect") == reported_status::running);
+    pool.submit("busy", make_job({make_step(1)}));
+    const auto busy = pool.plan_and_start();
+    REQUIRE(worker_of(busy, "busy") == "w4");
+    pool.submit("other", make_job({make_step(1)}));
+    bool has_started = false;
+    for (int round = 0; round < 30 && !has_started; ++round)
+    {
+        pool.report("w4", running(busy, round));
+        pool.now += 100ms;
+        has_started = !worker_of(pool.plan(), "other").empty();
+    }
+    CHECK(has_started);
+}
