Try all racks for a gang that is to run on one

Cause: the worker chosen for the first task determined the rack of the gang, and the next plan chose the same worker. The rack's label also replaced the required label of the step.

Change: each rack with room for the whole gang is tried, the data's first, then the fullest. A gang runs on more than one rack when no rack can have room, or when it has waited for as long as the slower run costs; the factor comes from the settings. The required label applies beside the rack.

--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -101,6 +101,8 @@
     std::vector<task> tasks;
     int done = 0;
     int active = 0;
+    /// Since when it waits for room on one rack; not stored.
+    std::optional<base::time_point> awaits_rack_since;
 
     [[nodiscard]] bool is_done() const
     {
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -78,6 +78,8 @@
     const step_spec& step = *request.step;
     if (!step.required_label.empty() && !worker.has_label(step.required_label))
         return false;
+    if (!request.rack.empty() && worker.rack() != request.rack)
+        return false;
     return step.max_per_worker == 0 ||
            request.same_step_count(worker) < step.max_per_worker;
 }
--- a/src/jobs/placement.hpp
+++ b/src/jobs/placement.hpp
@@ -17,6 +17,8 @@
 struct placement_request
 {
     const step_spec* step = nullptr;
+    /// Rack to use; empty for any.
+    std::string rack;
     /// Id of a worker to use only when no other fits; empty for none.
     std::string avoided;
     /// Returns the number of tasks of the same step on a worker.
--- a/src/jobs/pool_crashes.cpp
+++ b/src/jobs/pool_crashes.cpp
@@ -230,38 +230,52 @@
     }
 }
 
-// Whether the task can start on the worker once the other tasks there have
-// ended. Those that last, and those that start together with it, do not end
-// first.
-bool pool_state::can_host_later(const worker_view& worker,
-                                const placement_request& request) const
+resource_amount pool_state::room_beside_lasting(
+    const worker_view& worker,
+    const std::function<bool(const task_id&)>& is_own) const
 {
-    if (!meets_constraints(worker, request))
-        return false;
     resource_amount room = worker.description.capacity;
     for (const auto& [name, run] : worker.runs)
     {
         const job* subject = find_job(name.job);
         const step_spec* part =
             subject == nullptr ? nullptr : subject->find_spec(name);
-        if (part == nullptr)
-            continue;
-        const bool is_own = request.is_same_unit(name);
-        if (part->is_long_running && !is_own &&
-            request.level == suspicion::runs_alone)
-            return false;
-        if (part->is_long_running || is_own)
+        if (part != nullptr &&
+            (part->is_long_running || (is_own && is_own(name))))
             room -= reserved_resources(*part);
     }
-    return room.covers(reserved_resources(*request.step));
+    return room;
+}
+
+// Whether the task can start on the worker once the other tasks there that end
+// have ended.
+bool pool_state::can_host_later(const worker_view& worker,
+                                const placement_request& request) const
+{
+    const auto is_lasting_neighbour = [&](const auto& run)
+    {
+        const job* subject = find_job(run.first.job);
+        const step_spec* part =
+            subject == nullptr ? nullptr : subject->find_spec(run.first);
+        return part != nullptr && part->is_long_running &&
+               !request.is_same_unit(run.first);
+    };
+    if (request.level == suspicion::runs_alone &&
+        std::any_of(worker.runs.begin(), worker.runs.end(),
+                    is_lasting_neighbour))
+        return false;
+    return meets_constraints(worker, request) &&
+           room_beside_lasting(worker, request.is_same_unit)
+               .covers(reserved_resources(*request.step));
 }
 
 worker_view* pool_state::choose_worker_for(
-    job& subject, std::size_t position, int index, const step_spec& wanted,
+    job& subject, std::size_t position, int index, const std::string& rack,
     std::span<worker_view* const> workers, base::time_point now)
 {
     task& entry =
         subject.steps[position].tasks[static_cast<std::size_t>(index)];
+    const step_spec& wanted = subject.spec_of(position);
     const suspicion level = entry.level();
     // A new owner must know of the crashes before the next one.
     if (level != suspicion::none &&
@@ -283,6 +297,7 @@
     const task_id id = subject.id_of(position, index);
     placement_request request{
         &wanted,
+        rack,
         entry.failed_on,
         [&](const worker_view& worker)
         { return same_step_count(worker, subject, position); },
--- a/src/jobs/pool_planner.cpp
+++ b/src/jobs/pool_planner.cpp
@@ -4,6 +4,8 @@
 #include "jobs/pool_state.hpp"
 
 #include <algorithm>
+#include <map>
+#include <string>
 #include <utility>
 
 namespace pimentograde::jobs
@@ -37,6 +39,20 @@
     return largest;
 }
 
+// Number of tasks of the step that fit into the room.
+int places_in(const resource_amount& room, const step_spec& part)
+{
+    const int most = part.max_per_worker == 0
+                         ? part.task_count
+                         : std::min(part.max_per_worker, part.task_count);
+    const resource_amount need = reserved_resources(part);
+    resource_amount left = room;
+    int places = 0;
+    for (; places < most && left.covers(need); ++places)
+        left -= need;
+    return places;
+}
+
 } // namespace
 
 struct pool_state::waiting_job
@@ -170,7 +186,7 @@
             !has_attempts_left(entry, part, policy_of(subject)))
             continue;
         worker_view* worker = choose_worker_for(
-            subject, position, static_cast<int>(index), part, workers, now);
+            subject, position, static_cast<int>(index), {}, workers, now);
         if (worker == nullptr && (entry.level() != suspicion::none ||
                                   is_bound_to_late_start(entry, part, now)))
             continue;
@@ -186,38 +202,113 @@
     }
 }
 
-bool pool_state::plan_gang(job& subject, std::size_t position,
+void pool_state::plan_gang(job& subject, std::size_t position,
                            std::span<worker_view* const> workers,
                            base::time_point now,
                            std::vector<start_order>& orders)
+{
+    const auto& tasks = subject.steps[position].tasks;
+    const bool is_waiting = std::all_of(tasks.begin(), tasks.end(),
+                                        [now](const task& member) {
+                                            return !member.is_done &&
+                                                   !member.active &&
+                                                   now >= member.not_before;
+                                        });
+    if (!is_waiting)
+        return;
+    for (const std::string& rack : racks_for(subject, position, workers, now))
+        if (start_gang(subject, position, rack, workers, now, orders))
+            return;
+}
+
+// The racks to try, an empty name for all together. A gang on one rack goes
+// where it leaves least room, as single tasks do. If no rack has room now, it
+// waits for as long as it would lose by running on more than one.
+std::vector<std::string>
+pool_state::racks_for(job& subject, std::size_t position,
+                      std::span<worker_view* const> workers,
+                      base::time_point now)
 {
     const step_spec& part = subject.spec_of(position);
+    if (!part.needs_same_rack)
+        return {{}};
+    std::map<std::string, std::vector<const worker_view*>> racks;
+    for (const worker_view* worker : workers)
+        if (part.required_label.empty() ||
+            worker->has_label(part.required_label))
+            racks[worker->rack()].push_back(worker);
+    struct candidate
+    {
+        std::string rack;
+        bool is_at_data = false;
+        std::int64_t cpu_millis = 0;
+    };
+    std::vector<candidate> candidates;
+    for (const auto& [rack, members] : racks)
+    {
+        int places = 0;
+        candidate entry{rack, rack == part.data_rack};
+        for (const worker_view* worker : members)
+        {
+            places += places_in(worker->free(), part);
+            entry.cpu_millis += worker->free().cpu_millis;
+        }
+        if (places >= part.task_count)
+            candidates.push_back(entry);
+    }
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [](const candidate& left, const candidate& right)
+                     {
+                         if (left.is_at_data != right.is_at_data)
+                             return left.is_at_data;
+                         return left.cpu_millis < right.cpu_millis;
+                     });
+    std::vector<std::string> names;
+    for (candidate& entry : candidates)
+        names.push_back(std::move(entry.rack));
+    const auto will_have_room = [&](const auto& rack)
+    {
+        int places = 0;
+        for (const worker_view* worker : rack.second)
+            places += places_in(room_beside_lasting(*worker, {}), part);
+        return places >= part.task_count;
+    };
+    auto& waits_since = subject.steps[position].awaits_rack_since;
+    if (!waits_since)
+        waits_since = now;
+    const double longest_wait =
+        (remote_factor_ - 1.0) *
+        statistics_of(subject).run_times.expected_seconds(part.estimate);
+    if (base::count_seconds(now - *waits_since) >= longest_wait ||
+        (names.empty() &&
+         std::none_of(racks.begin(), racks.end(), will_have_room)))
+        names.emplace_back();
+    return names;
+}
+
+bool pool_state::start_gang(job& subject, std::size_t position,
+                            const std::string& rack,
+                            std::span<worker_view* const> workers,
+                            base::time_point now,
+                            std::vector<start_order>& orders)
+{
     auto& tasks = subject.steps[position].tasks;
     int run = 0;
     std::string checkpoint;
     for (const task& member : tasks)
     {
-        if (member.is_done || member.active || now < member.not_before)
-            return false;
         run = std::max(run, member.last_run);
         if (!member.checkpoint.empty())
             checkpoint = member.checkpoint;
     }
     ++run;
     std::vector<start_order> planned;
-    std::string rack;
     for (std::size_t index = 0; index < tasks.size(); ++index)
     {
-        step_spec wanted = part;
-        // The worker of the first task determines the rack of all others.
-        if (part.needs_same_rack && !rack.empty())
-            wanted.required_label = rack;
         worker_view* worker = choose_worker_for(
-            subject, position, static_cast<int>(index), wanted, workers, now);
+            subject, position, static_cast<int>(index), rack, workers, now);
         if (worker == nullptr)
             break;
-        if (rack.empty() && !worker->description.labels.empty())
-            rack = worker->description.labels.back();
         begin_run(subject, position, static_cast<int>(index), run, *worker,
                   run_state::ordered, now);
         planned.push_back({subject.id_of(position, static_cast<int>(index)),
@@ -230,6 +321,7 @@
             order.required_change = record_start(
                 subject, tasks[static_cast<std::size_t>(order.task.index)]);
         orders.insert(orders.end(), planned.begin(), planned.end());
+        subject.steps[position].awaits_rack_since.reset();
         return true;
     }
     for (const start_order& order : planned)
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -533,6 +533,7 @@
             others.push_back(&other);
     const placement_request request{
         .step = &subject.spec_of(position),
+        .rack = {},
         .avoided = {},
         .same_step_count = [&](const worker_view& other)
         { return same_step_count(other, subject, position); },
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -103,6 +103,9 @@
     /// no longer configured stays in effect for its jobs.
     void set_policy(const queue_policy& policy);
 
+    /// How many times as long a gang runs on more than one rack.
+    void set_remote_factor(double factor) { remote_factor_ = factor; }
+
     /// What was learned from the queues' jobs.
     [[nodiscard]] const statistics_table& statistics() const
     {
@@ -306,9 +309,15 @@
     void plan_step(job& subject, std::size_t position,
                    std::span<worker_view* const> workers, base::time_point now,
                    std::vector<start_order>& orders);
-    bool plan_gang(job& subject, std::size_t position,
+    void plan_gang(job& subject, std::size_t position,
                    std::span<worker_view* const> workers, base::time_point now,
                    std::vector<start_order>& orders);
+    [[nodiscard]] std::vector<std::string>
+    racks_for(job& subject, std::size_t position,
+              std::span<worker_view* const> workers, base::time_point now);
+    bool start_gang(job& subject, std::size_t position, const std::string& rack,
+                    std::span<worker_view* const> workers, base::time_point now,
+                    std::vector<start_order>& orders);
     void log_starts(std::span<const start_order> orders) const;
     int same_step_count(const worker_view& worker, const job& subject,
                         std::size_t position) const;
@@ -348,9 +357,14 @@
     [[nodiscard]] bool is_same_unit(const task_id& left,
                                     const task_id& right) const;
     worker_view* choose_worker_for(job& subject, std::size_t position,
-                                   int index, const step_spec& wanted,
+                                   int index, const std::string& rack,
                                    std::span<worker_view* const> workers,
                                    base::time_point now);
+    /// Room on the worker once the tasks there that end have ended. `is_own`
+    /// names tasks that wait for the same start, and so do not end before it.
+    [[nodiscard]] resource_amount room_beside_lasting(
+        const worker_view& worker,
+        const std::function<bool(const task_id&)>& is_own) const;
     [[nodiscard]] bool can_host_later(const worker_view& worker,
                                       const placement_request& request) const;
     void release_held_workers(std::span<worker_view* const> workers,
@@ -402,6 +416,7 @@
     /// A task waited for a worker to start apart or run alone, in the last
     /// plan.
     bool has_waiting_suspect_ = false;
+    double remote_factor_ = 1.0;
     std::size_t recorded_workers_ = 0;
     double peak_cores_ = 0.0;
     base::time_point peak_at_{};
--- a/src/jobs/worker_view.cpp
+++ b/src/jobs/worker_view.cpp
@@ -171,6 +171,12 @@
                                        : roster_mark::with_starts;
 }
 
+std::string worker_view::rack() const
+{
+    return description.labels.empty() ? std::string{}
+                                      : description.labels.back();
+}
+
 bool worker_view::has_label(const std::string& label) const
 {
     const auto& labels = description.labels;
--- a/src/jobs/worker_view.hpp
+++ b/src/jobs/worker_view.hpp
@@ -194,6 +194,8 @@
     /// stored.
     [[nodiscard]] roster_mark wanted_mark() const;
     [[nodiscard]] bool has_label(const std::string& label) const;
+    /// The last label; empty if the worker has none.
+    [[nodiscard]] std::string rack() const;
 };
 
 } // namespace pimentograde::jobs
--- a/src/node/pool_claims.hpp
+++ b/src/node/pool_claims.hpp
@@ -40,7 +40,7 @@
     /// only owners need the worker directory.
     pool_claims(session& members, worker_directory& directory,
                 platform::store_client& store, net::http_client& http,
-                base::duration worker_lease,
+                base::duration worker_lease, double remote_factor,
                 std::function<void(bool)> needs_workers);
     ~pool_claims();
     pool_claims(const pool_claims&) = delete;
@@ -79,6 +79,7 @@
     platform::store_client& store_;
     net::http_client& http_;
     base::duration worker_lease_;
+    double remote_factor_;
     std::function<void(bool)> needs_workers_;
     std::vector<jobs::queue_policy> policies_;
     std::set<std::string> pools_;
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -74,6 +74,7 @@
     settings.machine_holder_pause = read_millis(bounds, "LeaseMs", 3000);
     settings.status_retention = read_seconds(bounds, "status_s", 120.0);
     settings.unavailability_notice = read_millis(bounds, "NoticeMs", 4500);
+    settings.remote_factor = read_number(bounds, "RemoteFactor", 1.5);
     settings.fencing_enforced = read_flag(bounds, "FencingEnforced");
 }
 
--- a/src/platform/node_settings.hpp
+++ b/src/platform/node_settings.hpp
@@ -38,6 +38,8 @@
     base::duration status_retention{};
     /// A task away for this long counts as unavailable.
     base::duration unavailability_notice{};
+    /// How many times as long a gang runs on more than one rack.
+    double remote_factor = 1.5;
     bool fencing_enforced = false;
     /// Orders to machines that the platform accepts a second, from all
     /// instances together.
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -60,6 +60,7 @@
                       return is_stopping;
                   }})
     {
+        state.set_remote_factor(parts.remote_factor_);
         state.on_decision([](const jobs::decision& entry)
                           { log_decision(entry); });
     }
--- a/src/pools/pool_owner.hpp
+++ b/src/pools/pool_owner.hpp
@@ -66,6 +66,8 @@
         builder& http(net::http_client& client);
         /// Maximum lease that workers grant.
         builder& worker_lease(base::duration length);
+        /// How many times as long a gang runs on more than one rack.
+        builder& remote_factor(double factor);
         /// Returns whether the instance's lease still allows orders.
         builder& may_order(std::function<bool()> check);
         /// Called once when the ownership ends.
@@ -80,6 +82,7 @@
         platform::store_client* store_ = nullptr;
         net::http_client* http_ = nullptr;
         base::duration lease_{};
+        double remote_factor_ = 1.0;
         std::function<bool()> may_order_;
         std::function<void(std::string_view)> lost_;
     };
--- a/src/pools/pool_owner_builder.cpp
+++ b/src/pools/pool_owner_builder.cpp
@@ -37,6 +37,12 @@
     return *this;
 }
 
+pool_owner::builder& pool_owner::builder::remote_factor(double factor)
+{
+    remote_factor_ = factor;
+    return *this;
+}
+
 pool_owner::builder& pool_owner::builder::may_order(std::function<bool()> check)
 {
     may_order_ = std::move(check);
