Count a job as begun once a run of it has begun

Cause: planning a start marked the job as begun, also when the start was taken back, refused or not carried out.

Evidence: the new unit test fails on for gangs, refused starts and starts without an answer, and passes with the change.

Change: the mark is set when the worker confirms the start, lists the run or lists its end.

--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -199,6 +199,7 @@
     {
         run.state = run_state::running;
         run.since = now;
+        find(id.job)->has_started = true;
     }
     if (run.state != run_state::running)
     {
@@ -237,6 +238,7 @@
     if (entry == nullptr)
         return;
     subject->ended_on.insert(worker.description.id);
+    subject->has_started = true;
     const std::size_t position = subject->position_of(row.task);
     const bool is_current = entry->active && entry->active->number == row.run &&
                             entry->active->worker == worker.description.id;
@@ -294,7 +296,6 @@
     const std::size_t position = subject.position_of(row.task);
     step& part = subject.steps[position];
     const bool is_gang = subject.spec_of(position).is_gang;
-    subject.has_started = true;
     for (std::size_t index = 0; index < part.tasks.size(); ++index)
     {
         task& member = part.tasks[index];
@@ -427,6 +428,7 @@
         run.state =
             run.is_unconfirmed ? run_state::unsettled : run_state::running;
         run.since = now;
+        subject->has_started |= !run.is_unconfirmed;
         if (worker != nullptr)
         {
             worker->note_begun(
--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -327,7 +327,7 @@
     if (spec.is_long_running)
         worker.long_running_millis += reserved_resources(spec).cpu_millis;
     worker.runs.emplace(id, run);
-    subject.has_started = true;
+    subject.has_started |= state == run_state::running;
 }
 
 void pool_state::clear_run(job& subject, const task_id& id, task& entry)
--- a/tests/jobs/pool_state_test.cpp
+++ b/tests/jobs/pool_state_test.cpp
@@ -407,6 +407,58 @@
     CHECK(orders[1].worker.starts_with("b"));
 }
 
+// Guards against jobs that are missing in the count of pending ones although no
+// task of them has begun.
+TEST_CASE("a job is pending until a run of it has begun")
+{
+    pool_fixture pool({describe("w1", 2000), describe("w2", 2000)});
+    step_spec part = make_step(1);
+    SUBCASE("a gang that waits for a busy worker")
+    {
+        pool.submit("other", make_job({make_step(1, 2000)}));
+        const auto other = pool.plan_and_start();
+        REQUIRE(other.size() == 1);
+        part = make_step(2, 2000);
+        part.is_gang = true;
+        pool.submit("j", make_job({part}));
+        CHECK(pool.plan().empty());
+        CHECK(pool.state.pending("queue") == 1);
+        CHECK(pool.state.status_of("j") == reported_status::queued);
+        pool.report(other[0].worker, ended(other[0], end_kind::done));
+        CHECK(pool.plan_and_start().size() == 2);
+    }
+    SUBCASE("a start that the worker refuses")
+    {
+        pool.submit("j", make_job({part}));
+        const auto orders = pool.plan();
+        CHECK(pool.state.pending("queue") == 1);
+        pool.state.apply_start_answer(orders.at(0), start_answer::no_room,
+                                      pool.now);
+        CHECK(pool.state.pending("queue") == 1);
+        pool.now += 1s;
+        pool.plan_and_start();
+    }
+    SUBCASE("a start without an answer that the worker lists later")
+    {
+        pool.submit("j", make_job({part}));
+        const auto orders = pool.plan();
+        pool.state.apply_start_answer(orders.at(0), start_answer::unknown,
+                                      pool.now);
+        CHECK(pool.state.pending("queue") == 1);
+        pool.report(orders[0].worker, running(orders, 10));
+    }
+    SUBCASE("a start without an answer whose end the worker lists")
+    {
+        pool.submit("j", make_job({part}));
+        const auto orders = pool.plan();
+        pool.state.apply_start_answer(orders.at(0), start_answer::unknown,
+                                      pool.now);
+        pool.report(orders[0].worker, ended(orders[0], end_kind::failed));
+    }
+    CHECK(pool.state.pending("queue") == 0);
+    CHECK(pool.state.status_of("j") == reported_status::running);
+}
+
 TEST_CASE("an occurrence does not start before it is due")
 {
     pool_fixture pool({describe("w1")});
