Count crashes under runs that outlived their start half

What callers would see: a healthy job is given up after two crashes of machines under one of its tasks, long after its runs had started.

Cause: a crash with one suspect counted the same right after a start and under a run that had survived its start by far. A task that is alone on its worker is the only suspect of any crash there.

Evidence: the new unit test takes a task for the cause after three such crashes without the change, and after four with it. The histories with deadly tasks pass.

Change: such a crash counts half, like one after a start without an answer.

--- a/src/jobs/crash_history.cpp
+++ b/src/jobs/crash_history.cpp
@@ -109,7 +109,8 @@
     return at_start == 0 ? suspicion::none : suspicion::starts_apart;
 }
 
-// Two crashes after starts without an answer count as one confirmed crash.
+// Two crashes after starts without an answer count as one confirmed crash, and
+// so do two under runs that had outlived their start.
 bool crash_history::is_cause(double chance) const
 {
     std::set<std::string_view> addresses;
@@ -122,7 +123,7 @@
             crash.evidence == crash_evidence::starting ||
             (is_unanswered && !crash.is_only_suspect))
             continue;
-        half_crashes += is_unanswered ? 1 : 2;
+        half_crashes += is_unanswered || !crash.at_start ? 1 : 2;
         addresses.insert(crash.address);
     }
     const crash_evidence last = crashes_.empty() ? crash_evidence::unconfirmed
--- a/tests/jobs/crash_test.cpp
+++ b/tests/jobs/crash_test.cpp
@@ -244,6 +244,19 @@
     CHECK(history.is_cause(0.0));
 }
 
+// Guards against giving up a healthy task whose workers were lost long after it
+// had started there.
+TEST_CASE("crashes under runs that outlived their start count half")
+{
+    crash_history history;
+    for (int run = 1; run <= 3; ++run)
+        history.add({run, "w", "a:" + std::to_string(run), false, true,
+                     crash_evidence::confirmed});
+    CHECK_FALSE(history.is_cause(0.0));
+    history.add({4, "w", "a:4", false, true, crash_evidence::confirmed});
+    CHECK(history.is_cause(0.0));
+}
+
 // Guards against a task whose starts crash the worker before they are answered.
 TEST_CASE("crashes after starts without an answer show the cause in the end")
 {
