--- a/src/jobs/pool_planner.cpp
+++ b/src/jobs/pool_planner.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace pimentograde::jobs
@@ -53,6 +54,47 @@
     return places;
 }
 
+using rack_table = std::map<std::string, std::vector<const worker_view*>>;
+
+// The workers that the step may use.
+rack_table group_by_rack(std::span<worker_view* const> workers,
+                         const step_spec& part)
+{
+    rack_table racks;
+    for (const worker_view* worker : workers)
+        if (part.required_label.empty() ||
+            worker->has_label(part.required_label))
+            racks[worker->rack()].push_back(worker);
+    return racks;
+}
+
+// Racks with room for all tasks of the step: that of its data first, then the
+// one with least room, as single tasks go where they leave least.
+std::vector<std::string> racks_with_room(const rack_table& racks,
+                                         const step_spec& part)
+{
+    // Not at the data, free CPU, name.
+    std::vector<std::tuple<bool, std::int64_t, std::string>> fitting;
+    for (const auto& [rack, workers] : racks)
+    {
+        int places = 0;
+        std::int64_t cpu_millis = 0;
+        for (const worker_view* worker : workers)
+        {
+            places += places_in(worker->free(), part);
+            cpu_millis += worker->free().cpu_millis;
+        }
+        if (places >= part.task_count)
+            fitting.emplace_back(rack != part.data_rack, cpu_millis, rack);
+    }
+    std::sort(fitting.begin(), fitting.end());
+    std::vector<std::string> names;
+    names.reserve(fitting.size() + 1);
+    for (auto& entry : fitting)
+        names.push_back(std::move(std::get<std::string>(entry)));
+    return names;
+}
+
 } // namespace
 
 struct pool_state::waiting_job
@@ -221,51 +263,18 @@
             return;
 }
 
-// The racks to try, an empty name for all together. A gang on one rack goes
-// where it leaves least room, as single tasks do. If no rack has room now, it
-// waits for as long as it would lose by running on more than one.
+// The racks to try, an empty name for all together.
 std::vector<std::string>
 pool_state::racks_for(job& subject, std::size_t position,
                       std::span<worker_view* const> workers,
                       base::time_point now)
 {
     const step_spec& part = subject.spec_of(position);
+    const std::string any_rack;
     if (!part.needs_same_rack)
-        return {{}};
-    std::map<std::string, std::vector<const worker_view*>> racks;
-    for (const worker_view* worker : workers)
-        if (part.required_label.empty() ||
-            worker->has_label(part.required_label))
-            racks[worker->rack()].push_back(worker);
-    struct candidate
-    {
-        std::string rack;
-        bool is_at_data = false;
-        std::int64_t cpu_millis = 0;
-    };
-    std::vector<candidate> candidates;
-    for (const auto& [rack, members] : racks)
-    {
-        int places = 0;
-        candidate entry{rack, rack == part.data_rack};
-        for (const worker_view* worker : members)
-        {
-            places += places_in(worker->free(), part);
-            entry.cpu_millis += worker->free().cpu_millis;
-        }
-        if (places >= part.task_count)
-            candidates.push_back(entry);
-    }
-    std::stable_sort(candidates.begin(), candidates.end(),
-                     [](const candidate& left, const candidate& right)
-                     {
-                         if (left.is_at_data != right.is_at_data)
-                             return left.is_at_data;
-                         return left.cpu_millis < right.cpu_millis;
-                     });
-    std::vector<std::string> names;
-    for (candidate& entry : candidates)
-        names.push_back(std::move(entry.rack));
+        return {any_rack};
+    const rack_table racks = group_by_rack(workers, part);
+    std::vector<std::string> names = racks_with_room(racks, part);
     const auto will_have_room = [&](const auto& rack)
     {
         int places = 0;
@@ -273,16 +282,19 @@
             places += places_in(room_beside_lasting(*worker, {}), part);
         return places >= part.task_count;
     };
+    // It waits for one rack for as long as it would lose on more than one.
     auto& waits_since = subject.steps[position].awaits_rack_since;
     if (!waits_since)
         waits_since = now;
     const double longest_wait =
         (remote_factor_ - 1.0) *
         statistics_of(subject).run_times.expected_seconds(part.estimate);
-    if (base::count_seconds(now - *waits_since) >= longest_wait ||
+    const bool has_waited_long =
+        base::count_seconds(now - *waits_since) >= longest_wait;
+    if (has_waited_long ||
         (names.empty() &&
          std::none_of(racks.begin(), racks.end(), will_have_room)))
-        names.emplace_back();
+        names.push_back(any_rack);
     return names;
 }
 
