--- a/tests/jobs/pool_world.cpp
+++ b/tests/jobs/pool_world.cpp
@@ -12,13 +12,11 @@
 namespace
 {
 
-constexpr auto step_length = 50ms;
 constexpr auto lease_length = 2s;
 constexpr auto order_validity = 500ms;
 constexpr auto lapse_slack = 100ms;
 constexpr auto down_time = 400ms;
 constexpr int max_slow_steps = 4;
-constexpr int max_write_steps = 20;
 // How long starts may go by a room that has shrunk since.
 constexpr auto shrink_grace = 4500ms;
 constexpr int crashes_to_give_up = 2;
@@ -337,153 +335,6 @@
     store();
 }
 
-void pool_world::note_stored_ends()
-{
-    std::erase_if(unstored_ends_,
-                  [&](const auto& entry)
-                  {
-                      const auto& [worker, ends] = entry;
-                      if (state_->stored_change() < ends.change)
-                          return false;
-                      stored_end_[worker] = ends.last_end;
-                      return true;
-                  });
-}
-
-void pool_world::store()
-{
-    store_roster();
-    for (const auto& change : state_->take_changes(1000))
-    {
-        if (is_record_away_)
-        {
-            if (chance(33))
-                stored_[change.job] = {change.value, ++revision_};
-            state_->note_not_stored(change.job, true);
-            continue;
-        }
-        auto entry =
-            begin_write(change.job, change.value, change.expected_revision);
-        if (now_ >= entry.answered_at)
-        {
-            arrive(entry);
-            note_answer(entry);
-        }
-        else
-            writes_.push_back(std::move(entry));
-    }
-    note_stored_ends();
-}
-
-base::duration pool_world::some_steps(int most)
-{
-    return step_length * (random_() % static_cast<unsigned>(most));
-}
-
-pool_world::pending_write
-pool_world::begin_write(std::string job, std::string value,
-                        std::int64_t expected_revision)
-{
-    pending_write entry{
-        fence_,           now_, now_, false, std::move(job), std::move(value),
-        expected_revision};
-    if (odds_.slow_write == 0 || !chance(odds_.slow_write))
-        return entry;
-    entry.arrives_at += some_steps(max_write_steps);
-    entry.answered_at += step_length + some_steps(max_write_steps);
-    // No answer is later than the caller waits, and none is earlier than the
-    // effect.
-    entry.is_answer_lost = entry.answered_at < entry.arrives_at || chance(50);
-    return entry;
-}
-
-void pool_world::advance_writes()
-{
-    std::vector<pending_write> answered;
-    for (pending_write& entry : writes_)
-    {
-        if (!entry.has_arrived && now_ >= entry.arrives_at)
-            arrive(entry);
-        if (now_ >= entry.answered_at && entry.fence == fence_)
-        {
-            answered.push_back(entry);
-            // It may still arrive.
-            entry.answered_at = base::time_point::max();
-        }
-    }
-    std::erase_if(writes_,
-                  [&](const pending_write& entry)
-                  {
-                      return entry.has_arrived &&
-                             (entry.fence != fence_ ||
-                              entry.answered_at == base::time_point::max());
-                  });
-    for (const pending_write& entry : answered)
-        note_answer(entry);
-}
-
-// Holds only while its sender owns the pool.
-void pool_world::arrive(pending_write& entry)
-{
-    entry.has_arrived = true;
-    stored_item& item = entry.job.empty() ? stored_roster_ : stored_[entry.job];
-    if (entry.fence != fence_ || item.revision != entry.expected_revision)
-        return;
-    entry.revision = ++revision_;
-    item = {entry.value, entry.revision};
-}
-
-void pool_world::note_answer(const pending_write& entry)
-{
-    if (entry.job.empty())
-    {
-        note_roster_answer(entry);
-        return;
-    }
-    const stored_item& item = stored_[entry.job];
-    if (entry.is_answer_lost || !entry.has_arrived)
-        state_->note_not_stored(entry.job, true);
-    else if (entry.revision > 0)
-        state_->note_stored(entry.job, entry.revision);
-    else if (item.value == entry.value)
-        state_->note_stored(entry.job, item.revision);
-    else
-        state_->note_store_revision(entry.job, item.revision);
-}
-
-void pool_world::note_roster_answer(const pending_write& entry)
-{
-    is_writing_roster_ = false;
-    if (entry.is_answer_lost || !entry.has_arrived)
-        return;
-    known_roster_revision_ = stored_roster_.revision;
-    if (stored_roster_.value == entry.value)
-        state_->note_recorded(entry.roster);
-}
-
-// The write may take effect although its answer is lost.
-void pool_world::store_roster()
-{
-    if (is_writing_roster_ || !state_->is_roster_outdated())
-        return;
-    const auto roster = state_->roster();
-    if (is_roster_away_)
-        return;
-    auto entry =
-        begin_write({}, jobs::encode_roster(roster), known_roster_revision_);
-    entry.roster = roster;
-    if (odds_.slow_write == 0)
-        entry.is_answer_lost = chance(odds_.lost_answer);
-    if (now_ >= entry.answered_at)
-    {
-        arrive(entry);
-        note_answer(entry);
-        return;
-    }
-    is_writing_roster_ = true;
-    writes_.push_back(std::move(entry));
-}
-
 // Entries lapse while the store is away, and come back after it.
 void pool_world::change_listing(simulated_worker& worker)
 {
--- a/tests/jobs/pool_world.hpp
+++ b/tests/jobs/pool_world.hpp
@@ -17,6 +17,7 @@
 
 using namespace std::chrono_literals;
 
+inline constexpr auto step_length = 50ms;
 inline constexpr int default_room = 8;
 
 /// Simulated worker that follows the rules of the platform: fences, leases, and
