Keep the policy of a queue that is no longer configured

What callers would see: a job is shown as failed after its first failed run, although its queue allowed more, once a version has removed the route, the pool's owner has started since, and the route is back.

Cause: as with the pools of a queue, what an earlier version said was known to the processes that had seen it. A new owner used the default policy, which allows one attempt.

Evidence: the new unit test fails with the first failed run without the change and goes through all three attempts with it.

Change: the record of an open job holds its queue's policy at the submission. It applies where no configured policy does.

--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -133,6 +133,9 @@
 {
     std::string id;
     std::string queue;
+    /// The queue's policy at the submission, for owners that start when the
+    /// queue is no longer configured; without a name if it is not known.
+    queue_policy policy;
     job_spec spec;
     job_status status = job_status::open;
     base::wall_time accepted_wall{};
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -191,6 +191,24 @@
     }
 }
 
+json::array encode_policy(const queue_policy& policy)
+{
+    return {policy.priority, policy.max_attempts, policy.stretch,
+            base::count_millis(policy.target)};
+}
+
+queue_policy decode_policy(const std::string& queue, const json::array& cells)
+{
+    queue_policy policy;
+    policy.name = queue;
+    policy.priority = cells.at(0).to_number<int>();
+    policy.max_attempts = cells.at(1).to_number<int>();
+    policy.stretch = cells.at(2).to_number<double>();
+    policy.target =
+        std::chrono::milliseconds(cells.at(3).to_number<std::int64_t>());
+    return policy;
+}
+
 job decode_object(std::string_view id, const json::object& source)
 {
     job subject;
@@ -210,6 +228,8 @@
             subject.spec.steps.push_back(decode_step_spec(part.as_object()));
     if (subject.status != job_status::open)
         return subject;
+    if (const json::value* policy = source.if_contains("policy"))
+        subject.policy = decode_policy(subject.queue, policy->as_array());
     validate(subject.spec);
     subject.prepare_steps();
     if (const json::value* rows = source.if_contains("progress"))
@@ -231,6 +251,8 @@
         return json::serialize(value);
     }
     value["payload"] = subject.spec.payload;
+    if (!subject.policy.name.empty())
+        value["policy"] = encode_policy(subject.policy);
     if (subject.has_started)
         value["started"] = true;
     if (subject.spec.repeat_count > 0)
--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -162,6 +162,7 @@
     subject.accepted_wall = wall;
     subject.prepare_steps();
     const queue_policy& policy = policy_of(subject);
+    subject.policy = policy;
     queue_statistics& statistics = statistics_of(subject);
     subject.refresh_estimates(statistics.run_times);
     admission_inputs inputs;
@@ -197,6 +198,8 @@
     subject.is_stored = true;
     subject.stored_status = subject.status;
     subject.is_inherited = true;
+    if (!subject.policy.name.empty())
+        policies_.try_emplace(subject.queue, subject.policy);
     if (subject.status == job_status::open)
     {
         queue_statistics& statistics = statistics_of(subject);
--- a/tests/jobs/pool_state_test.cpp
+++ b/tests/jobs/pool_state_test.cpp
@@ -390,6 +390,38 @@
     CHECK(second[0].task.occurrence == 1);
 }
 
+// Guards against a job that is given up after its first failed run: its queue
+// is no longer configured, and the owner has started since.
+TEST_CASE("a job keeps its attempts when its queue is no longer configured")
+{
+    pool_fixture pool({describe("w1")}, 3);
+    pool.submit("j", make_job({make_step(1)}));
+    const std::string record = encode_record(*pool.state.find_job("j"));
+    pool_state next("pool");
+    next.restore(decode_record("j", record), pool.now, wall);
+    next.update_worker(describe("w1"));
+    next.note_recorded(next.roster());
+    base::time_point now = pool.now;
+    const auto report = [&](const worker_report& rows)
+    {
+        now += 1s;
+        next.apply_report("w1", rows, now, now, wall);
+        for (const auto& change : next.take_changes(10))
+            next.note_stored(change.job, 1);
+    };
+    report({});
+    for (int failures = 1; failures <= 3; ++failures)
+    {
+        CHECK(next.status_of("j") != reported_status::failed);
+        now += 1s;
+        const auto orders = next.plan(now, wall);
+        REQUIRE(orders.size() == 1);
+        next.apply_start_answer(orders[0], start_answer::started, now);
+        report(ended(orders[0], end_kind::failed, failures));
+    }
+    CHECK(next.status_of("j") == reported_status::failed);
+}
+
 // Guards against losing progress when a new owner takes over.
 TEST_CASE("a record keeps the specification and the progress")
 {
