--- a/src/jobs/pool_losses.cpp
+++ b/src/jobs/pool_losses.cpp
@@ -37,6 +37,16 @@
     worker_view* worker = find_worker(id);
     if (worker == nullptr)
         return;
+    // Said once, although a worker that is gone may be asked again.
+    if (worker->has_reported || !worker->runs.empty() || !worker->is_silent)
+        log_decision({"worker_lost",
+                      {},
+                      {},
+                      0,
+                      worker->description.id,
+                      std::string(to_string(loss)) +
+                          " runs=" + std::to_string(worker->runs.size()) +
+                          " heard=" + (worker->has_reported ? "1" : "0")});
     // Crashes that an earlier silence or restart has left open.
     if (loss != run_loss::lapsed)
         confirm_crashes(*worker, now, wall);
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -157,7 +157,8 @@
     log::write(event_pool_loaded, {{"pool", pool},
                                    {"fence", fence},
                                    {"jobs", state.job_count()},
-                                   {"inherited_workers", links.size()}});
+                                   {"inherited_workers", links.size()},
+                                   {"lists_workers", has_worker_list ? 1 : 0}});
     if (has_worker_list)
         apply_workers();
     fibers.spawn_restarting("store records", [this] { writer.run(); });
@@ -496,9 +497,16 @@
     if (!impl_->is_loaded || impl_->is_stopping)
         return;
     const auto found = impl_->state.workers().find(worker);
+    const bool is_known = found != impl_->state.workers().end();
+    log::write(event_worker_ended,
+               {{"pool", impl_->pool},
+                {"fence", impl_->fence},
+                {"worker", worker},
+                {"heard", is_known && found->second.has_reported ? 1 : 0},
+                {"runs", is_known ? found->second.runs.size() : 0}});
     // A worker with runs has been used since the order was carried out, so it
     // has not ended.
-    if (found == impl_->state.workers().end() || !found->second.runs.empty())
+    if (!is_known || !found->second.runs.empty())
         return;
     const base::time_point now = base::steady_now();
     impl_->ended_workers.emplace(worker, now);
