Keep a worker's runs unknown until the worker or the roster tells them

Cause: 'the runs of this worker are known' was a flag that lose_runs() set for whatever reason. A worker that a new owner had not heard, and that was said to have ended by an order to its machine or by another worker at its address, counted as a worker without runs; its tasks started elsewhere at the next plan, and the worker left the roster, so that the owner after that one did not ask it either.

run_knowledge replaces the flags. Only the roster, a report under this owner's fence, or the absence from any roster make the runs certain; to lose runs changes nothing about what an earlier owner may have started. The planner, the roster, the release of workers and forgetting ask it.

--- a/src/jobs/pool_crashes.cpp
+++ b/src/jobs/pool_crashes.cpp
@@ -91,7 +91,7 @@
     const bool may_be_explained =
         worker.may_end_as_planned(now) ||
         (worker.runs.empty() &&
-         (loss != run_loss::restarted || !worker.has_known_runs));
+         (loss != run_loss::restarted || !worker.knowledge.is_certain()));
     if (!at_start && may_be_explained)
         return;
     if (at_start)
--- a/src/jobs/pool_leave.cpp
+++ b/src/jobs/pool_leave.cpp
@@ -115,8 +115,8 @@
     evacuate(*worker, now);
     // Ends that are not stored would be lost with the worker.
     return worker->runs.empty() &&
-           (worker->has_reported ||
-            (!worker->is_listed && worker->has_known_runs)) &&
+           (worker->knowledge.has_reported() ||
+            (!worker->is_listed && worker->knowledge.is_certain())) &&
            !has_unstored_ends(*worker);
 }
 
--- a/src/jobs/pool_losses.cpp
+++ b/src/jobs/pool_losses.cpp
@@ -38,15 +38,16 @@
     if (worker == nullptr)
         return;
     // Said once, although a worker that is gone may be asked again.
-    if (worker->has_reported || !worker->runs.empty() || !worker->is_silent)
+    if (worker->knowledge.has_reported() || !worker->runs.empty() ||
+        !worker->is_silent)
         log_decision({"worker_lost",
                       {},
                       {},
                       0,
                       worker->description.id,
-                      std::string(to_string(loss)) +
-                          " runs=" + std::to_string(worker->runs.size()) +
-                          " heard=" + (worker->has_reported ? "1" : "0")});
+                      std::string(to_string(loss)) + " runs=" +
+                          std::to_string(worker->runs.size()) + " heard=" +
+                          (worker->knowledge.has_reported() ? "1" : "0")});
     // Crashes that an earlier silence or restart has left open.
     if (loss != run_loss::lapsed)
         confirm_crashes(*worker, now, wall);
@@ -70,11 +71,10 @@
         }
     }
     check_causes(runs, now, wall);
-    worker->has_reported = false;
+    worker->knowledge.forget_report();
     worker->lists_other_runs = false;
     worker->used_by_others = {};
     worker->has_unknown_runs = false;
-    worker->has_known_runs = true;
     if (loss == run_loss::lapsed)
         return;
     worker->applied_end = 0;
@@ -202,7 +202,7 @@
         entry->active->since = now;
     }
     check_causes(lost, now, wall);
-    worker.has_reported = false;
+    worker.knowledge.forget_report();
     worker.lists_other_runs = false;
     worker.used_by_others = {};
     worker.has_unknown_runs = false;
--- a/src/jobs/pool_planner.cpp
+++ b/src/jobs/pool_planner.cpp
@@ -104,18 +104,12 @@
     std::vector<std::size_t> positions;
 };
 
-// A worker of an earlier owner that has not reported may have unknown runs of
-// any inherited job, unless that owner has left a list of them or the worker's
-// lease has ended.
+// A worker with unknown runs may run tasks of any inherited job.
 bool pool_state::are_inherited_runs_known(base::time_point now) const
 {
     return std::none_of(workers_.begin(), workers_.end(),
                         [now](const auto& entry)
-                        {
-                            return entry.second.is_inherited &&
-                                   !entry.second.has_known_runs &&
-                                   now < entry.second.lease_ends_by;
-                        });
+                        { return entry.second.knowledge.may_hide_runs(now); });
 }
 
 std::vector<pool_state::waiting_job>
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -126,7 +126,8 @@
         confirm_crashes(*worker, now, wall);
     }
     note_alive(*worker, now);
-    if (worker->is_inherited && !worker->has_reported && !report.is_truncated)
+    if (worker->is_inherited && !worker->knowledge.has_reported() &&
+        !report.is_truncated)
         log_decision({"worker_heard",
                       {},
                       {},
@@ -134,8 +135,8 @@
                       worker->description.id,
                       "runs=" + std::to_string(report.running.size()) +
                           " ends=" + std::to_string(report.ended.size())});
-    worker->has_reported = worker->has_reported || !report.is_truncated;
-    worker->has_known_runs = worker->has_known_runs || worker->has_reported;
+    if (!report.is_truncated)
+        worker->knowledge.note_report();
     worker->is_reachable = true;
     worker->is_silent = false;
     worker->reported_at = now;
--- a/src/jobs/pool_roster.cpp
+++ b/src/jobs/pool_roster.cpp
@@ -48,6 +48,8 @@
     worker.recorded =
         entry.runs ? roster_mark::without_starts : roster_mark::with_starts;
     worker.lease_ends_by = deadline;
+    worker.knowledge = entry.runs ? run_knowledge::stated_by_roster()
+                                  : run_knowledge::unknown_until(deadline);
     if (is_new)
     {
         worker.description = entry.worker;
@@ -76,7 +78,6 @@
              " late_starts=" + std::to_string(entry.late_starts.size())});
     if (!entry.runs)
         return;
-    worker.has_known_runs = true;
     worker.recorded_runs = entry.runs->size();
     for (const roster_run& run : *entry.runs)
         inherit_run(worker, run, now);
@@ -201,7 +202,7 @@
     return !worker.is_listed && worker.runs.empty() &&
            !has_unstored_ends(worker) && !worker.awaits_late_starts(now) &&
            now >= worker.acknowledges_until() &&
-           (worker.has_known_runs || now >= worker.lease_ends_by);
+           !worker.knowledge.may_hide_runs(now);
 }
 
 std::vector<roster_entry> pool_state::roster(base::time_point now)
@@ -256,7 +257,7 @@
         entry.late_starts = late_starts_for_roster(worker, now);
         // An end that is not stored is known to the worker alone: the next
         // owner has to ask.
-        if (worker.has_known_runs && dirty_.empty() && writing_.empty())
+        if (worker.knowledge.is_certain() && dirty_.empty() && writing_.empty())
             entry.runs = runs_for_roster(worker, now);
         entry.lease_left = std::max<base::duration>(worker.lease_ends_by - now,
                                                     base::duration::zero());
--- /dev/null
+++ b/src/jobs/run_knowledge.cpp
@@ -0,0 +1,27 @@
+#include "jobs/run_knowledge.hpp"
+
+namespace pimentograde::jobs
+{
+
+run_knowledge run_knowledge::stated_by_roster()
+{
+    run_knowledge result;
+    result.ground_ = ground::roster;
+    return result;
+}
+
+run_knowledge run_knowledge::unknown_until(base::time_point until)
+{
+    run_knowledge result;
+    result.ground_ = ground::none;
+    result.hidden_until_ = until;
+    return result;
+}
+
+void run_knowledge::note_report()
+{
+    ground_ = ground::report;
+    has_reported_ = true;
+}
+
+} // namespace pimentograde::jobs
--- a/src/jobs/worker_view.cpp
+++ b/src/jobs/worker_view.cpp
@@ -214,8 +214,9 @@
 
 bool worker_view::accepts_starts(base::time_point now) const
 {
-    return is_listed && recorded == roster_mark::with_starts && has_reported &&
-           is_reachable && !description.is_draining && now >= leaving_until &&
+    return is_listed && recorded == roster_mark::with_starts &&
+           knowledge.has_reported() && is_reachable &&
+           !description.is_draining && now >= leaving_until &&
            now >= no_room_until && now >= forgets_ends_until &&
            !has_unknown_runs && !health.is_quarantined(now);
 }
@@ -226,8 +227,8 @@
     if (!may_run_something())
         return awaits_late_starts(now) ? roster_mark::without_starts
                                        : roster_mark::absent;
-    return is_silent && has_known_runs ? roster_mark::without_starts
-                                       : roster_mark::with_starts;
+    return is_silent && knowledge.is_certain() ? roster_mark::without_starts
+                                               : roster_mark::with_starts;
 }
 
 std::string worker_view::rack() const
--- a/src/jobs/worker_view.hpp
+++ b/src/jobs/worker_view.hpp
@@ -4,6 +4,7 @@
 #include "base/time.hpp"
 #include "jobs/crash_history.hpp"
 #include "jobs/job_spec.hpp"
+#include "jobs/run_knowledge.hpp"
 #include "jobs/task_id.hpp"
 
 #include <cstddef>
@@ -105,12 +106,9 @@
     std::int64_t born_ms = 0;
     /// The worker is listed in the store.
     bool is_listed = true;
-    /// It has reported all its runs under this owner's fence.
-    bool has_reported = false;
-    /// `runs` holds all runs that may exist on it: it has reported them, or an
-    /// earlier owner has handed them over.
-    bool has_known_runs = false;
-    /// An earlier owner may have started runs on it.
+    /// Whether `runs` holds all runs that may exist on it.
+    run_knowledge knowledge;
+    /// The roster of an earlier owner names it.
     bool is_inherited = false;
     /// Runs start only on workers recorded with starts, so that the next owner
     /// asks them for their runs.
@@ -219,7 +217,7 @@
     /// Whether the worker is listed or may still have runs.
     [[nodiscard]] bool may_run_something() const
     {
-        return is_listed || !has_known_runs || !runs.empty();
+        return is_listed || !knowledge.is_certain() || !runs.empty();
     }
     /// What the roster should say about it if all ends that it has listed are
     /// stored.
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -498,12 +498,13 @@
         return;
     const auto found = impl_->state.workers().find(worker);
     const bool is_known = found != impl_->state.workers().end();
-    log::write(event_worker_ended,
-               {{"pool", impl_->pool},
-                {"fence", impl_->fence},
-                {"worker", worker},
-                {"heard", is_known && found->second.has_reported ? 1 : 0},
-                {"runs", is_known ? found->second.runs.size() : 0}});
+    log::write(
+        event_worker_ended,
+        {{"pool", impl_->pool},
+         {"fence", impl_->fence},
+         {"worker", worker},
+         {"heard", is_known && found->second.knowledge.has_reported() ? 1 : 0},
+         {"runs", is_known ? found->second.runs.size() : 0}});
     // A worker with runs has been used since the order was carried out, so it
     // has not ended.
     if (!is_known || !found->second.runs.empty())
--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -178,15 +178,17 @@
     const auto& workers = state_.workers();
     const auto found = workers.find(worker_.id);
     return found != workers.end() &&
-           (!found->second.has_reported || !found->second.runs.empty() ||
-            found->second.lists_other_runs || !found->second.is_reachable ||
-            unstored_ || acknowledged_end_ != stored_end_);
+           (!found->second.knowledge.has_reported() ||
+            !found->second.runs.empty() || found->second.lists_other_runs ||
+            !found->second.is_reachable || unstored_ ||
+            acknowledged_end_ != stored_end_);
 }
 
 base::duration worker_link::poll_wait() const
 {
     const auto found = state_.workers().find(worker_.id);
-    if (found == state_.workers().end() || !found->second.has_reported)
+    if (found == state_.workers().end() ||
+        !found->second.knowledge.has_reported())
         return base::duration::zero();
     const auto& runs = found->second.runs;
     // The next task of a step can be moved once the previous one runs again, so
