Take a worker for ended with its machine only if its owner has heard it

Cause: an order to a machine that is answered with success may have been carried out before, so the worker that is named with it may be alive. An owner that had not heard the worker dropped what the roster says of it: late starts, ends that are not stored, runs whose outcome is not known. The decision stood in pool_owner, apart from what it rests on.

pool_state::end_worker asks run_knowledge: the worker counts as ended if this owner has heard it and knows of no run there. Otherwise nothing changes.

The two new cases of takeover_test were not run on the code before, which has no such function; the case on the roster guards against lose_runs(), which cleared both lists.

--- a/src/jobs/pool_losses.cpp
+++ b/src/jobs/pool_losses.cpp
@@ -84,6 +84,29 @@
     resolve_runs(*worker);
 }
 
+bool pool_state::end_worker(std::string_view id, base::time_point now,
+                            base::wall_time wall)
+{
+    worker_view* worker = find_worker(id);
+    if (worker == nullptr)
+        return false;
+    const bool has_ended =
+        worker->runs.empty() && worker->knowledge.has_reported();
+    log_decision({"worker_said_to_have_ended",
+                  {},
+                  {},
+                  0,
+                  worker->description.id,
+                  std::string(has_ended ? "taken" : "not taken") + " runs=" +
+                      std::to_string(worker->runs.size()) + " heard=" +
+                      (worker->knowledge.has_reported() ? "1" : "0")});
+    if (!has_ended)
+        return false;
+    worker->is_listed = false;
+    lose_runs(id, run_loss::ended, now, wall);
+    return true;
+}
+
 void pool_state::lose_long_running_runs(std::string_view id,
                                         base::time_point now,
                                         base::wall_time wall)
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -157,6 +157,12 @@
     /// incarnation tells which runs are gone.
     void lose_runs(std::string_view id, run_loss loss, base::time_point now,
                    base::wall_time wall);
+    /// The worker is said to have ended with its machine. Only an owner that
+    /// has heard it, and knows of no run there, can tell: otherwise it has been
+    /// used since, or an earlier owner may have used it. Returns whether it
+    /// counts as ended; its runs, late starts and ends are gone then.
+    bool end_worker(std::string_view id, base::time_point now,
+                    base::wall_time wall);
     /// The lease of a silent worker has ended unless an extension has arrived
     /// late: its long-running tasks may not be away until that is certain.
     void lose_long_running_runs(std::string_view id, base::time_point now,
--- a/src/pools/events.hpp
+++ b/src/pools/events.hpp
@@ -32,8 +32,6 @@
     3213, log::severity::error, "learned statistics are unreadable"};
 inline constexpr log::event event_pool_handover{
     3212, log::severity::info, "runs handed over to the pool's next owner"};
-inline constexpr log::event event_worker_ended{
-    3214, log::severity::info, "worker is said to have ended by an order"};
 
 } // namespace pimentograde::pools
 
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -496,23 +496,10 @@
 {
     if (!impl_->is_loaded || impl_->is_stopping)
         return;
-    const auto found = impl_->state.workers().find(worker);
-    const bool is_known = found != impl_->state.workers().end();
-    log::write(
-        event_worker_ended,
-        {{"pool", impl_->pool},
-         {"fence", impl_->fence},
-         {"worker", worker},
-         {"heard", is_known && found->second.knowledge.has_reported() ? 1 : 0},
-         {"runs", is_known ? found->second.runs.size() : 0}});
-    // A worker with runs has been used since the order was carried out, so it
-    // has not ended.
-    if (!is_known || !found->second.runs.empty())
-        return;
     const base::time_point now = base::steady_now();
+    if (!impl_->state.end_worker(worker, now, base::wall_now()))
+        return;
     impl_->ended_workers.emplace(worker, now);
-    impl_->state.lose_runs(worker, jobs::run_loss::ended, now,
-                           base::wall_now());
     impl_->apply_workers();
 }
 
--- a/src/pools/pool_owner.hpp
+++ b/src/pools/pool_owner.hpp
@@ -115,7 +115,7 @@
     bool release_worker(std::string_view worker, base::duration hold);
     /// See `jobs::pool_state::set_leaving_soon`.
     void set_leaving_soon(std::span<const std::string> workers);
-    /// Call when the worker has ended; all its runs are lost.
+    /// See `jobs::pool_state::end_worker`.
     void end_worker(std::string_view worker);
 
     [[nodiscard]] const std::string& pool() const;
--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -74,6 +74,38 @@
     }
 }
 
+// Guards against a second run by a late start, and against an attempt too many:
+// what the roster says of a worker was dropped although nobody had heard it.
+TEST_CASE(
+    "what the roster says of a worker holds when it is said to have ended")
+{
+    pool_fixture before({describe("w1"), describe("w2")});
+    const start_order order = before.plan_unanswered();
+    roster_entry entry{describe(order.worker), false};
+    entry.late_starts = {{order.task, order.run, 13s}};
+    entry.unresolved = {order.task};
+    pool_fixture next({describe("w3")});
+    next.submit("j", make_job({make_step(1)}));
+    next.state.inherit_worker(entry, next.now + unknown_lease, next.now);
+    CHECK_FALSE(next.state.end_worker(order.worker, next.now, wall));
+    const worker_view& worker = next.state.workers().at(order.worker);
+    CHECK(worker.awaits_late_starts(next.now));
+    CHECK(worker.unresolved.size() == 1);
+}
+
+TEST_CASE("an idle worker that was heard counts as ended with its machine")
+{
+    unheard_pool pool;
+    CHECK_FALSE(
+        pool.next->state.end_worker(pool.order.worker, pool.next->now, wall));
+    pool.next->report(pool.order.worker, running({pool.order}, 10));
+    CHECK_FALSE(
+        pool.next->state.end_worker(pool.order.worker, pool.next->now, wall));
+    CHECK(
+        pool.next->state.end_worker(pool.idle_worker(), pool.next->now, wall));
+    CHECK(pool.next->state.can_forget(pool.idle_worker(), pool.next->now));
+}
+
 // Guards against a job that waits for ever for a worker that is gone.
 TEST_CASE("tasks of a worker that was never heard start once no earlier order "
           "can have an effect")
