Give a worker without a connection no starts until it reports

Cause: a start that failed before anything was sent counted as not sent, which says nothing about the worker; its poll, on another connection, may wait for 1.3 s longer. The new answer 'unreachable' makes the worker count as out of reach until its next report.

The new test of pool_state does not compile on the code before; there not_sent leads to a start in each plan.

--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -496,6 +496,9 @@
     entry->not_before = now;
     if (answer == start_answer::no_room && worker != nullptr)
         worker->no_room_until = now + no_room_delay;
+    // Until its next report.
+    if (answer == start_answer::unreachable && worker != nullptr)
+        worker->is_reachable = false;
     if (answer == start_answer::unhealthy && worker != nullptr)
         worker->health.note_refusal(now);
     if (answer == start_answer::rejected)
--- a/src/jobs/worker_report.hpp
+++ b/src/jobs/worker_report.hpp
@@ -97,8 +97,10 @@
     rejected,
     /// The worker is unhealthy and ignored the order.
     unhealthy,
-    /// The connection failed before anything was sent.
+    /// The owner may not send it, or no longer.
     not_sent,
+    /// The connection failed before anything was sent.
+    unreachable,
     /// The connection broke before the answer, as when the worker crashes: the
     /// order may take effect later, also at the worker's next incarnation.
     cut_off,
--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -498,7 +498,9 @@
         {
             note_failed(sent, failure.effect_unknown());
             if (!failure.effect_unknown())
-                result.answer = jobs::start_answer::not_sent;
+                result.answer = hooks_.may_order()
+                                    ? jobs::start_answer::unreachable
+                                    : jobs::start_answer::not_sent;
             else
                 result.answer = failure.code() == base::error_code::timeout
                                     ? jobs::start_answer::unknown
--- a/tests/jobs/pool_state_test.cpp
+++ b/tests/jobs/pool_state_test.cpp
@@ -188,6 +188,22 @@
     CHECK(pool.state.roster(pool.now).size() == 1);
 }
 
+// Guards against starts at a worker without a connection that are decided every
+// 1 to 2 ms until its next poll fails (kavango-cues), while others are idle.
+TEST_CASE("a worker without a connection gets no starts until it reports")
+{
+    pool_fixture pool({describe("w1")});
+    pool.submit("j", make_job({make_step(1)}));
+    const auto orders = pool.plan();
+    REQUIRE(orders.size() == 1);
+    pool.state.apply_start_answer(orders[0], start_answer::unreachable,
+                                  pool.now);
+    CHECK(pool.state.plan(pool.now + 1ms, wall).empty());
+    CHECK(pool.state.workers().at("w1").runs.empty());
+    pool.report("w1", {});
+    CHECK(pool.plan().size() == 1);
+}
+
 // Guards against violating a step's availability: a long-running task was
 // interrupted while another one was on a worker that had stopped answering.
 TEST_CASE("a leaving worker keeps a task that its step needs for availability")
