Name a worker as ended only when a listing of the machines proves it

Cause: an order that is answered with 200 was taken for the end of the worker that the latest listing shows. A repeated order, or one of an earlier holder, may have been carried out before; the machine is up again with a new worker, and the second 200 ends nothing.

ordered_workers remembers the worker of each ordered machine, with or without an answer, and returns it once a listing requested after the answer shows the machine without it. Moves and waves use it; it is reset with the role.

--- a/src/node/fleet_manager.cpp
+++ b/src/node/fleet_manager.cpp
@@ -152,6 +152,7 @@
     completed_waves_.clear();
     moves_.clear();
     recent_.clear();
+    ordered_workers_.clear();
 }
 
 // Orders that earlier holders may have sent. Their records are written under
@@ -235,6 +236,22 @@
     inventory_.set_machines(machines_client_.list(now + call_timeout));
 }
 
+void fleet_manager::end_workers()
+{
+    const auto ended = ordered_workers_.take_ended(
+        [this](const std::string& machine) { return inventory_.find(machine); },
+        machines_listed_at_);
+    net::task_group calls;
+    for (const auto& entry : ended)
+        calls.spawn(
+            [&]
+            {
+                gateway_.end_worker(entry.pool, entry.worker,
+                                    base::steady_now() + load_timeout);
+            });
+    calls.join();
+}
+
 void fleet_manager::refresh_loads()
 {
     const auto leaving = workers_leaving_soon();
@@ -281,6 +298,7 @@
 void fleet_manager::run_round(base::time_point now)
 {
     refresh_machines(now);
+    end_workers();
     refresh_loads();
     read_earlier_orders(now);
     for (const auto& [number, wave] : known_waves_)
@@ -346,11 +364,35 @@
     return false;
 }
 
+platform::machine_answer
+fleet_manager::send_order(const fleet::machine& entry,
+                          const std::function<platform::machine_answer()>& send)
+{
+    try
+    {
+        const auto answer = send();
+        if (answer == platform::machine_answer::done)
+            ordered_workers_.note_ordered(entry, base::steady_now());
+        return answer;
+    }
+    catch (const base::error&)
+    {
+        // It may have been carried out.
+        ordered_workers_.note_ordered(entry, base::steady_now());
+        throw;
+    }
+}
+
 void fleet_manager::order_move(const fleet::machine_move& move)
 {
     const fleet::machine entry = *inventory_.find(move.machine);
-    const auto answer = machines_client_.move(
-        authority(), move.machine, move.to, base::steady_now() + call_timeout);
+    const auto answer = send_order(entry,
+                                   [&]
+                                   {
+                                       return machines_client_.move(
+                                           authority(), move.machine, move.to,
+                                           base::steady_now() + call_timeout);
+                                   });
     log::write(event_machine_order, {{"order", "move"},
                                      {"machine", move.machine},
                                      {"worker", entry.worker},
@@ -358,9 +400,6 @@
                                      {"to", move.to},
                                      {"fence", *fence_},
                                      {"answer", to_string(answer)}});
-    if (answer == platform::machine_answer::done && !entry.worker.empty())
-        gateway_.end_worker(entry.pool, entry.worker,
-                            base::steady_now() + load_timeout);
 }
 
 bool fleet_manager::release(const fleet::machine& entry)
--- a/src/node/fleet_manager.hpp
+++ b/src/node/fleet_manager.hpp
@@ -4,6 +4,7 @@
 #include "base/time.hpp"
 #include "fleet/machine.hpp"
 #include "fleet/move_policy.hpp"
+#include "fleet/ordered_workers.hpp"
 #include "fleet/recent_orders.hpp"
 #include "fleet/wave_progress.hpp"
 #include "net/http_client.hpp"
@@ -71,6 +72,9 @@
     bool record_moves(std::span<const fleet::machine_move> moves);
     [[nodiscard]] bool may_send() const;
     void refresh_machines(base::time_point now);
+    /// Tells the owners which workers have ended with an order, by the latest
+    /// listing.
+    void end_workers();
     void refresh_loads();
     [[nodiscard]] std::map<std::string, std::vector<std::string>>
     workers_leaving_soon() const;
@@ -91,6 +95,11 @@
     fleet::wave_progress& progress_of(const fleet::maintenance_wave& wave,
                                       base::time_point now);
     bool release(const fleet::machine& entry);
+    /// Sends the order and remembers the worker of the machine, which is listed
+    /// as `entry`. Throws `base::error`.
+    platform::machine_answer
+    send_order(const fleet::machine& entry,
+               const std::function<platform::machine_answer()>& send);
     void order_move(const fleet::machine_move& move);
     [[nodiscard]] bool is_reserved(const std::string& machine) const;
     [[nodiscard]] bool is_in_wave(const std::string& machine) const;
@@ -104,6 +113,7 @@
     machine_moves moves_;
     fleet_records records_;
     fleet::recent_orders recent_;
+    fleet::ordered_workers ordered_workers_;
     base::time_point records_read_at_{};
     /// When the recording of the latest orders began, on the clock that also
     /// runs while the machine is suspended.
--- a/src/node/fleet_manager_waves.cpp
+++ b/src/node/fleet_manager_waves.cpp
@@ -95,8 +95,13 @@
     const auto listing_age = base::count_millis(now - machines_listed_at_);
     wave.note_ordered(machine, now);
     const auto answer =
-        machines_client_.maintain(authority(), machine, wave.wave().number,
-                                  base::steady_now() + call_timeout);
+        send_order(entry,
+                   [&]
+                   {
+                       return machines_client_.maintain(
+                           authority(), machine, wave.wave().number,
+                           base::steady_now() + call_timeout);
+                   });
     log::write(event_machine_order, {{"order", "maintain"},
                                      {"machine", machine},
                                      {"worker", entry.worker},
@@ -107,12 +112,7 @@
                                      {"listing_age_ms", listing_age},
                                      {"answer", to_string(answer)}});
     if (answer == platform::machine_answer::done)
-    {
         wave.note_acknowledged(machine, base::steady_now());
-        if (!entry.worker.empty())
-            gateway_.end_worker(entry.pool, entry.worker,
-                                base::steady_now() + load_timeout);
-    }
     else if (answer == platform::machine_answer::invalid ||
              answer == platform::machine_answer::not_in_wave)
         wave.note_gone(machine);
--- a/tests/machines/holder_history_test.cpp
+++ b/tests/machines/holder_history_test.cpp
@@ -1,6 +1,8 @@
 // Random histories of the machine role: holders are killed at any moment, their
-// orders arrive late, and the next holder takes over at once.
+// orders arrive late, and the next holder takes over at once. Each maintenance
+// ends the machine's worker, and a new one joins after it.
 
+#include "fleet/ordered_workers.hpp"
 #include "fleet/recent_orders.hpp"
 #include "fleet/wave_progress.hpp"
 
@@ -12,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -74,8 +77,12 @@
         bool is_maintained = false;
         int last_holder = 0;
         base::time_point ordered_at{};
+        /// Number of its workers that have ended.
+        int ended_workers = 0;
     };
     std::map<std::string, state> machines;
+    /// Workers that were named as ended.
+    std::set<std::string> named;
     std::vector<std::string> violations;
     bool checks_fences = false;
 
@@ -106,15 +113,29 @@
             violations.push_back("too many machines are down with " + name);
         machine.is_maintained = true;
         machine.down_until = now + maintenance_time;
+        ++machine.ended_workers;
         return order_answer::done;
     }
+    std::string worker_of(const std::string& name) const
+    {
+        return name + "." + std::to_string(machines.at(name).ended_workers);
+    }
+    void name_ended(const ordered_workers::ended_worker& entry)
+    {
+        if (entry.worker == worker_of(entry.machine))
+            violations.push_back("named as ended: " + entry.worker);
+        named.insert(entry.worker);
+    }
     machine listed(const std::string& name, base::time_point now) const
     {
         machine entry;
         entry.id = name;
-        entry.status = now < machines.at(name).down_until
-                           ? machine_status::in_maintenance
-                           : machine_status::up;
+        entry.pool = "pool";
+        const bool is_down = now < machines.at(name).down_until;
+        entry.status =
+            is_down ? machine_status::in_maintenance : machine_status::up;
+        if (!is_down)
+            entry.worker = worker_of(name);
         return entry;
     }
 };
@@ -149,6 +170,7 @@
 {
     int number = 0;
     recent_orders recent;
+    ordered_workers ordered;
     wave_progress wave;
 
     holder(int own_number, const stored_state& stored, base::time_point now)
@@ -264,6 +286,19 @@
                                      listed_at_);
             else
                 own.wave.note_missing(name, listed_at_);
+        for (const auto& entry : own.ordered.take_ended(
+                 [this](const std::string& name)
+                 {
+                     const auto found = listing_.find(name);
+                     return found == listing_.end() ? nullptr : &found->second;
+                 },
+                 listed_at_))
+            service.name_ended(entry);
+    }
+    void note_ordered(holder& own, const std::string& name)
+    {
+        if (const auto found = listing_.find(name); found != listing_.end())
+            own.ordered.note_ordered(found->second, now_);
     }
     void order_machines(holder& own)
     {
@@ -311,16 +346,23 @@
             std::find(pending.begin(), pending.end(), name) != pending.end();
         own.wave.note_ordered(name, now_);
         if (chance(odds_.late_order))
+        {
             in_flight_.push_back(
                 {name, own.number, now_ + step * (20 + random_() % 100)});
+            note_ordered(own, name);
+        }
         else if (chance(odds_.loss))
         {
+            note_ordered(own, name);
             if (chance(50))
                 in_flight_.push_back(
                     {name, own.number, now_ + step * (random_() % 4)});
         }
         else if (service.order(name, own.number, now_) == order_answer::done)
+        {
+            note_ordered(own, name);
             own.wave.note_acknowledged(name, now_);
+        }
         else if (!is_repeated)
             own.wave.note_refused(name, now_);
     }
@@ -379,10 +421,12 @@
 
 } // namespace
 
-// Each case guards against two holders that order one machine within the pause,
-// against more machines down at once than the wave allows (lcq-sched trouble-2
-// with a new holder that ordered at once: 11 of 10 machines), and against a
-// wave that is completed without one of its machines.
+// Each case guards against live workers that are named as ended (a holder's
+// order is answered as done, though an earlier one had been carried out),
+// against two holders that order one machine within the pause, against more
+// machines down at once than the wave allows (lcq-sched trouble-2 with a new
+// holder that ordered at once: 11 of 10 machines), and against a wave that is
+// completed without one of its machines.
 TEST_CASE("holders of the machine role are killed at any moment")
 {
     check("kills", {.kill = 4});
@@ -408,6 +452,17 @@
     check("missing machines", {.kill = 2, .loss = 10, .missing = 4});
 }
 
+// Guards against ended workers that no listing ever names.
+TEST_CASE("each worker that an answered order has ended is named")
+{
+    role_world world(1, {});
+    for (int index = 0; index < 600 && !world.is_complete(); ++index)
+        world.play_step();
+    CHECK(world.is_complete());
+    CHECK(world.service.violations.empty());
+    CHECK(world.service.named.size() == machine_count);
+}
+
 // Guards against a new holder that orders nothing for the pause between two
 // holders (kavango-cues trouble-1: 3.4 s without moves, 113 of 642 jobs
 // refused).
--- a/tests/node/cluster.hpp
+++ b/tests/node/cluster.hpp
@@ -129,6 +129,12 @@
     {
         return state_contains(where, "\"accepts_starts\":true");
     }
+    /// Whether the owner of the worker's pool counts it among its workers.
+    [[nodiscard]] bool knows_worker(const entry& where,
+                                    const std::string& worker) const
+    {
+        return state_contains(where, '"' + worker + "\":{");
+    }
     [[nodiscard]] bool state_contains(const entry& where,
                                       const std::string& text) const
     {
--- a/tests/node/node_instance_test.cpp
+++ b/tests/node/node_instance_test.cpp
@@ -355,3 +355,36 @@
     CHECK(all.platform.orders[0].holder == all.platform.orders[1].holder);
     CHECK(all.platform.orders[0].machine != all.platform.orders[1].machine);
 }
+
+// Guards against a live worker that is named to its owner as ended since an
+// order to its machine is answered as done, though it had been carried out
+// before (issue 49).
+TEST_CASE("an order that was carried out before ends no worker")
+{
+    cluster all(1, 1);
+    all.platform.note_maintained("w0", 1);
+    all.platform.store.put(
+        "op/wave/1",
+        R"({"Wave":1,"Machines":["m-w0"],"FinishByS":20,"Cap":1})");
+    // An owner forgets a worker that has ended and had no runs.
+    CHECK_FALSE(eventually(
+        [&] { return !all.client.knows_worker(*all.entries[0], "w0"); }, 3s));
+    CHECK(all.platform.store.value_of("status/wave/1") ==
+          R"({"State":"completed"})");
+    CHECK(all.platform.orders.size() == 1);
+    CHECK(all.platform.carried_out.empty());
+}
+
+// Guards against an owner that waits for the lease of a worker whose machine is
+// in maintenance.
+TEST_CASE("a worker that an order has ended is named to its owner")
+{
+    cluster all(1, 1);
+    all.platform.maintenance_time = 3s;
+    all.platform.store.put(
+        "op/wave/1",
+        R"({"Wave":1,"Machines":["m-w0"],"FinishByS":20,"Cap":1})");
+    CHECK(eventually(
+        [&] { return !all.client.knows_worker(*all.entries[0], "w0"); }, 3s));
+    CHECK(all.platform.carried_out.size() == 1);
+}
--- a/tools/platform_standin/platform_double.cpp
+++ b/tools/platform_standin/platform_double.cpp
@@ -11,8 +11,6 @@
 namespace
 {
 
-constexpr auto maintenance_time = 200ms;
-
 std::unique_ptr<net::http_server> serve(net::http_server::handler handler)
 {
     return net::http_server::builder{}
@@ -114,6 +112,11 @@
     return all;
 }
 
+void platform_double::note_maintained(const std::string& id, std::int64_t wave)
+{
+    workers_.at(id).waves.insert(wave);
+}
+
 void platform_double::configure(std::int64_t version, const std::string& pool)
 {
     configure(version, pool, {});
--- a/tools/platform_standin/platform_double.hpp
+++ b/tools/platform_standin/platform_double.hpp
@@ -49,6 +49,8 @@
     [[nodiscard]] std::vector<run_record> records();
     /// Writes the worker's entry again, as the worker does.
     void announce(const std::string& id);
+    /// The worker's machine has had its maintenance of the wave before.
+    void note_maintained(const std::string& id, std::int64_t wave);
     /// Puts a configuration with one queue, `/q/` at host `h`, into force.
     void configure(std::int64_t version, const std::string& pool);
     /// The same with further pools that no queue uses.
@@ -69,6 +71,8 @@
     bool is_machine_service_garbled = false;
     /// Orders to machines are answered with 503 and not carried out.
     bool refuses_orders = false;
+    /// How long a machine is in maintenance.
+    base::duration maintenance_time = std::chrono::milliseconds(200);
 
 private:
     struct worker_entry
