Order a drained machine once, not also as an idle one

Two moves of one machine went out within 3 ms, possibly to different pools, and took two orders of the platform's rate.

Cause: a round took the drained machines out of its list and only then asked which machines are idle, so a machine whose last task had just ended was in both lists. Its cores counted for the pool that it leaves, so that one more machine than needed was moved.

The demand is now taken while drained machines are still listed.

--- a/src/node/machine_moves.cpp
+++ b/src/node/machine_moves.cpp
@@ -59,8 +59,11 @@
     planned_at_ = now;
     const double cores_per_machine =
         to_cores(inventory_.machines().begin()->second.capacity.cpu_millis);
-    auto moves = take_drained(now);
+    drop_obsolete_drains(now);
+    // Before the drained machines leave the list: they would count as idle and
+    // be planned again.
     const auto needs = demands(now);
+    auto moves = take_drained();
     const fleet::move_limits limits{cores_per_machine,
                                     static_cast<std::size_t>(allowed),
                                     update_kept_cores(needs, now)};
@@ -122,28 +125,35 @@
     }
 }
 
-std::vector<fleet::machine_move>
-machine_moves::take_drained(base::time_point now)
+void machine_moves::drop_obsolete_drains(base::time_point now)
+{
+    std::erase_if(draining_,
+                  [&](const auto& entry)
+                  {
+                      const auto& [name, pending] = entry;
+                      const fleet::machine* machine = inventory_.find(name);
+                      return machine == nullptr ||
+                             machine->pool != pending.move.from ||
+                             now - pending.since > drain_limit ||
+                             hooks_.is_reserved(name);
+                  });
+}
+
+std::vector<fleet::machine_move> machine_moves::take_drained()
 {
     std::vector<fleet::machine_move> free;
-    for (auto entry = draining_.begin(); entry != draining_.end();)
-    {
-        const auto& [name, pending] = *entry;
-        const fleet::machine* machine = inventory_.find(name);
-        const bool is_obsolete =
-            machine == nullptr || machine->pool != pending.move.from ||
-            now - pending.since > drain_limit || hooks_.is_reserved(name);
-        const peer::worker_load* worker =
-            is_obsolete ? nullptr : inventory_.worker_of(*machine);
-        const bool is_free = worker != nullptr && worker->runs == 0;
-        if (is_free)
-        {
-            free.push_back(pending.move);
-            free.back().needs_drain = false;
-        }
-        entry =
-            is_obsolete || is_free ? draining_.erase(entry) : std::next(entry);
-    }
+    std::erase_if(draining_,
+                  [&](const auto& entry)
+                  {
+                      const auto& [name, pending] = entry;
+                      const peer::worker_load* worker =
+                          inventory_.worker_of(*inventory_.find(name));
+                      if (worker == nullptr || worker->runs != 0)
+                          return false;
+                      free.push_back(pending.move);
+                      free.back().needs_drain = false;
+                      return true;
+                  });
     return free;
 }
 
--- a/src/node/machine_moves.hpp
+++ b/src/node/machine_moves.hpp
@@ -70,8 +70,12 @@
                              fleet::pool_demand& demand) const;
     void log_demands(std::span<const fleet::pool_demand> needs,
                      base::time_point now);
-    /// Removes and returns the moves whose machines have become free.
-    std::vector<fleet::machine_move> take_drained(base::time_point now);
+    /// Removes the moves whose machines are gone, reserved, or not free in
+    /// time.
+    void drop_obsolete_drains(base::time_point now);
+    /// Removes and returns the moves whose machines have become free. All their
+    /// machines are listed.
+    std::vector<fleet::machine_move> take_drained();
     void execute_moves(std::span<const fleet::machine_move> moves);
     bool release(const fleet::machine_move& move);
     void order(const fleet::machine_move& move);
--- a/tests/machines/machine_moves_test.cpp
+++ b/tests/machines/machine_moves_test.cpp
@@ -124,6 +124,24 @@
     CHECK(all.ordered.front().machine == first);
 }
 
+// Guards against a machine that is ordered twice in one round, since it counts
+// as idle as soon as its last task has ended.
+TEST_CASE("machines that become free together are ordered once each")
+{
+    fleet_double all(12);
+    for (int index = 0; index < 12; ++index)
+        all.busy.insert("calm" + std::to_string(index));
+    all.work();
+    REQUIRE(all.released.size() == 2);
+    all.busy.clear();
+    all.work();
+    std::set<std::string> machines;
+    for (const auto& move : all.ordered)
+        machines.insert(move.machine);
+    CHECK(machines.size() >= 2);
+    CHECK(all.ordered.size() == machines.size());
+}
+
 // Guards against a machine that stays unused because its task does not end.
 TEST_CASE("a machine that does not become free in time is not moved")
 {
