Complete a wave whose last machines have left the fleet

A wave that names a machine which no listing shows stayed `running` for good.

Cause: the status was written only when the number of done machines had changed. A machine that has left the fleet is not counted among them, and it counts as gone only after 3 s, mostly after the last one was done.

Test: 'a wave with a machine that has left the fleet is completed' failed before (15 s without the status `completed`).

--- a/src/node/fleet_manager_waves.cpp
+++ b/src/node/fleet_manager_waves.cpp
@@ -162,11 +162,12 @@
     const std::int64_t number = wave.wave().number;
     const auto done = wave.done();
     const auto recorded = recorded_done_counts_.find(number);
-    if ((recorded != recorded_done_counts_.end() &&
-         recorded->second == done.size()) ||
-        !fence_)
-        return;
     const bool is_complete = wave.is_complete();
+    const bool is_recorded = recorded != recorded_done_counts_.end() &&
+                             recorded->second == done.size();
+    // The last machines of a wave may have left the fleet instead.
+    if ((is_recorded && !is_complete) || !fence_)
+        return;
     if (!records_.write_wave(*fence_, wave))
         return;
     recorded_done_counts_[number] = done.size();
--- a/tests/node/node_instance_test.cpp
+++ b/tests/node/node_instance_test.cpp
@@ -388,3 +388,20 @@
         [&] { return !all.client.knows_worker(*all.entries[0], "w0"); }, 3s));
     CHECK(all.platform.carried_out.size() == 1);
 }
+
+// Guards against a wave that stays `running` since its last event is a machine
+// that has left the fleet, and not one that is done.
+TEST_CASE("a wave with a machine that has left the fleet is completed")
+{
+    cluster all(1, 2);
+    all.platform.store.put(
+        "op/wave/1",
+        R"({"Wave":1,"Machines":["m-w0","m-gone"],"FinishByS":20,"Cap":2})");
+    CHECK(eventually(
+        [&]
+        {
+            return all.platform.store.value_of("status/wave/1") ==
+                   R"({"State":"completed"})";
+        }));
+    CHECK(all.platform.carried_out.size() == 1);
+}
