Date the machines by the listing that shows them

A wave was reported as completed without one of its machines: one listing lacked the machine, the next ones failed for 3 s, and it counted as gone from the fleet. In the same way a machine that had answered `busy` counted as up again by a listing from before that answer.

Cause: the time of the latest listing was set before it was requested, also if it failed, and the machines of the one before were dated by it.

The inventory keeps the time at which its own listing was requested; the time of the latest request only paces the next one.

Test: 'a machine that one listing lacks is not given up while others fail' failed before (completed without an order).

--- a/src/node/fleet_manager.cpp
+++ b/src/node/fleet_manager.cpp
@@ -230,17 +230,17 @@
 
 void fleet_manager::refresh_machines(base::time_point now)
 {
-    if (now - machines_listed_at_ < listing_interval)
+    if (now - listing_requested_at_ < listing_interval)
         return;
-    machines_listed_at_ = now;
-    inventory_.set_machines(machines_client_.list(now + call_timeout));
+    listing_requested_at_ = now;
+    inventory_.set_machines(machines_client_.list(now + call_timeout), now);
 }
 
 void fleet_manager::end_workers()
 {
     const auto ended = ordered_workers_.take_ended(
         [this](const std::string& machine) { return inventory_.find(machine); },
-        machines_listed_at_);
+        inventory_.listed_at());
     net::task_group calls;
     for (const auto& entry : ended)
         calls.spawn(
--- a/src/node/fleet_manager.hpp
+++ b/src/node/fleet_manager.hpp
@@ -126,7 +126,8 @@
     std::set<std::int64_t> completed_waves_;
     std::optional<std::int64_t> fence_;
     base::time_point role_free_since_{};
-    base::time_point machines_listed_at_{};
+    /// Of the latest listing, which may have failed.
+    base::time_point listing_requested_at_{};
     /// Earliest next write of wave progress after the store failed.
     base::time_point next_record_at_{};
     bool service_answers_ = true;
--- a/src/node/fleet_manager_waves.cpp
+++ b/src/node/fleet_manager_waves.cpp
@@ -25,9 +25,9 @@
     {
         if (const fleet::machine* entry = inventory_.find(name))
             wave.note_listed(*entry, times_.maintenance_time,
-                             machines_listed_at_);
+                             inventory_.listed_at());
         else if (!inventory_.machines().empty())
-            wave.note_missing(name, machines_listed_at_);
+            wave.note_missing(name, inventory_.listed_at());
     }
     if (!may_order())
         return;
@@ -92,7 +92,7 @@
     const bool is_repeated =
         std::find(pending.begin(), pending.end(), machine) != pending.end();
     const base::time_point now = base::steady_now();
-    const auto listing_age = base::count_millis(now - machines_listed_at_);
+    const auto listing_age = base::count_millis(now - inventory_.listed_at());
     wave.note_ordered(machine, now);
     const auto answer =
         send_order(entry,
--- a/src/node/machine_inventory.cpp
+++ b/src/node/machine_inventory.cpp
@@ -6,8 +6,10 @@
 namespace pimentograde::node
 {
 
-void machine_inventory::set_machines(std::span<const fleet::machine> listed)
+void machine_inventory::set_machines(std::span<const fleet::machine> listed,
+                                     base::time_point requested_at)
 {
+    listed_at_ = requested_at;
     machines_.clear();
     for (const fleet::machine& entry : listed)
         machines_[entry.id] = entry;
--- a/src/node/machine_inventory.hpp
+++ b/src/node/machine_inventory.hpp
@@ -1,6 +1,7 @@
 #ifndef PIMENTOGRADE_NODE_MACHINE_INVENTORY_HPP
 #define PIMENTOGRADE_NODE_MACHINE_INVENTORY_HPP
 
+#include "base/time.hpp"
 #include "fleet/machine.hpp"
 #include "fleet/wave_progress.hpp"
 #include "peer/pool_messages.hpp"
@@ -22,13 +23,17 @@
 public:
     std::vector<platform::pool_settings> pools;
 
-    void set_machines(std::span<const fleet::machine> listed);
+    /// Applies a listing that was requested at `requested_at`.
+    void set_machines(std::span<const fleet::machine> listed,
+                      base::time_point requested_at);
     void set_load(const std::string& pool, peer::pool_load load);
 
     [[nodiscard]] const std::map<std::string, fleet::machine>& machines() const
     {
         return machines_;
     }
+    /// When the listing that shows these machines was requested.
+    [[nodiscard]] base::time_point listed_at() const { return listed_at_; }
     /// Null for a machine that is not listed.
     [[nodiscard]] const fleet::machine* find(const std::string& machine) const;
     /// Null while the pool's load is unknown.
@@ -49,6 +54,7 @@
     };
 
     std::map<std::string, fleet::machine> machines_;
+    base::time_point listed_at_{};
     std::map<std::string, known_load> loads_;
 };
 
--- a/tests/machines/machine_moves_test.cpp
+++ b/tests/machines/machine_moves_test.cpp
@@ -51,7 +51,7 @@
         std::vector<fleet::machine> listed{make("turn0", "turn")};
         for (int index = 0; index < calm_machines; ++index)
             listed.push_back(make("calm" + std::to_string(index), "calm"));
-        inventory.set_machines(listed);
+        inventory.set_machines(listed, now);
     }
     static fleet::machine make(const std::string& id, const std::string& pool)
     {
--- a/tests/node/node_instance_test.cpp
+++ b/tests/node/node_instance_test.cpp
@@ -405,3 +405,27 @@
         }));
     CHECK(all.platform.carried_out.size() == 1);
 }
+
+// Guards against a wave that is reported as completed without one of its
+// machines, since listings that failed count as further ones that lack it.
+TEST_CASE("a machine that one listing lacks is not given up while others fail")
+{
+    cluster all(1, 2);
+    all.platform.unlisted_machine = "m-w0";
+    boost::this_fiber::sleep_for(600ms);
+    all.platform.refuses_listings = true;
+    boost::this_fiber::sleep_for(300ms);
+    all.platform.store.put(
+        "op/wave/1",
+        R"({"Wave":1,"Machines":["m-w0"],"FinishByS":20,"Cap":1})");
+    const auto is_completed = [&]
+    {
+        return all.platform.store.value_of("status/wave/1") ==
+               R"({"State":"completed"})";
+    };
+    CHECK_FALSE(eventually(is_completed, 4500ms));
+    all.platform.unlisted_machine.clear();
+    all.platform.refuses_listings = false;
+    CHECK(eventually(is_completed));
+    CHECK(all.platform.carried_out.size() == 1);
+}
--- a/tools/platform_standin/platform_double.cpp
+++ b/tools/platform_standin/platform_double.cpp
@@ -182,16 +182,23 @@
         return {200, garbled_body(++garbled_)};
     if (request.target.starts_with("/-/machines"))
     {
+        if (refuses_listings)
+            return json_answer(503);
         json::array rows;
         for (const auto& [id, entry] : workers_)
+        {
+            const std::string machine = "m-" + id;
+            if (machine == unlisted_machine)
+                continue;
             rows.push_back(json::object{
-                {"Machine", "m-" + id},
+                {"Machine", machine},
                 {"Pool", entry.pool},
                 {"State", now < entry.down_until ? "upkeep" : "up"},
                 {"Zone", "z"},
                 {"Labels", {"a", "r1"}},
                 {"Capacity", capacity()},
                 {"Id", id}});
+        }
         return json_answer(
             200, {{"Machines", std::move(rows)}, {"NextToken", nullptr}});
     }
--- a/tools/platform_standin/platform_double.hpp
+++ b/tools/platform_standin/platform_double.hpp
@@ -71,6 +71,10 @@
     bool is_machine_service_garbled = false;
     /// Orders to machines are answered with 503 and not carried out.
     bool refuses_orders = false;
+    /// Listings of the machines are answered with 503.
+    bool refuses_listings = false;
+    /// Listings lack this machine, if there is one of that name.
+    std::string unlisted_machine;
     /// How long a machine is in maintenance.
     base::duration maintenance_time = std::chrono::milliseconds(200);
 
