--- a/src/node/fleet_manager.hpp
+++ b/src/node/fleet_manager.hpp
@@ -4,6 +4,7 @@
 #include "base/time.hpp"
 #include "fleet/machine.hpp"
 #include "fleet/move_policy.hpp"
+#include "fleet/ordered_workers.hpp"
 #include "fleet/recent_orders.hpp"
 #include "fleet/wave_progress.hpp"
 #include "net/http_client.hpp"
@@ -71,6 +72,9 @@
     bool record_moves(std::span<const fleet::machine_move> moves);
     [[nodiscard]] bool may_send() const;
     void refresh_machines(base::time_point now);
+    /// Tells the owners which workers have ended with an order, by the latest
+    /// listing.
+    void end_workers();
     void refresh_loads();
     [[nodiscard]] std::map<std::string, std::vector<std::string>>
     workers_leaving_soon() const;
@@ -91,6 +95,11 @@
     fleet::wave_progress& progress_of(const fleet::maintenance_wave& wave,
                                       base::time_point now);
     bool release(const fleet::machine& entry);
+    /// Sends the order and remembers the worker of the machine, which is listed
+    /// as `entry`. Throws `base::error`.
+    platform::machine_answer
+    send_order(const fleet::machine& entry,
+               const std::function<platform::machine_answer()>& send);
     void order_move(const fleet::machine_move& move);
     [[nodiscard]] bool is_reserved(const std::string& machine) const;
     [[nodiscard]] bool is_in_wave(const std::string& machine) const;
@@ -104,6 +113,7 @@
     machine_moves moves_;
     fleet_records records_;
     fleet::recent_orders recent_;
+    fleet::ordered_workers ordered_workers_;
     base::time_point records_read_at_{};
     /// When the recording of the latest orders began, on the clock that also
     /// runs while the machine is suspended.
@@ -116,7 +126,8 @@
     std::set<std::int64_t> completed_waves_;
     std::optional<std::int64_t> fence_;
     base::time_point role_free_since_{};
-    base::time_point machines_listed_at_{};
+    /// Of the latest listing, which may have failed.
+    base::time_point listing_requested_at_{};
     /// Earliest next write of wave progress after the store failed.
     base::time_point next_record_at_{};
     bool service_answers_ = true;
--- a/src/node/fleet_manager_waves.cpp
+++ b/src/node/fleet_manager_waves.cpp
@@ -25,9 +25,9 @@
     {
         if (const fleet::machine* entry = inventory_.find(name))
             wave.note_listed(*entry, times_.maintenance_time,
-                             machines_listed_at_);
+                             inventory_.listed_at());
         else if (!inventory_.machines().empty())
-            wave.note_missing(name, machines_listed_at_);
+            wave.note_missing(name, inventory_.listed_at());
     }
     if (!may_order())
         return;
@@ -92,11 +92,16 @@
     const bool is_repeated =
         std::find(pending.begin(), pending.end(), machine) != pending.end();
     const base::time_point now = base::steady_now();
-    const auto listing_age = base::count_millis(now - machines_listed_at_);
+    const auto listing_age = base::count_millis(now - inventory_.listed_at());
     wave.note_ordered(machine, now);
     const auto answer =
-        machines_client_.maintain(authority(), machine, wave.wave().number,
-                                  base::steady_now() + call_timeout);
+        send_order(entry,
+                   [&]
+                   {
+                       return machines_client_.maintain(
+                           authority(), machine, wave.wave().number,
+                           base::steady_now() + call_timeout);
+                   });
     log::write(event_machine_order, {{"order", "maintain"},
                                      {"machine", machine},
                                      {"worker", entry.worker},
@@ -107,12 +112,7 @@
                                      {"listing_age_ms", listing_age},
                                      {"answer", to_string(answer)}});
     if (answer == platform::machine_answer::done)
-    {
         wave.note_acknowledged(machine, base::steady_now());
-        if (!entry.worker.empty())
-            gateway_.end_worker(entry.pool, entry.worker,
-                                base::steady_now() + load_timeout);
-    }
     else if (answer == platform::machine_answer::invalid ||
              answer == platform::machine_answer::not_in_wave)
         wave.note_gone(machine);
@@ -162,11 +162,12 @@
     const std::int64_t number = wave.wave().number;
     const auto done = wave.done();
     const auto recorded = recorded_done_counts_.find(number);
-    if ((recorded != recorded_done_counts_.end() &&
-         recorded->second == done.size()) ||
-        !fence_)
-        return;
     const bool is_complete = wave.is_complete();
+    const bool is_recorded = recorded != recorded_done_counts_.end() &&
+                             recorded->second == done.size();
+    // The last machines of a wave may have left the fleet instead.
+    if ((is_recorded && !is_complete) || !fence_)
+        return;
     if (!records_.write_wave(*fence_, wave))
         return;
     recorded_done_counts_[number] = done.size();
--- a/tests/node/node_instance_test.cpp
+++ b/tests/node/node_instance_test.cpp
@@ -355,3 +355,77 @@
     CHECK(all.platform.orders[0].holder == all.platform.orders[1].holder);
     CHECK(all.platform.orders[0].machine != all.platform.orders[1].machine);
 }
+
+// Guards against a live worker that is named to its owner as ended since an
+// order to its machine is answered as done, though it had been carried out
+// before (issue 49).
+TEST_CASE("an order that was carried out before ends no worker")
+{
+    cluster all(1, 1);
+    all.platform.note_maintained("w0", 1);
+    all.platform.store.put(
+        "op/wave/1",
+        R"({"Wave":1,"Machines":["m-w0"],"FinishByS":20,"Cap":1})");
+    // An owner forgets a worker that has ended and had no runs.
+    CHECK_FALSE(eventually(
+        [&] { return !all.client.knows_worker(*all.entries[0], "w0"); }, 3s));
+    CHECK(all.platform.store.value_of("status/wave/1") ==
+          R"({"State":"completed"})");
+    CHECK(all.platform.orders.size() == 1);
+    CHECK(all.platform.carried_out.empty());
+}
+
+// Guards against an owner that waits for the lease of a worker whose machine is
+// in maintenance.
+TEST_CASE("a worker that an order has ended is named to its owner")
+{
+    cluster all(1, 1);
+    all.platform.maintenance_time = 3s;
+    all.platform.store.put(
+        "op/wave/1",
+        R"({"Wave":1,"Machines":["m-w0"],"FinishByS":20,"Cap":1})");
+    CHECK(eventually(
+        [&] { return !all.client.knows_worker(*all.entries[0], "w0"); }, 3s));
+    CHECK(all.platform.carried_out.size() == 1);
+}
+
+// Guards against a wave that stays `running` since its last event is a machine
+// that has left the fleet, and not one that is done.
+TEST_CASE("a wave with a machine that has left the fleet is completed")
+{
+    cluster all(1, 2);
+    all.platform.store.put(
+        "op/wave/1",
+        R"({"Wave":1,"Machines":["m-w0","m-gone"],"FinishByS":20,"Cap":2})");
+    CHECK(eventually(
+        [&]
+        {
+            return all.platform.store.value_of("status/wave/1") ==
+                   R"({"State":"completed"})";
+        }));
+    CHECK(all.platform.carried_out.size() == 1);
+}
+
+// Guards against a wave that is reported as completed without one of its
+// machines, since listings that failed count as further ones that lack it.
+TEST_CASE("a machine that one listing lacks is not given up while others fail")
+{
+    cluster all(1, 2);
+    all.platform.unlisted_machine = "m-w0";
+    boost::this_fiber::sleep_for(600ms);
+    all.platform.refuses_listings = true;
+    boost::this_fiber::sleep_for(300ms);
+    all.platform.store.put(
+        "op/wave/1",
+        R"({"Wave":1,"Machines":["m-w0"],"FinishByS":20,"Cap":1})");
+    const auto is_completed = [&]
+    {
+        return all.platform.store.value_of("status/wave/1") ==
+               R"({"State":"completed"})";
+    };
+    CHECK_FALSE(eventually(is_completed, 4500ms));
+    all.platform.unlisted_machine.clear();
+    all.platform.refuses_listings = false;
+    CHECK(eventually(is_completed));
+    CHECK(all.platform.carried_out.size() == 1);
+}
--- a/tools/platform_standin/platform_double.cpp
+++ b/tools/platform_standin/platform_double.cpp
@@ -11,8 +11,6 @@
 namespace
 {
 
-constexpr auto maintenance_time = 200ms;
-
 std::unique_ptr<net::http_server> serve(net::http_server::handler handler)
 {
     return net::http_server::builder{}
@@ -114,6 +112,11 @@
     return all;
 }
 
+void platform_double::note_maintained(const std::string& id, std::int64_t wave)
+{
+    workers_.at(id).waves.insert(wave);
+}
+
 void platform_double::configure(std::int64_t version, const std::string& pool)
 {
     configure(version, pool, {});
@@ -179,16 +182,23 @@
         return {200, garbled_body(++garbled_)};
     if (request.target.starts_with("/-/machines"))
     {
+        if (refuses_listings)
+            return json_answer(503);
         json::array rows;
         for (const auto& [id, entry] : workers_)
+        {
+            const std::string machine = "m-" + id;
+            if (machine == unlisted_machine)
+                continue;
             rows.push_back(json::object{
-                {"Machine", "m-" + id},
+                {"Machine", machine},
                 {"Pool", entry.pool},
                 {"State", now < entry.down_until ? "upkeep" : "up"},
                 {"Zone", "z"},
                 {"Labels", {"a", "r1"}},
                 {"Capacity", capacity()},
                 {"Id", id}});
+        }
         return json_answer(
             200, {{"Machines", std::move(rows)}, {"NextToken", nullptr}});
     }
