Let the answer of an address count for that address only

A worker that started again under its id at another address lost the runs that the pool's owner had started at the new address: the owner's poll to the earlier address was still under way, another worker answered it with 421, and the runs counted as ended with the worker. Their tasks started elsewhere while the runs went on.

worker_link now notes the address that a list was asked from, and ignores a 421 if the worker has moved meanwhile. The next poll, at the new address, tells what has become of the runs.

tests/pools/moved_worker_test.cpp failed before: 2 starts of the task instead of 1. It passes now, three runs.

--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -263,13 +263,14 @@
     request.lease_until_ms = sent.until_ms;
     if (request.stored_end > 0)
         state_.begin_acknowledgement(worker_.id, now);
+    const platform::order_target asked = target();
     try
     {
         const auto listing =
-            client_.list(target(), request, poll_deadline(now, request.wait));
+            client_.list(asked, request, poll_deadline(now, request.wait));
         note_answered(sent);
         state_.end_acknowledgement(worker_.id, false);
-        if (is_stopping_ || !apply(listing, now))
+        if (is_stopping_ || !apply(listing, asked.where, now))
             return;
         if (request.stored_end == stored_end_)
             acknowledged_end_ = stored_end_;
@@ -300,7 +301,7 @@
 }
 
 bool worker_link::apply(const platform::worker_listing& listing,
-                        base::time_point sent_at)
+                        const net::endpoint& from, base::time_point sent_at)
 {
     using kind = platform::worker_listing::kind;
     const base::time_point now = base::steady_now();
@@ -314,6 +315,9 @@
         return false;
     if (listing.outcome == kind::replaced)
     {
+        // It says nothing about the address where the worker is now.
+        if (from != target().where)
+            return false;
         // The known incarnation of the worker has ended, with all its runs.
         state_.lose_runs(worker_.id, jobs::run_loss::ended, now,
                          base::wall_now());
@@ -414,9 +418,10 @@
         return;
     try
     {
-        const auto listing = client_.list(target(), {}, now + order_timeout);
+        const platform::order_target asked = target();
+        const auto listing = client_.list(asked, {}, now + order_timeout);
         if (!is_stopping_)
-            apply(listing, now);
+            apply(listing, asked.where, now);
     }
     catch (const std::exception& failure)
     {
--- a/src/pools/worker_link.hpp
+++ b/src/pools/worker_link.hpp
@@ -66,9 +66,10 @@
     void poll_loop();
     void poll(base::time_point now);
     void handle_poll_failure(std::string_view reason);
-    /// Returns whether the worker's report has been applied.
+    /// Applies an answer from the address `from`. Returns whether the worker's
+    /// report has been applied.
     bool apply(const platform::worker_listing& listing,
-               base::time_point sent_at);
+               const net::endpoint& from, base::time_point sent_at);
     void apply_report(const platform::worker_listing& listing,
                       base::time_point sent_at, base::time_point now);
     void wait_for_storage(base::time_point sent_at);
