Keep the times of an owner without the store in one place

How long an owner may act without the store, and for how long the next one allows for it, was argued in comments of three files that named each other. A change of one of the constants would have let an owner start tasks beside runs of an earlier one, without a test that notices.

pools/ownership_times.hpp holds the constants, their relation as static_asserts and longest_lease(); node/session, stored_pool and worker_link use it. A start order extends by no more than workers grant (that matters only below 1.5 s).

--- a/src/node/session.cpp
+++ b/src/node/session.cpp
@@ -5,6 +5,7 @@
 #include "log/event.hpp"
 #include "node/events.hpp"
 #include "platform/events.hpp"
+#include "pools/ownership_times.hpp"
 
 #include <boost/json.hpp>
 
@@ -22,17 +23,10 @@
 constexpr std::string_view member_prefix = "pimentograde/member/";
 constexpr std::string_view role_prefix = "pimentograde/role/";
 constexpr std::string_view secret_key = "pimentograde/peer-secret";
-// The roles of a failed instance become free after this time. It allows for
-// store responses that take 250 ms and for one lost renewal.
-constexpr std::chrono::milliseconds lease_duration{2500};
 constexpr std::chrono::milliseconds renewal_interval{800};
 // Time for an order to arrive before the lease expires.
 constexpr std::chrono::milliseconds lease_safety_margin{400};
 constexpr std::chrono::milliseconds retry_delay{150};
-// Orders may be sent for this long after the last renewal, so that a store
-// outage does not stop accepted work. A new owner waits until this time has
-// passed, see pools/pool_owner.
-constexpr std::chrono::seconds max_ordering_without_renewal{6};
 // JSON numbers are exact up to 2^53.
 constexpr std::uint64_t incarnation_mask = (std::uint64_t{1} << 53) - 1;
 
@@ -105,13 +99,13 @@
 {
     const holder* current = holder_of(role);
     return lease_ != 0 && current != nullptr && current->revision == revision &&
-           now - renewed_at_ < max_ordering_without_renewal;
+           now - renewed_at_ < pools::max_ordering_time;
 }
 
 bool session::holds_lease(base::time_point now) const
 {
     return lease_ != 0 &&
-           now - renewed_at_ < lease_duration - lease_safety_margin;
+           now - renewed_at_ < pools::role_lease - lease_safety_margin;
 }
 
 void session::lease_loop()
@@ -157,7 +151,7 @@
 {
     ensure_secret();
     const base::time_point sent_at = base::suspend_aware_now();
-    const std::int64_t lease = store_.grant_lease(lease_duration);
+    const std::int64_t lease = store_.grant_lease(pools::role_lease);
     const json::object value{{"zone", own_.zone},
                              {"address", net::to_string(own_.address)},
                              {"cores", own_.cores}};
--- a/src/pools/stored_pool.cpp
+++ b/src/pools/stored_pool.cpp
@@ -7,7 +7,7 @@
 #include "net/task_group.hpp"
 #include "pools/events.hpp"
 #include "pools/job_writer.hpp"
-#include "pools/worker_link.hpp"
+#include "pools/ownership_times.hpp"
 
 #include <functional>
 #include <utility>
@@ -18,10 +18,6 @@
 namespace
 {
 
-// An earlier owner that is cut off from the store may send orders for this long
-// after its role has become free, see node/session.
-constexpr std::chrono::milliseconds max_orders_after_takeover{3500};
-
 // Without one of its records, a pool would take a job for unknown and start it
 // again.
 std::vector<platform::store_item> read_records(const std::string& pool,
@@ -115,7 +111,7 @@
 {
     if (entry.lease_left)
         return *entry.lease_left;
-    return max_orders_after_takeover + worker_link::longest_lease(lease);
+    return unheard_worker_lease(lease);
 }
 
 } // namespace pimentograde::pools
--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -4,6 +4,7 @@
 #include "log/event.hpp"
 #include "pools/collect_delay.hpp"
 #include "pools/events.hpp"
+#include "pools/ownership_times.hpp"
 
 #include <boost/fiber/operations.hpp>
 
@@ -22,9 +23,6 @@
 constexpr std::chrono::milliseconds steady_poll_wait{900};
 constexpr std::chrono::milliseconds recent_starts_poll_wait{150};
 constexpr int polls_per_lease = 3;
-// Longer leases keep the tasks of a worker that is gone from running again
-// while their callers wait, and late extensions add to that.
-constexpr std::chrono::seconds max_extension{6};
 // Time that a poll may take beyond its wait.
 constexpr std::chrono::milliseconds poll_timeout_slack{700};
 constexpr std::chrono::milliseconds min_poll_timeout{100};
@@ -38,17 +36,12 @@
 constexpr std::chrono::seconds idle_wait{5};
 constexpr std::chrono::milliseconds order_timeout{450};
 constexpr std::chrono::milliseconds order_storage_timeout{1000};
-// The worker ignores an order that arrives later than this.
-constexpr std::chrono::milliseconds order_validity{1500};
 // While the store is unavailable or slow, ended runs stay listed and each poll
 // returns at once, so polls are spaced by this interval.
 constexpr std::chrono::milliseconds unstored_poll_interval{250};
 // Ends are acknowledged only this soon after a report: a later incarnation of
 // the worker, whose numbers begin anew, would forget ends that nobody has read.
 constexpr std::chrono::milliseconds max_acknowledge_delay{500};
-// A worker's clock may be 2 % slow, so its lease may last longer here.
-constexpr double max_clock_factor = 1.03;
-constexpr std::chrono::milliseconds lapse_slack{150};
 
 } // namespace
 
@@ -116,7 +109,7 @@
 
 std::int64_t worker_link::clock_at(base::time_point now) const
 {
-    return clock_ms_ + base::count_millis(now - clock_read_at_);
+    return clock_after(clock_ms_, now - clock_read_at_);
 }
 
 worker_link::extension worker_link::extend_lease(base::time_point now,
@@ -144,13 +137,6 @@
         note_answered(sent);
 }
 
-base::duration worker_link::longest_lease(base::duration length)
-{
-    return std::chrono::duration_cast<base::duration>(length *
-                                                      max_clock_factor) +
-           lapse_slack;
-}
-
 void worker_link::note_lease_end()
 {
     state_.set_lease_end(
@@ -258,8 +244,7 @@
     // extension would postpone the time from which its runs count as lost.
     extension sent;
     if (clock_ms_ > 0 && !has_failed_)
-        sent =
-            extend_lease(now, std::min<base::duration>(lease_, max_extension));
+        sent = extend_lease(now, extension_length(lease_));
     request.lease_until_ms = sent.until_ms;
     if (request.stored_end > 0)
         state_.begin_acknowledgement(worker_.id, now);
@@ -494,7 +479,7 @@
     {
         try
         {
-            sent = extend_lease(now, order_validity);
+            sent = extend_lease(now, start_length(lease_));
             result = client_.start(target(), order, sent.until_ms,
                                    now + order_timeout);
             note_answered(sent);
--- a/src/pools/worker_link.hpp
+++ b/src/pools/worker_link.hpp
@@ -50,8 +50,6 @@
     void update(const jobs::worker_description& worker);
     void send(jobs::start_order order);
     void send(jobs::stop_order order);
-    /// How long a lease of `length` on the worker's clock may last here.
-    [[nodiscard]] static base::duration longest_lease(base::duration length);
     /// Whether both fibers have returned.
     [[nodiscard]] bool is_idle() const { return fibers_.size() == 0; }
 
--- a/tests/node/session_test.cpp
+++ b/tests/node/session_test.cpp
@@ -2,6 +2,7 @@
 
 #include "node/cluster.hpp"
 #include "node/session.hpp"
+#include "pools/ownership_times.hpp"
 
 using namespace pimentograde;
 using namespace pimentograde::node_tests;
@@ -223,3 +224,42 @@
     CHECK(members.is_registered());
     members.stop();
 }
+
+// Guards against orders after the time for which the next owner allows: it
+// claims the role as soon as the lease has run out, and loads the pool at once.
+TEST_CASE("an instance without the store orders no longer than the next owner "
+          "allows for")
+{
+    platform_double platform;
+    platform_standin::relay way(platform.store_address());
+    const auto store = platform::store_client::builder{}
+                           .connect_to(way.local_endpoint())
+                           .build();
+    const auto other = platform::store_client::builder{}
+                           .connect_to(platform.store_address())
+                           .build();
+    node::session members{{"e0", "z", 7, {"127.0.0.1", 1}, 1.0},
+                          *store,
+                          {[] {},
+                           [] {
+                           }}};
+    members.start();
+    REQUIRE(eventually([&] { return members.is_registered(); }));
+    const auto revision = members.claim("pool/a");
+    REQUIRE(revision);
+    // Some renewals later.
+    boost::this_fiber::sleep_for(2s);
+    way.refuses = true;
+    way.cut();
+    const auto is_free = [&]
+    {
+        return !other->get(node::session::role_key("pool/a"));
+    };
+    REQUIRE(eventually(is_free, 4s));
+    const base::time_point free_at = base::suspend_aware_now();
+    CHECK(members.may_order("pool/a", *revision, free_at));
+    CHECK(!members.may_order("pool/a", *revision,
+                             free_at + pools::max_orders_after_takeover));
+    way.refuses = false;
+    members.stop();
+}
