Refuse a peer's response that is nested too deep

Callers could see an instance end: the JSON-RPC library parses a response recursively, up to 1,000 levels, on the 128 KiB stack of the calling fiber, and the bound on nesting applied to requests only. A response that is not one object within the bounds now fails its call with cut_off, since the peer may have acted.

--- a/src/peer/peer_client.cpp
+++ b/src/peer/peer_client.cpp
@@ -81,6 +81,8 @@
     void back_off(base::time_point now);
     std::string exchange(std::uint64_t id, const std::string& method,
                          const std::string& request, base::time_point deadline);
+    [[nodiscard]] std::string checked(std::string response,
+                                      const std::string& method) const;
     void give_up(connection& link, std::uint64_t id, const std::string& method);
     void read_responses(const std::shared_ptr<connection>& link);
     void deliver(connection& link, std::string text);
@@ -158,11 +160,24 @@
         throw failure(cause.code(), method, cause.detail());
     }
     if (response.wait_until(deadline) == boost::fibers::future_status::ready)
-        return response.get();
+        return checked(response.get(), method);
     give_up(*link, id, method);
     throw failure(base::error_code::timeout, method, "no response in time");
 }
 
+// The library parses recursively, on the stack of the calling fiber.
+std::string peer_client::impl::checked(std::string response,
+                                       const std::string& method) const
+{
+    if (is_bounded_object(response))
+        return response;
+    log::write(
+        event_malformed_message,
+        {{"peer", peer}, {"reason", "not one JSON object within bounds"}});
+    throw failure(base::error_code::cut_off, method,
+                  "the response is not one JSON object within bounds");
+}
+
 void peer_client::impl::give_up(connection& link, std::uint64_t id,
                                 const std::string& method)
 {
--- a/tests/peer/connection_test.cpp
+++ b/tests/peer/connection_test.cpp
@@ -16,7 +16,11 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <functional>
+#include <memory>
 #include <optional>
+#include <string>
+#include <utility>
 
 using namespace pimentograde;
 using namespace std::chrono_literals;
@@ -78,6 +82,70 @@
         .build();
 }
 
+// An authenticated peer that answers each call with the text of its hook.
+class raw_peer
+{
+public:
+    using tcp = boost::asio::ip::tcp;
+
+    explicit raw_peer(std::function<std::string(const std::string&)> answer)
+        : answer_(std::move(answer))
+    {
+        fibers_.spawn([this] { serve(); });
+    }
+    ~raw_peer()
+    {
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+        if (stream_)
+            stream_->close();
+        fibers_.join();
+    }
+    raw_peer(const raw_peer&) = delete;
+    raw_peer& operator=(const raw_peer&) = delete;
+
+    [[nodiscard]] net::endpoint address() const
+    {
+        return {"127.0.0.1", acceptor_.local_endpoint().port()};
+    }
+
+private:
+    void serve()
+    {
+        auto accepted = net::await_io<std::optional<tcp::socket>>(
+            [&](auto done)
+            {
+                acceptor_.async_accept(
+                    [done](const boost::system::error_code& failure,
+                           tcp::socket socket) mutable
+                    { done(failure, std::move(socket)); });
+            });
+        if (accepted.failure)
+            return;
+        stream_ =
+            std::make_unique<peer::frame_stream>(std::move(*accepted.value));
+        peer::accept_handshake(*stream_, member("server"), in(1s));
+        while (true)
+        {
+            const std::string request = stream_->read(5s);
+            stream_->write(answer_(request), in(1s));
+        }
+    }
+
+    std::function<std::string(const std::string&)> answer_;
+    tcp::acceptor acceptor_{
+        net::this_thread_io(),
+        tcp::endpoint{boost::asio::ip::make_address("127.0.0.1"), 0}};
+    std::unique_ptr<peer::frame_stream> stream_;
+    net::task_group fibers_;
+};
+
+std::string with_id(const std::string& request, const std::string& rest)
+{
+    return R"({"id":)" + std::to_string(*peer::message_id(request)) +
+           R"(,"jsonrpc":"2.0",)" + rest + "}";
+}
+
 template <class Call>
 base::error failure_of(Call call)
 {
@@ -433,3 +501,35 @@
         client->send(peer::push_document{{"bundle", 9, "t"}}, in(2s)).version ==
         9);
 }
+
+// Guards against a response that ends the process: the library parses it
+// recursively on the stack of a fiber.
+TEST_CASE("a response nested too deep fails its call only")
+{
+    const std::string deep =
+        std::string(900, '[') + "1" + std::string(900, ']');
+    bool is_odd = true;
+    raw_peer odd(
+        [&](const std::string& request)
+        {
+            return with_id(request, is_odd ? R"("result":)" + deep
+                                           : R"("result":{"ms":0})");
+        });
+    auto client = peer::peer_client::builder{}
+                      .connect_to(odd.address())
+                      .authenticate_as(member("client"))
+                      .build();
+    base::error_code code{};
+    net::task_group fibers;
+    fibers.spawn(
+        [&]
+        {
+            code =
+                failure_of([&] { client->call("x", object("ms", 0), in(1s)); })
+                    .code();
+        });
+    fibers.join();
+    CHECK(code == base::error_code::cut_off);
+    is_odd = false;
+    CHECK(client->call("x", object("ms", 0), in(1s))["ms"] == 0);
+}
