Report an unreadable reply of a peer as a call with unknown effect

Callers could be told with 503 and Retry-After that a job was not run although its owner had stored it: a reply to a submission that lacked a field, or had one of another type, as from another version, counted as invalid, and all errors but timeout and cut_off become a refusal. Such a reply is cut_off now, which the caller sees as 504.

--- a/src/peer/peer_client.cpp
+++ b/src/peer/peer_client.cpp
@@ -323,6 +323,15 @@
     return std::move(reply.result);
 }
 
+// The peer may have acted on the message.
+base::error peer_client::unreadable_reply(const std::string& method,
+                                          std::string_view reason) const
+{
+    log::write(event_malformed_message,
+               {{"peer", impl_->peer}, {"reason", reason}});
+    return impl_->failure(base::error_code::cut_off, method, reason);
+}
+
 const net::endpoint& peer_client::address() const
 {
     return impl_->where;
--- a/src/peer/peer_client.hpp
+++ b/src/peer/peer_client.hpp
@@ -1,6 +1,7 @@
 #ifndef PIMENTOGRADE_PEER_PEER_CLIENT_HPP
 #define PIMENTOGRADE_PEER_PEER_CLIENT_HPP
 
+#include "base/error.hpp"
 #include "base/time.hpp"
 #include "net/endpoint.hpp"
 #include "peer/identity.hpp"
@@ -12,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace pimentograde::peer
 {
@@ -51,14 +53,22 @@
 
     /// Sends `message` and waits for the reply. Throws `base::error`:
     /// `unavailable` when nothing was sent (also while the backoff lasts),
-    /// `timeout` or `cut_off` when the peer may have acted, otherwise the
-    /// error of the peer's handler.
+    /// `timeout` or `cut_off` when the peer may have acted, also when its reply
+    /// cannot be read, otherwise the error of the peer's handler.
     template <class Message>
     typename Message::reply_type send(const Message& message,
                                       base::time_point deadline)
     {
-        return Message::reply_type::from_json(
-            call(Message::method, message.to_json(), deadline));
+        const Json::Value reply =
+            call(Message::method, message.to_json(), deadline);
+        try
+        {
+            return Message::reply_type::from_json(reply);
+        }
+        catch (const std::exception& failure)
+        {
+            throw unreadable_reply(Message::method, failure.what());
+        }
     }
     Json::Value call(const std::string& method, const Json::Value& params,
                      base::time_point deadline);
@@ -73,6 +83,8 @@
 
 private:
     struct impl;
+    [[nodiscard]] base::error unreadable_reply(const std::string& method,
+                                               std::string_view reason) const;
     explicit peer_client(std::shared_ptr<impl> state);
     std::shared_ptr<impl> impl_;
 };
--- a/tests/peer/connection_test.cpp
+++ b/tests/peer/connection_test.cpp
@@ -9,6 +9,7 @@
 #include "peer/messages.hpp"
 #include "peer/peer_client.hpp"
 #include "peer/peer_server.hpp"
+#include "peer/pool_messages.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/fiber/operations.hpp>
@@ -533,3 +534,33 @@
     is_odd = false;
     CHECK(client->call("x", object("ms", 0), in(1s))["ms"] == 0);
 }
+
+// Guards against a reply of another version that counts as a refusal: the peer
+// may have acted on the message.
+TEST_CASE("after a reply that cannot be read the effect is unknown")
+{
+    std::string reply;
+    raw_peer odd([&](const std::string& request)
+                 { return with_id(request, reply); });
+    auto client = peer::peer_client::builder{}
+                      .connect_to(odd.address())
+                      .authenticate_as(member("client"))
+                      .build();
+    const peer::submit_job message{"pool", "queue", "00000000000000aa", "{}",
+                                   1s};
+    for (const char* text :
+         {R"("result":{"outcome":"accepted"})", R"("result":7)",
+          R"("result":{"outcome":7,"retry_after_us":1,"reason":""})",
+          R"("result":null)", R"("error":7)", R"("error":{"code":1e300})",
+          R"("error":{"code":"x","message":7})",
+          R"("error":{"code":-1,"message":"m","data":{"code":7}})"})
+    {
+        reply = text;
+        CAPTURE(reply);
+        const base::error failure =
+            failure_of([&] { client->send(message, in(1s)); });
+        CHECK(failure.effect_unknown());
+    }
+    reply = R"("result":{"outcome":"accepted","reason":"","retry_after_us":0})";
+    CHECK(client->send(message, in(1s)).outcome == "accepted");
+}
