Count a poll with an unreadable clock as one with unknown effect

A worker's list whose ClockMs was no whole number counted as invalid, that is as a call that had done nothing, although the worker may have extended its lease; the owner could then give up runs that went on. A clock beyond 2^53 was taken and could overflow. Both are cut_off now, like unreadable rows; an answer that is no list needs no clock.

Evidence: the new case of test_platform failed for all seven values before and passes now, with the other 25 cases.

--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -20,6 +20,8 @@
 constexpr unsigned service_unavailable = 503;
 // Ends that one answer holds.
 constexpr std::size_t ends_per_answer = 500;
+// JSON numbers are exact up to 2^53.
+constexpr std::int64_t max_clock_ms = std::int64_t{1} << 53;
 
 bool is_unhealthy(unsigned status)
 {
@@ -90,12 +92,13 @@
 
 // A run whose row were left out would be taken for absent and started again, so
 // an unreadable row makes the whole list unreadable.
-jobs::worker_report to_whole_report(const json::object& body,
-                                    const net::endpoint& where)
+void read_listing(const json::object& body, const net::endpoint& where,
+                  worker_listing& listing)
 {
     try
     {
-        return to_report(body);
+        listing.clock_ms = read_bounded(body, "ClockMs", max_clock_ms);
+        listing.report = to_report(body);
     }
     catch (const std::exception& failure)
     {
@@ -192,7 +195,6 @@
         client_, target.where, to_request("/-/hold", target, std::move(body)),
         deadline, "list runs");
     worker_listing listing;
-    listing.clock_ms = read_integer(response.body, "ClockMs");
     if (response.status == conflict)
         listing.outcome = worker_listing::kind::fenced_off;
     else if (response.status == misdirected)
@@ -205,7 +207,7 @@
     {
         require_members(response, {"ClockMs", "Running", "Finished"},
                         target.where, "list runs");
-        listing.report = to_whole_report(response.body, target.where);
+        read_listing(response.body, target.where, listing);
     }
     return listing;
 }
--- a/tests/platform/odd_rows_test.cpp
+++ b/tests/platform/odd_rows_test.cpp
@@ -109,6 +109,30 @@
     }
 }
 
+// Guards against a poll that counts as one without effect, although it has
+// extended the lease of the worker's runs, and against clocks beyond all range.
+TEST_CASE("after an unreadable clock of a worker the effect is unknown")
+{
+    for (const std::string odd :
+         {R"("4")", "1.5", "-1", "1e300", "[]", "9223372036854775807",
+          "18446744073709551615"})
+    {
+        CAPTURE(odd);
+        const fixed_server worker(R"({"ClockMs":)" + odd +
+                                  R"(,"Running":[],"Finished":[]})");
+        bool is_unknown = false;
+        try
+        {
+            worker.report();
+        }
+        catch (const base::error& failure)
+        {
+            is_unknown = failure.effect_unknown();
+        }
+        CHECK(is_unknown);
+    }
+}
+
 // Guards against a listing or watch that fails again and again, since one item
 // is unreadable.
 TEST_CASE("an unreadable item of the store hides no other item")
