Treat a peer's unexpected failure as an unknown effect

A handler that fails unexpectedly may have acted before: the owner of a job may have stored it. The caller's instance took the error for a refusal, told its caller 503 with Retry-After, and serve's work_router went on as for a first submission. base::error counts 'internal' among the codes with unknown effect now; the peer protocol is the only one that reports it, besides the operators' commands for status 500.

--- a/src/base/error.hpp
+++ b/src/base/error.hpp
@@ -25,6 +25,7 @@
     too_large,
     /// The connection broke after something was sent; the effect is unknown.
     cut_off,
+    /// The peer failed unexpectedly; the effect is unknown.
     internal
 };
 
@@ -45,7 +46,8 @@
     /// Whether the peer may have acted on the call although it failed.
     [[nodiscard]] bool effect_unknown() const
     {
-        return code_ == error_code::timeout || code_ == error_code::cut_off;
+        return code_ == error_code::timeout || code_ == error_code::cut_off ||
+               code_ == error_code::internal;
     }
 
 private:
--- a/tests/peer/connection_test.cpp
+++ b/tests/peer/connection_test.cpp
@@ -218,6 +218,9 @@
     const auto fault =
         failure_of([&] { client->call("fault", object("a", 1), in(1s)); });
     CHECK(fault.code() == base::error_code::internal);
+    // The handler may have acted before it failed.
+    CHECK(fault.effect_unknown());
+    CHECK_FALSE(refused.effect_unknown());
     CHECK(fault.detail().find("matter") == std::string::npos);
     const auto unknown =
         failure_of([&] { client->call("none", object("a", 1), in(1s)); });
