Bound the time limit that a caller's header names

A caller that named a limit of 9,223,372,036,855 ms or more had its call given up at once, since the conversion to nanoseconds overflowed (undefined behaviour; a build with sanitizers ends there).

--- a/src/platform/caller_protocol.cpp
+++ b/src/platform/caller_protocol.cpp
@@ -3,7 +3,9 @@
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <charconv>
+#include <chrono>
 
 namespace pimentograde::platform
 {
@@ -14,6 +16,8 @@
 {
 
 constexpr std::string_view time_left_field = "X-Pimentograde-Deadline-Ms";
+// Far beyond the time of any call; more could overflow a duration.
+constexpr std::chrono::milliseconds max_time_left = std::chrono::hours{24};
 
 std::string_view word_of(jobs::reported_status status)
 {
@@ -45,7 +49,8 @@
         const char* end = field.second.data() + field.second.size();
         const auto parsed = std::from_chars(field.second.data(), end, millis);
         if (parsed.ec == std::errc{} && parsed.ptr == end && millis >= 0)
-            return std::chrono::milliseconds(millis);
+            return std::chrono::milliseconds(
+                std::min(millis, max_time_left.count()));
     }
     return std::nullopt;
 }
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -242,12 +242,22 @@
     CHECK_THROWS_AS(decode_base64("***"), base::error);
 }
 
+// Guards against a submission that is given up at once, since its time limit is
+// large enough to overflow.
 TEST_CASE("the caller's time limit is read from its header")
 {
     net::http_request call;
     CHECK_FALSE(caller_time_left(call));
     call.headers.emplace_back("x-pimentograde-deadline-ms", "2500");
     CHECK(caller_time_left(call) == 2500ms);
+    // Far beyond the range of a duration in nanoseconds.
+    for (const char* huge : {"9223372036855", "9223372036854775807"})
+    {
+        call.headers.back().second = huge;
+        const auto time_left = caller_time_left(call);
+        REQUIRE(time_left);
+        CHECK(*time_left >= 24h);
+    }
     call.headers.back().second = "soon";
     CHECK_FALSE(caller_time_left(call));
 }
