Refuse a job whose numbers are out of range

A submission with a time of 9,223,372,036,855 ms or more, or resource amounts near the end of the range, was accepted and stored; the conversion to nanoseconds and the sums over a pool's tasks overflowed (undefined behaviour), so that the job could count as negative work of its pool, also for each later owner that read the record. Such a job is refused with 400 now, with the bounds that workers' entries have, a year for times and the year 2200 for FirstMs.

--- a/src/platform/job_document.cpp
+++ b/src/platform/job_document.cpp
@@ -14,10 +14,18 @@
 
 constexpr std::size_t max_payload_bytes = 4000;
 constexpr std::size_t id_digits = 16;
+// Sums over the tasks of a pool stay far below the range of 64 bits.
+constexpr std::int64_t max_cpu_millis = 1'000'000'000;
+constexpr std::int64_t max_memory_mb = 1'000'000'000;
+constexpr std::int64_t max_gpus = 1'000'000;
+constexpr std::chrono::milliseconds max_time = std::chrono::hours{24 * 365};
+// The year 2200; its distance to the present time fits into a duration.
+constexpr std::int64_t max_first_due_ms = 7'258'118'400'000;
 
 base::duration read_millis(const json::object& source, std::string_view name)
 {
-    return std::chrono::milliseconds(read_integer(source, name));
+    return std::chrono::milliseconds(
+        read_bounded(source, name, max_time.count()));
 }
 
 int read_small(const json::object& source, std::string_view name)
@@ -35,9 +43,9 @@
     jobs::step_spec step;
     step.task_count = read_small(source, "Count");
     // Thousandths of a core, in spite of the name.
-    step.need.cpu_millis = read_integer(source, "Cpu");
-    step.need.memory_mb = read_integer(source, "MemMb");
-    step.need.gpus = read_integer(source, "Gpu");
+    step.need.cpu_millis = read_bounded(source, "Cpu", max_cpu_millis);
+    step.need.memory_mb = read_bounded(source, "MemMb", max_memory_mb);
+    step.need.gpus = read_bounded(source, "Gpu", max_gpus);
     step.estimate = read_millis(source, "EstimateMs");
     for (const json::value& earlier : read_array(source, "After"))
     {
@@ -87,7 +95,8 @@
         spec.steps.push_back(read_step(step.get_object()));
     }
     spec.repeat_count = read_small(source, "RepeatCount");
-    spec.first_due = base::from_millis(read_integer(source, "FirstMs"));
+    spec.first_due =
+        base::from_millis(read_bounded(source, "FirstMs", max_first_due_ms));
     spec.repeat_interval = read_millis(source, "IntervalMs");
     jobs::validate(spec);
     return spec;
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -11,6 +11,8 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <limits>
+
 using namespace pimentograde;
 using namespace pimentograde::platform;
 using namespace std::chrono_literals;
@@ -55,6 +57,34 @@
                     base::error);
 }
 
+// Guards against sums over the tasks of a pool, and times, that overflow.
+TEST_CASE("numbers of a job that are out of range are refused")
+{
+    const std::string most =
+        std::to_string(std::numeric_limits<std::int64_t>::max());
+    for (const char* name : {"Cpu", "MemMb", "Gpu", "EstimateMs", "GoalMs"})
+        for (const std::string& value : {most, std::string("9223372036855")})
+        {
+            CAPTURE(name);
+            CAPTURE(value);
+            CHECK_THROWS_AS(read_job(R"({"Steps":[{"Count":1,")" +
+                                     std::string(name) + "\":" + value + "}]}"),
+                            base::error);
+        }
+    for (const char* name : {"FirstMs", "IntervalMs"})
+    {
+        CAPTURE(name);
+        CHECK_THROWS_AS(read_job(R"({"RepeatCount":2,")" + std::string(name) +
+                                 "\":" + most + R"(,"Steps":[{"Count":1}]})"),
+                        base::error);
+    }
+    CHECK(read_job(R"({"RepeatCount":2,"FirstMs":1795000000000,
+        "IntervalMs":86400000,"Steps":[{"Count":1,"Cpu":64000,
+        "EstimateMs":86400000}]})")
+              .steps[0]
+              .estimate == 24h);
+}
+
 TEST_CASE("any text is read as a job or refused")
 {
     CHECK(rc::check("fuzzed submissions",
