Retry when the port for other instances is in use at the start

An instance that found its internal port in use, for example by a connection of another process, logged one error and went on without the listener: it was never ready, yet claimed pools, which no other instance could reach until it was restarted. It now tries again until the port is free.

Evidence: the new case of test_node failed before (not ready 3 s after the port was free) and passes now.

--- a/src/node/node_instance.cpp
+++ b/src/node/node_instance.cpp
@@ -295,7 +295,9 @@
     queues.start();
     claims.start();
     fleet.start();
-    fibers.spawn([this] { open_peer_listener(); });
+    // The port may be in use for a while, for example by a connection.
+    fibers.spawn_restarting("listen for peers",
+                            [this] { open_peer_listener(); });
     log::write(event_started,
                {{"callers", net::to_string(settings.caller_listen)},
                 {"zone", settings.zone},
--- a/tests/node/cluster.hpp
+++ b/tests/node/cluster.hpp
@@ -77,13 +77,15 @@
     std::unique_ptr<node::node_instance> instance;
 
     entry(const platform_double& platform, const std::string& name,
-          double cores = 1.0, std::optional<net::endpoint> way_to_store = {})
+          double cores = 1.0, std::optional<net::endpoint> way_to_store = {},
+          std::optional<std::uint16_t> internal_port = {})
     {
         settings.cores = cores;
         settings.name = name;
         settings.zone = "z";
         settings.address = "127.0.0.1";
-        settings.first_internal_port = find_free_port_pair();
+        settings.first_internal_port =
+            internal_port ? *internal_port : find_free_port_pair();
         settings.caller_listen = {"127.0.0.1", find_free_port_pair()};
         settings.readiness_listen = {"127.0.0.1", find_free_port_pair()};
         settings.store = way_to_store.value_or(platform.store_address());
--- a/tests/node/node_instance_test.cpp
+++ b/tests/node/node_instance_test.cpp
@@ -355,3 +355,23 @@
     CHECK(all.platform.orders[0].holder == all.platform.orders[1].holder);
     CHECK(all.platform.orders[0].machine != all.platform.orders[1].machine);
 }
+
+// Guards against an instance that is never ready, and still owns pools that no
+// other instance can reach, since its port for them was in use when it started.
+TEST_CASE("an instance whose port is in use for a while becomes ready")
+{
+    using boost::asio::ip::tcp;
+    cluster all(0);
+    all.platform.configure(1, "pool");
+    const std::uint16_t port = find_free_port_pair();
+    std::optional<tcp::acceptor> other;
+    other.emplace(
+        net::this_thread_io(),
+        tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), port));
+    all.entries.push_back(
+        std::make_unique<entry>(all.platform, "e0", 1.0, std::nullopt, port));
+    boost::this_fiber::sleep_for(500ms);
+    CHECK_FALSE(all.entries[0]->instance->is_ready());
+    other.reset();
+    CHECK(eventually([&] { return all.entries[0]->instance->is_ready(); }, 3s));
+}
