Keep signals that arrive while an instance starts

A SIGHUP between the start of the process and the first wait for signals, for example because the settings changed again while they were read, ended the process by its default action. 'pimentograde node' now catches its signals before it reads the settings.

--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -1,6 +1,7 @@
 #include "cli/node_command.hpp"
 
 #include "base/error.hpp"
+#include "entry/signal_wait.hpp"
 #include "log/bounded_output.hpp"
 #include "log/event.hpp"
 #include "node/node_instance.hpp"
@@ -34,6 +35,8 @@
 
 exit_code run_node(command_input& input)
 {
+    // The settings may change, with SIGHUP, while they are read.
+    entry::catch_signals();
     const std::string path = input.settings.find("settings")->second;
     const auto read = [path]
     {
--- a/src/entry/signal_wait.cpp
+++ b/src/entry/signal_wait.cpp
@@ -20,6 +20,14 @@
         .value;
 }
 
+// Kept, so that no signal meets the default action between two waits.
+boost::asio::signal_set& caught_signals()
+{
+    static thread_local boost::asio::signal_set signals(
+        net::this_thread_io(), SIGTERM, SIGINT, SIGHUP);
+    return signals;
+}
+
 } // namespace
 
 int wait_for_stop_signal()
@@ -28,12 +36,14 @@
     return wait_for(signals);
 }
 
+void catch_signals()
+{
+    caught_signals();
+}
+
 int wait_for_signal()
 {
-    // Kept, so that no signal meets the default action between two waits.
-    static boost::asio::signal_set signals(net::this_thread_io(), SIGTERM,
-                                           SIGINT, SIGHUP);
-    return wait_for(signals);
+    return wait_for(caught_signals());
 }
 
 } // namespace pimentograde::entry
--- a/src/entry/signal_wait.hpp
+++ b/src/entry/signal_wait.hpp
@@ -8,7 +8,11 @@
 /// signal's number.
 int wait_for_stop_signal();
 
-/// Like `wait_for_stop_signal`, but returns for SIGHUP too.
+/// From here on SIGTERM, SIGINT and SIGHUP are kept for `wait_for_signal`.
+void catch_signals();
+
+/// Like `wait_for_stop_signal`, but returns for SIGHUP too, and for a signal
+/// that arrived earlier if `catch_signals` had been called.
 int wait_for_signal();
 
 } // namespace pimentograde::entry
