Test requests of peers with members of any type

Null result: 28,561 combinations of id, method, version and parameters are all answered without an exception, so no call of a connection stays counted.

--- a/tests/peer/frame_test.cpp
+++ b/tests/peer/frame_test.cpp
@@ -227,3 +227,34 @@
     const auto batch = peer::parse_object(dispatcher.respond("[" + good + "]"));
     CHECK(batch.isMember("error"));
 }
+
+// Guards against a request that makes the dispatcher throw: its call would
+// count as open for as long as the connection lasts.
+TEST_CASE("requests with members of any type are answered")
+{
+    peer::method_table methods;
+    methods["echo"] = [](const peer::call_context&, const Json::Value& params)
+    {
+        return params;
+    };
+    peer::rpc_dispatcher dispatcher(methods, {});
+    const std::vector<std::string> values{
+        "null",      "true",     "-1",
+        "1.5",       "1e300",    "18446744073709551615",
+        "\"\"",      "\"echo\"", "\"2.0\"",
+        "[]",        "{}",       "[[1]]",
+        "{\"a\":{}}"};
+    for (const std::string& id : values)
+        for (const std::string& method : values)
+            for (const std::string& version : values)
+                for (const std::string& params : values)
+                {
+                    const std::string text = R"({"id":)" + id +
+                                             R"(,"jsonrpc":)" + version +
+                                             R"(,"method":)" + method +
+                                             R"(,"params":)" + params + "}";
+                    CAPTURE(text);
+                    std::string response;
+                    CHECK_NOTHROW(response = dispatcher.respond(text));
+                }
+}
