--- a/tests/peer/connection_test.cpp
+++ b/tests/peer/connection_test.cpp
@@ -9,6 +9,7 @@
 #include "peer/messages.hpp"
 #include "peer/peer_client.hpp"
 #include "peer/peer_server.hpp"
+#include "peer/pool_messages.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/fiber/operations.hpp>
@@ -16,7 +17,11 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <functional>
+#include <memory>
 #include <optional>
+#include <string>
+#include <utility>
 
 using namespace pimentograde;
 using namespace std::chrono_literals;
@@ -78,6 +83,70 @@
         .build();
 }
 
+// An authenticated peer that answers each call with the text of its hook.
+class raw_peer
+{
+public:
+    using tcp = boost::asio::ip::tcp;
+
+    explicit raw_peer(std::function<std::string(const std::string&)> answer)
+        : answer_(std::move(answer))
+    {
+        fibers_.spawn([this] { serve(); });
+    }
+    ~raw_peer()
+    {
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+        if (stream_)
+            stream_->close();
+        fibers_.join();
+    }
+    raw_peer(const raw_peer&) = delete;
+    raw_peer& operator=(const raw_peer&) = delete;
+
+    [[nodiscard]] net::endpoint address() const
+    {
+        return {"127.0.0.1", acceptor_.local_endpoint().port()};
+    }
+
+private:
+    void serve()
+    {
+        auto accepted = net::await_io<std::optional<tcp::socket>>(
+            [&](auto done)
+            {
+                acceptor_.async_accept(
+                    [done](const boost::system::error_code& failure,
+                           tcp::socket socket) mutable
+                    { done(failure, std::move(socket)); });
+            });
+        if (accepted.failure)
+            return;
+        stream_ =
+            std::make_unique<peer::frame_stream>(std::move(*accepted.value));
+        peer::accept_handshake(*stream_, member("server"), in(1s));
+        while (true)
+        {
+            const std::string request = stream_->read(5s);
+            stream_->write(answer_(request), in(1s));
+        }
+    }
+
+    std::function<std::string(const std::string&)> answer_;
+    tcp::acceptor acceptor_{
+        net::this_thread_io(),
+        tcp::endpoint{boost::asio::ip::make_address("127.0.0.1"), 0}};
+    std::unique_ptr<peer::frame_stream> stream_;
+    net::task_group fibers_;
+};
+
+std::string with_id(const std::string& request, const std::string& rest)
+{
+    return R"({"id":)" + std::to_string(*peer::message_id(request)) +
+           R"(,"jsonrpc":"2.0",)" + rest + "}";
+}
+
 template <class Call>
 base::error failure_of(Call call)
 {
@@ -149,6 +218,9 @@
     const auto fault =
         failure_of([&] { client->call("fault", object("a", 1), in(1s)); });
     CHECK(fault.code() == base::error_code::internal);
+    // The handler may have acted before it failed.
+    CHECK(fault.effect_unknown());
+    CHECK_FALSE(refused.effect_unknown());
     CHECK(fault.detail().find("matter") == std::string::npos);
     const auto unknown =
         failure_of([&] { client->call("none", object("a", 1), in(1s)); });
@@ -433,3 +505,65 @@
         client->send(peer::push_document{{"bundle", 9, "t"}}, in(2s)).version ==
         9);
 }
+
+// Guards against a response that ends the process: the library parses it
+// recursively on the stack of a fiber.
+TEST_CASE("a response nested too deep fails its call only")
+{
+    const std::string deep =
+        std::string(900, '[') + "1" + std::string(900, ']');
+    bool is_odd = true;
+    raw_peer odd(
+        [&](const std::string& request)
+        {
+            return with_id(request, is_odd ? R"("result":)" + deep
+                                           : R"("result":{"ms":0})");
+        });
+    auto client = peer::peer_client::builder{}
+                      .connect_to(odd.address())
+                      .authenticate_as(member("client"))
+                      .build();
+    base::error_code code{};
+    net::task_group fibers;
+    fibers.spawn(
+        [&]
+        {
+            code =
+                failure_of([&] { client->call("x", object("ms", 0), in(1s)); })
+                    .code();
+        });
+    fibers.join();
+    CHECK(code == base::error_code::cut_off);
+    is_odd = false;
+    CHECK(client->call("x", object("ms", 0), in(1s))["ms"] == 0);
+}
+
+// Guards against a reply of another version that counts as a refusal: the peer
+// may have acted on the message.
+TEST_CASE("after a reply that cannot be read the effect is unknown")
+{
+    std::string reply;
+    raw_peer odd([&](const std::string& request)
+                 { return with_id(request, reply); });
+    auto client = peer::peer_client::builder{}
+                      .connect_to(odd.address())
+                      .authenticate_as(member("client"))
+                      .build();
+    const peer::submit_job message{"pool", "queue", "00000000000000aa", "{}",
+                                   1s};
+    for (const char* text :
+         {R"("result":{"outcome":"accepted"})", R"("result":7)",
+          R"("result":{"outcome":7,"retry_after_us":1,"reason":""})",
+          R"("result":null)", R"("error":7)", R"("error":{"code":1e300})",
+          R"("error":{"code":"x","message":7})",
+          R"("error":{"code":-1,"message":"m","data":{"code":7}})"})
+    {
+        reply = text;
+        CAPTURE(reply);
+        const base::error failure =
+            failure_of([&] { client->send(message, in(1s)); });
+        CHECK(failure.effect_unknown());
+    }
+    reply = R"("result":{"outcome":"accepted","reason":"","retry_after_us":0})";
+    CHECK(client->send(message, in(1s)).outcome == "accepted");
+}
