Play owners without the store and orders to machines in random histories

New fault odds, 0 by default: orders to machines that end their worker, repeated ones that end nothing, owners that lose the store and go on until their time is over or a worker tells them of the next owner, workers that one owner does not reach, and takeovers that follow each other within 1 s. Times are those of the product to the scale of the 2 s leases. What an owner knows is a struct of its own, so that an earlier owner plays its step as the present one does.

--- a/tests/jobs/pool_history_test.cpp
+++ b/tests/jobs/pool_history_test.cpp
@@ -299,3 +299,115 @@
                   .failure = 10,
                   .roster_outage = 1});
 }
+
+// The cases below guard against two runs at once and against a start after the
+// end of a task: a live worker that the owner has not heard yet is named as
+// ended (kavango-cues, issue 49, TWICE).
+TEST_CASE("orders to machines end workers")
+{
+    check("machine orders", {.machine_order = 1});
+}
+
+TEST_CASE("live workers are named as ended")
+{
+    check("repeated orders",
+          {.lost_answer = 5, .late_order = 10, .repeated_order = 3});
+}
+
+TEST_CASE("live workers are named as ended to the next owner")
+{
+    check("repeated orders and takeovers",
+          {.takeover = 2, .machine_order = 1, .repeated_order = 2});
+}
+
+TEST_CASE("live workers are named as ended to an owner that does not reach "
+          "them")
+{
+    check("repeated orders and cuts of owners", {.takeover = 2,
+                                                 .machine_order = 1,
+                                                 .repeated_order = 2,
+                                                 .owner_cut = 30});
+}
+
+// The cases below guard against an owner that relies on what an earlier one has
+// left, although the earlier one goes on without the store.
+TEST_CASE("owners go on without the store")
+{
+    check("owners without the store",
+          {.long_run = 50, .store_cut = 3, .owner_cut = 80});
+}
+
+TEST_CASE("owners go on without the store while others follow quickly")
+{
+    check("quick takeovers", {.takeover = 1,
+                              .long_run = 50,
+                              .store_cut = 3,
+                              .owner_cut = 80,
+                              .quick_takeover = 50});
+}
+
+TEST_CASE("owners follow each other while workers are named as ended")
+{
+    check("quick takeovers and repeated orders", {.takeover = 1,
+                                                  .long_run = 30,
+                                                  .machine_order = 1,
+                                                  .repeated_order = 2,
+                                                  .store_cut = 3,
+                                                  .owner_cut = 80,
+                                                  .quick_takeover = 50});
+}
+
+TEST_CASE("owners follow each other beside cuts")
+{
+    check("quick takeovers and cuts", {.lost_answer = 5,
+                                       .cut = 2,
+                                       .long_run = 50,
+                                       .store_cut = 3,
+                                       .owner_cut = 80,
+                                       .quick_takeover = 50});
+}
+
+TEST_CASE("owners follow each other beside restarts")
+{
+    check("quick takeovers and restarts", {.late_order = 10,
+                                           .restart = 1,
+                                           .long_run = 30,
+                                           .store_cut = 3,
+                                           .owner_cut = 80,
+                                           .quick_takeover = 50});
+}
+
+TEST_CASE("owners follow each other beside slow writes and old rosters")
+{
+    check("quick takeovers and slow writes", {.lost_answer = 5,
+                                              .takeover = 1,
+                                              .slow_write = 30,
+                                              .long_run = 30,
+                                              .store_cut = 3,
+                                              .owner_cut = 80,
+                                              .quick_takeover = 50});
+    check("quick takeovers and old rosters", {.takeover = 2,
+                                              .roster_outage = 3,
+                                              .long_run = 30,
+                                              .store_cut = 3,
+                                              .owner_cut = 80,
+                                              .quick_takeover = 50});
+}
+
+TEST_CASE("owners follow each other beside all of these")
+{
+    check("quick takeovers and all", {.lost_answer = 5,
+                                      .late_order = 10,
+                                      .restart = 1,
+                                      .cut = 1,
+                                      .takeover = 1,
+                                      .roster_outage = 1,
+                                      .slow_write = 20,
+                                      .unlist = 1,
+                                      .long_run = 30,
+                                      .machine_order = 1,
+                                      .repeated_order = 2,
+                                      .store_cut = 3,
+                                      .owner_cut = 30,
+                                      .quick_takeover = 50});
+}
--- a/tests/jobs/pool_world.cpp
+++ b/tests/jobs/pool_world.cpp
@@ -12,6 +12,7 @@
 namespace
 {
 
+constexpr int poll_odds = 60;
 constexpr auto order_validity = 500ms;
 constexpr auto down_time = 400ms;
 constexpr auto long_cut = 4s;
@@ -134,20 +135,23 @@
 
 pool_world::pool_world(std::uint64_t seed, int workers, fault_odds odds)
     : random_(seed), odds_(odds),
-      state_(std::make_unique<jobs::pool_state>("pool"))
+      has_earlier_owners_(odds.store_cut > 0 || odds.quick_takeover > 0)
 {
-    state_->set_policy({"queue", "pool", 0, 1'000'000, 1.5, 600ms});
+    begin_owner();
     for (int index = 0; index < workers; ++index)
-    {
-        simulated_worker worker;
-        worker.id = "w" + std::to_string(index);
-        known_born_[worker.id] = worker.born_ms;
-        state_->update_worker(describe(worker));
-        workers_.push_back(std::move(worker));
-    }
+        add_worker();
     store_roster();
 }
 
+void pool_world::add_worker()
+{
+    simulated_worker worker;
+    worker.id = "w" + std::to_string(next_worker_++);
+    owner_.known_born[worker.id] = worker.born_ms;
+    owner_.state->update_worker(describe(worker));
+    workers_.push_back(std::move(worker));
+}
+
 bool pool_world::chance(int odds)
 {
     return static_cast<int>(random_() % 100) < odds;
@@ -163,6 +167,8 @@
 
 void pool_world::submit(int tasks_per_step, int steps)
 {
+    if (!owner_.has_store())
+        return;
     jobs::job_spec spec;
     for (int index = 0; index < steps; ++index)
     {
@@ -175,7 +181,7 @@
         spec.steps.push_back(part);
     }
     const std::string id = "job" + std::to_string(next_job_++);
-    const auto result = state_->submit(id, spec, "queue", now_, wall);
+    const auto result = owner_.state->submit(id, spec, "queue", now_, wall);
     if (result.outcome == jobs::submit_result::kind::accepted)
         accepted_.push_back(id);
     // A job counts as accepted once it is stored.
@@ -190,6 +196,8 @@
 {
     simulated_worker& worker = workers_[entry.worker];
     const jobs::start_order& order = entry.order;
+    if (worker.is_gone)
+        return;
     const bool was_running = worker.running.contains(order.task);
     const auto length = run_length();
     // An incarnation does not know the time of the one before.
@@ -252,7 +260,7 @@
     simulated_worker& worker = worker_of(order.worker);
     late_order entry{static_cast<std::size_t>(&worker - workers_.data()),
                      order,
-                     fence_,
+                     owner_.fence,
                      now_ + order_validity,
                      now_,
                      now_,
@@ -265,7 +273,7 @@
         delayed_orders_.push_back(entry);
         if (odds_.cut_with_order > 0 && chance(odds_.cut_with_order))
             down_until_[worker.id] = now_ + long_cut;
-        state_->apply_start_answer(order, start_answer::unknown, now_);
+        owner_.state->apply_start_answer(order, start_answer::unknown, now_);
         return true;
     }
     if (odds_.cut_off_order > 0 && chance(odds_.cut_off_order))
@@ -278,14 +286,14 @@
             now_ + (odds_.cut_with_order > 0 && chance(odds_.cut_with_order)
                         ? base::duration(long_cut)
                         : base::duration(down_time));
-        state_->apply_start_answer(order, start_answer::cut_off, now_);
+        owner_.state->apply_start_answer(order, start_answer::cut_off, now_);
         return true;
     }
     if (!chance(odds_.late_order))
         return false;
     entry.at += 100ms * (random_() % 20);
     delayed_orders_.push_back(entry);
-    state_->apply_start_answer(order, start_answer::unknown, now_);
+    owner_.state->apply_start_answer(order, start_answer::unknown, now_);
     return true;
 }
 
@@ -295,21 +303,24 @@
     simulated_worker& worker = worker_of(order.worker);
     const auto until = now_ + order_validity;
     const std::uint64_t extension = note_extension(worker.id, order_validity);
-    if (worker.is_partitioned)
+    const bool is_stored =
+        owner_.has_store() ||
+        order.required_change <= owner_.state->stored_change();
+    if (!reaches(worker) || !is_stored)
     {
-        lease_bounds_[worker.id].note_answered(extension);
-        state_->apply_start_answer(order, start_answer::not_sent, now_);
+        owner_.lease_bounds[worker.id].note_answered(extension);
+        owner_.state->apply_start_answer(order, start_answer::not_sent, now_);
         return;
     }
     if (delay(order))
     {
-        lease_bounds_[worker.id].note_failed(extension);
+        owner_.lease_bounds[worker.id].note_failed(extension);
         return;
     }
-    lease_bounds_[worker.id].note_answered(extension);
+    owner_.lease_bounds[worker.id].note_answered(extension);
     late_order entry{static_cast<std::size_t>(&worker - workers_.data()),
                      order,
-                     fence_,
+                     owner_.fence,
                      until,
                      now_,
                      now_,
@@ -329,18 +340,19 @@
     const jobs::start_order& order = entry.order;
     simulated_worker& worker = workers_[entry.worker];
     execute(entry, false);
-    if (entry.fence != fence_)
+    if (entry.fence != owner_.fence)
         return;
+    owner_.is_fenced_off |= worker.fence > entry.fence;
     const auto found = worker.running.find(order.task);
     const bool is_there =
         found != worker.running.end() && found->second.run == order.run;
     if (chance(odds_.lost_answer))
-        state_->apply_start_answer(order, start_answer::unknown, now_);
+        owner_.state->apply_start_answer(order, start_answer::unknown, now_);
     else
-        state_->apply_start_answer(order,
-                                   is_there ? start_answer::started
-                                            : start_answer::outdated_run,
-                                   now_);
+        owner_.state->apply_start_answer(order,
+                                         is_there ? start_answer::started
+                                                  : start_answer::outdated_run,
+                                         now_);
 }
 
 // An order to a worker that is partitioned meanwhile does not arrive.
@@ -357,14 +369,24 @@
                   });
     for (const late_order& entry : due)
     {
-        if (!workers_[entry.worker].is_partitioned)
-            carry_out(entry);
-        else if (entry.fence == fence_)
-            state_->apply_start_answer(entry.order, jobs::start_answer::unknown,
-                                       now_);
+        simulated_owner* earlier = find_earlier_owner(entry.fence);
+        if (earlier != nullptr)
+            std::swap(owner_, *earlier);
+        answer_slow_order(entry);
+        if (earlier != nullptr)
+            std::swap(owner_, *earlier);
     }
 }
 
+void pool_world::answer_slow_order(const late_order& entry)
+{
+    if (reaches(workers_[entry.worker]))
+        carry_out(entry);
+    else if (entry.fence == owner_.fence)
+        owner_.state->apply_start_answer(entry.order,
+                                         jobs::start_answer::unknown, now_);
+}
+
 void pool_world::note_repeated_ends(const jobs::task_id& task)
 {
     for (simulated_worker& worker : workers_)
@@ -388,68 +410,80 @@
 
 void pool_world::poll(simulated_worker& worker)
 {
-    if (worker.is_partitioned)
+    if (!reaches(worker))
     {
         note_silence(worker);
         return;
     }
-    if (worker.fence > fence_ || !state_->workers().contains(worker.id) ||
+    owner_.is_fenced_off |= worker.fence > owner_.fence;
+    if (worker.fence > owner_.fence ||
+        !owner_.state->workers().contains(worker.id) ||
         leave_unanswered(worker))
         return;
-    worker.fence = fence_;
-    if (known_born_[worker.id] != worker.born_ms)
+    worker.fence = owner_.fence;
+    if (owner_.known_born[worker.id] != worker.born_ms)
     {
-        known_born_[worker.id] = worker.born_ms;
-        if (worker.is_listed)
-            state_->update_worker(describe(worker));
+        owner_.known_born[worker.id] = worker.born_ms;
+        if (owner_.counts_as_listed(worker))
+            owner_.state->update_worker(describe(worker));
         note_known_restart(worker.id);
     }
     if (extends_lease(worker))
     {
         worker.lease_until = std::max(worker.lease_until, now_ + lease_length);
-        lease_bounds_[worker.id].note_answered(
+        owner_.lease_bounds[worker.id].note_answered(
             note_extension(worker.id, lease_length));
     }
     note_poll_answer(worker.id);
-    forget_ends(worker, stored_end_[worker.id]);
-    forgotten_end_[worker.id] = stored_end_[worker.id];
+    forget_ends(worker, owner_.stored_end[worker.id]);
+    owner_.forgotten_end[worker.id] = owner_.stored_end[worker.id];
     jobs::worker_report report;
     report.born_ms = worker.born_ms;
     for (const auto& [task, run] : worker.running)
         report.running.push_back({task, run.run, {}, 50});
     report.ended = worker.ended;
     // Asked a little earlier than the last order, as on a real network.
-    state_->apply_report(worker.id, report, now_, now_, wall);
-    if (!report.ended.empty() && !unstored_ends_.contains(worker.id))
-        unstored_ends_[worker.id] = {report.ended.back().number,
-                                     state_->change_number()};
+    owner_.state->apply_report(worker.id, report, now_, now_, wall);
+    if (!report.ended.empty() && !owner_.unstored_ends.contains(worker.id))
+        owner_.unstored_ends[worker.id] = {report.ended.back().number,
+                                           owner_.state->change_number()};
     store();
 }
 
 // Entries lapse while the store is away, and come back after it.
 void pool_world::change_listing(simulated_worker& worker)
 {
+    if (worker.is_gone)
+        return;
     if (worker.is_listed ? !chance(odds_.unlist)
                          : !chance(5) && odds_.unlist > 0)
         return;
     worker.is_listed = !worker.is_listed;
     if (!worker.is_listed)
     {
-        state_->unlist_worker(worker.id);
+        owner_.state->unlist_worker(worker.id);
         return;
     }
-    if (!state_->workers().contains(worker.id))
-        stored_end_[worker.id] = 0;
-    state_->update_worker(describe(worker));
+    list_worker(worker);
+}
+
+void pool_world::list_worker(const simulated_worker& worker)
+{
+    if (!owner_.counts_as_listed(worker))
+        return;
+    if (!owner_.state->workers().contains(worker.id))
+        owner_.stored_end[worker.id] = 0;
+    owner_.state->update_worker(describe(worker));
 }
 
 void pool_world::forget_unlisted()
 {
     for (const simulated_worker& worker : workers_)
-        if (!worker.is_listed && state_->can_forget(worker.id, now_))
+        if (!owner_.counts_as_listed(worker) &&
+            owner_.state->can_forget(worker.id, now_))
         {
-            state_->forget_worker(worker.id);
-            unstored_ends_.erase(worker.id);
+            owner_.state->forget_worker(worker.id);
+            owner_.unstored_ends.erase(worker.id);
         }
 }
 
@@ -472,7 +506,7 @@
             continue;
         for (const auto& [task, run] : worker_of(entry.worker.id).running)
         {
-            const auto* subject = state_->find_job(task.job);
+            const auto* subject = owner_.state->find_job(task.job);
             const bool is_listed = std::any_of(
                 entry.runs->begin(), entry.runs->end(),
                 [&task = task](const auto& row) { return row.task == task; });
@@ -510,16 +544,12 @@
 // hands its runs over, or it is killed.
 void pool_world::take_over()
 {
-    ++fence_;
-    const bool is_handed_over = !is_roster_away_ && chance(50);
+    ++stored_fence_;
+    const bool is_handed_over =
+        !is_roster_away_ && owner_.has_store() && chance(50);
     if (is_handed_over)
-        stored_roster_ = {jobs::encode_roster(state_->final_roster(now_)),
+        stored_roster_ = {jobs::encode_roster(owner_.state->final_roster(now_)),
                           ++revision_};
-    is_writing_roster_ = false;
-    unstored_ends_.clear();
-    failed_polls_.clear();
-    lease_bounds_.clear();
-    forgotten_end_.clear();
     const auto roster = stored_roster_.revision == 0
                             ? std::vector<jobs::roster_entry>{}
                             : jobs::decode_roster(stored_roster_.value);
@@ -527,34 +557,37 @@
     if (!is_handed_over)
         mark_forgotten(roster);
     withdraw_lease_ends(roster);
-    known_roster_revision_ = stored_roster_.revision;
-    state_ = std::make_unique<jobs::pool_state>("pool");
-    state_->set_policy({"queue", "pool", 0, 1'000'000, 1.5, 600ms});
+    begin_owner();
     for (const auto& [id, item] : stored_)
     {
         if (item.revision == 0)
             continue;
         jobs::job subject = jobs::decode_record(id, item.value);
         subject.stored_revision = item.revision;
-        state_->restore(std::move(subject), now_, wall);
+        owner_.state->restore(std::move(subject), now_, wall);
     }
+    inherit_workers(roster);
+}
+
+void pool_world::inherit_workers(std::span<const jobs::roster_entry> roster)
+{
     for (const jobs::roster_entry& entry : roster)
     {
         const base::time_point lease_end =
-            now_ + entry.lease_left.value_or(lease_length);
-        extended_until_[entry.worker.id] = lease_end;
-        state_->inherit_worker(entry, lease_end + lapse_slack, now_);
+            now_ + entry.lease_left.value_or(inherited_lease());
+        owner_.extended_until[entry.worker.id] = lease_end;
+        owner_.state->inherit_worker(entry, lease_end + lapse_slack, now_);
     }
     for (const simulated_worker& worker : workers_)
     {
         if (worker.is_listed)
-            state_->update_worker(describe(worker));
-        stored_end_[worker.id] = 0;
-        known_born_[worker.id] = worker.born_ms;
+            owner_.state->update_worker(describe(worker));
+        owner_.stored_end[worker.id] = 0;
+        owner_.known_born[worker.id] = worker.born_ms;
     }
     // The roster tells of restarts since it was written.
     for (const jobs::roster_entry& entry : roster)
-        known_born_[entry.worker.id] = entry.worker.born_ms;
+        owner_.known_born[entry.worker.id] = entry.worker.born_ms;
 }
 
 void pool_world::step()
@@ -577,6 +610,9 @@
     carry_out_late_polls();
     for (simulated_worker& worker : workers_)
     {
+        worker.is_partitioned |= worker.is_gone;
+        if (worker.is_gone)
+            continue;
         if (has_deadly_start(worker))
         {
             crash(worker);
@@ -603,21 +639,33 @@
             change_listing(worker);
     advance_writes();
     if (chance(odds_.takeover))
+    {
         take_over();
+        plan_next_takeover();
+    }
+    change_owner();
+    advance_machine_orders();
+    order_machines();
+    act(poll_odds);
+    advance_earlier_owners();
+}
+
+// What an owner does in one step.
+void pool_world::act(int poll_odds)
+{
     store();
     for (simulated_worker& worker : workers_)
-        if (chance(60))
+        if (chance(poll_odds))
             poll(worker);
-    for (const auto& order : state_->take_stops())
+    for (const auto& order : owner_.state->take_stops())
     {
         simulated_worker& worker = worker_of(order.worker);
-        const bool is_sent =
-            !worker.is_partitioned && !chance(odds_.lost_answer);
+        const bool is_sent = reaches(worker) && !chance(odds_.lost_answer);
         const bool is_done =
-            is_sent && worker.stop(order.task, order.run, fence_);
-        state_->apply_stop_answer(order, is_done, now_);
+            is_sent && worker.stop(order.task, order.run, owner_.fence);
+        owner_.state->apply_stop_answer(order, is_done, now_);
     }
-    const auto orders = state_->plan(now_, wall);
+    const auto orders = owner_.state->plan(now_, wall);
     if (odds_.unlist == 0 || chance(50))
         forget_unlisted();
     store();
@@ -630,7 +678,7 @@
 {
     return std::all_of(workers_.begin(), workers_.end(),
                        [](const simulated_worker& worker)
-                       { return worker.is_listed; });
+                       { return worker.is_listed || worker.is_gone; });
 }
 
 bool pool_world::is_deadly(const jobs::task_id& task) const
@@ -652,7 +700,7 @@
     for (const auto& [task, run] : worker.running)
         ++crashes_[task];
     for (const jobs::listed_end& row : worker.ended)
-        if (row.number > stored_end_[worker.id])
+        if (row.number > owner_.stored_end[worker.id])
             ++crashes_[row.task];
     worker.restart();
 }
@@ -666,8 +714,8 @@
         worker.shrunk_until = now_ + shrink_grace;
     worker.room = room;
     worker.earlier_room = std::max(worker.earlier_room, room);
-    if (worker.is_listed)
-        state_->update_worker(describe(worker));
+    if (owner_.counts_as_listed(worker))
+        owner_.state->update_worker(describe(worker));
 }
 
 // A task under which two workers have crashed may be given up.
@@ -685,7 +733,7 @@
     return std::all_of(accepted_.begin(), accepted_.end(),
                        [this](const std::string& id)
                        {
-                           const auto status = state_->status_of(id);
+                           const auto status = owner_.state->status_of(id);
                            return status == jobs::reported_status::completed ||
                                   (status == jobs::reported_status::failed &&
                                    may_fail(id));
--- a/tests/jobs/pool_world.hpp
+++ b/tests/jobs/pool_world.hpp
@@ -42,6 +42,10 @@
     base::time_point lease_until{};
     bool is_partitioned = false;
     bool is_listed = true;
+    /// An order to its machine has ended it; its entry in the store lapses at
+    /// `listed_until`.
+    bool is_gone = false;
+    base::time_point listed_until{};
     /// Number of tasks that it has room for; it does not check this.
     int room = default_room;
     /// The room counts as `earlier_room` until then.
@@ -111,6 +115,62 @@
     int late_poll = 0;
     /// Runs that take up to 4 s longer than the others.
     int long_run = 0;
+    /// Orders to machines that end their worker; another one under a new id
+    /// follows. The owner is told up to 1 s later.
+    int machine_order = 0;
+    /// Repeated orders to machines that end nothing, although the owner is told
+    /// that the worker has ended.
+    int repeated_order = 0;
+    /// Owners that lose the store: the pool has another owner once their lease
+    /// has ended, and they go on without writes until their time is over or a
+    /// worker tells them of the next owner.
+    int store_cut = 0;
+    /// Workers that a new owner does not reach, for up to 2 s, although other
+    /// owners do.
+    int owner_cut = 0;
+    /// Takeovers that are followed by another one within 1 s; half of the
+    /// owners between them lose the store.
+    int quick_takeover = 0;
+};
+
+/// What an owner of the simulated pool knows of its workers and of the store.
+struct simulated_owner
+{
+    /// Ends that were applied: the last number, and the change to be stored.
+    struct unstored_ends_mark
+    {
+        std::int64_t last_end = 0;
+        std::uint64_t change = 0;
+    };
+
+    std::unique_ptr<jobs::pool_state> state;
+    std::int64_t fence = 1;
+    /// The revision of the roster that it knows.
+    std::int64_t known_roster_revision = 0;
+    bool is_writing_roster = false;
+    std::map<std::string, base::time_point> extended_until;
+    /// Numbers of the last polls of each worker that got no answer.
+    std::map<std::string, int> failed_polls;
+    std::map<std::string, jobs::lease_bound> lease_bounds;
+    std::map<std::string, std::int64_t> known_born;
+    std::map<std::string, std::int64_t> stored_end;
+    /// The last number that each worker has acknowledged in an answer.
+    std::map<std::string, std::int64_t> forgotten_end;
+    std::map<std::string, unstored_ends_mark> unstored_ends;
+    /// Since when it has not reached the store, from its last renewal on.
+    std::optional<base::time_point> without_store_since;
+    /// A worker has told it of the next owner.
+    bool is_fenced_off = false;
+    /// Workers that it does not reach although others may.
+    std::map<std::string, base::time_point> cut_until;
+    /// Workers that it was told to have ended; they count as not listed.
+    std::map<std::string, base::time_point> ended_until;
+
+    [[nodiscard]] bool has_store() const { return !without_store_since; }
+    [[nodiscard]] bool counts_as_listed(const simulated_worker& worker) const
+    {
+        return worker.is_listed && !ended_until.contains(worker.id);
+    }
 };
 
 /// Runs a pool's state against simulated workers with faults, in steps of
@@ -167,6 +227,13 @@
         base::time_point at;
     };
 
+    /// A worker that is to be named as ended to the owner.
+    struct named_end
+    {
+        std::string worker;
+        base::time_point at;
+    };
+
     /// A transaction on its way to the store, or its answer on the way back.
     struct pending_write
     {
@@ -229,6 +296,23 @@
     void check_roster(std::span<const jobs::roster_entry> roster);
     void withdraw_lease_ends(std::vector<jobs::roster_entry> roster);
     void take_over();
+    void inherit_workers(std::span<const jobs::roster_entry> roster);
+    void begin_owner();
+    void change_owner();
+    void plan_next_takeover();
+    void act(int poll_odds);
+    void advance_earlier_owners();
+    [[nodiscard]] simulated_owner* find_earlier_owner(std::int64_t fence);
+    [[nodiscard]] bool reaches(const simulated_worker& worker) const;
+    [[nodiscard]] bool may_order(const simulated_owner& owner) const;
+    [[nodiscard]] base::duration inherited_lease() const;
+    void answer_slow_order(const late_order& entry);
+    void add_worker();
+    void list_worker(const simulated_worker& worker);
+    void order_machines();
+    void end_by_order(std::size_t index);
+    void name_ended(const std::string& id);
+    void advance_machine_orders();
     [[nodiscard]] bool is_deadly(const jobs::task_id& task) const;
     [[nodiscard]] bool has_deadly_start(const simulated_worker& worker) const;
     void crash(simulated_worker& worker);
@@ -240,35 +324,26 @@
     fault_odds odds_;
     base::time_point now_ = base::time_point(100s);
     std::vector<simulated_worker> workers_;
-    std::unique_ptr<jobs::pool_state> state_;
-    std::int64_t fence_ = 1;
+    /// The owner of the pool, or the earlier one whose step is played.
+    simulated_owner owner_;
+    /// The fence of the owner that the store names.
+    std::int64_t stored_fence_ = 1;
+    /// Earlier owners that still give orders.
+    std::vector<simulated_owner> earlier_owners_;
+    /// Whether there may be such owners.
+    bool has_earlier_owners_ = false;
+    std::optional<base::time_point> next_takeover_at_;
+    std::vector<named_end> named_ends_;
+    int next_worker_ = 0;
     std::vector<late_order> delayed_orders_;
     /// Orders on their way whose answers the owner waits for.
     std::vector<late_order> slow_orders_;
     std::map<std::string, stored_item> stored_;
     bool is_record_away_ = false;
     stored_item stored_roster_;
-    /// The revision of the roster that the owner knows.
-    std::int64_t known_roster_revision_ = 0;
-    bool is_writing_roster_ = false;
     std::vector<pending_write> writes_;
     bool is_roster_away_ = false;
-    std::map<std::string, base::time_point> extended_until_;
     std::vector<late_poll> late_polls_;
-    /// Numbers of the last polls of each worker that got no answer.
-    std::map<std::string, int> failed_polls_;
-    std::map<std::string, jobs::lease_bound> lease_bounds_;
-    std::map<std::string, std::int64_t> known_born_;
-    std::map<std::string, std::int64_t> stored_end_;
-    /// The last number that each worker has acknowledged in an answer.
-    std::map<std::string, std::int64_t> forgotten_end_;
-    /// Ends that were applied: the last number, and the change to be stored.
-    struct unstored_ends
-    {
-        std::int64_t last_end = 0;
-        std::uint64_t change = 0;
-    };
-    std::map<std::string, unstored_ends> unstored_ends_;
     /// Tasks whose end `done` the pool has acknowledged.
     std::set<jobs::task_id> acknowledged_;
     /// The workers on which they ended.
--- a/tests/jobs/pool_world_polls.cpp
+++ b/tests/jobs/pool_world_polls.cpp
@@ -36,19 +36,20 @@
         return false;
     const auto extra = std::chrono::milliseconds(random_() % max_extra_delay);
     // As in the product, an acknowledged number is not sent again.
-    const std::int64_t last = stored_end_[worker.id];
-    const std::int64_t sent = forgotten_end_[worker.id] == last ? 0 : last;
+    const std::int64_t last = owner_.stored_end[worker.id];
+    const std::int64_t sent =
+        owner_.forgotten_end[worker.id] == last ? 0 : last;
     if (!chance(never_carried_out))
         late_polls_.push_back(
-            {static_cast<std::size_t>(&worker - workers_.data()), fence_,
+            {static_cast<std::size_t>(&worker - workers_.data()), owner_.fence,
              extends_lease(worker), sent, now_ + min_delay + extra});
     if (sent > 0)
     {
-        state_->begin_acknowledgement(worker.id, now_);
-        state_->end_acknowledgement(worker.id, true);
+        owner_.state->begin_acknowledgement(worker.id, now_);
+        owner_.state->end_acknowledgement(worker.id, true);
     }
     if (extends_lease(worker))
-        lease_bounds_[worker.id].note_failed(
+        owner_.lease_bounds[worker.id].note_failed(
             note_extension(worker.id, lease_length));
     note_silence(worker);
     return true;
@@ -57,45 +58,48 @@
 // As in the product, a poll after one without an answer extends nothing.
 bool pool_world::extends_lease(const simulated_worker& worker) const
 {
-    return !failed_polls_.contains(worker.id);
+    return !owner_.failed_polls.contains(worker.id);
 }
 
 std::uint64_t pool_world::note_extension(const std::string& worker,
                                          base::duration length)
 {
-    auto& extended = extended_until_[worker];
+    auto& extended = owner_.extended_until[worker];
     extended = std::max(extended, now_ + length);
-    lease_bounds_[worker].forget_before(now_);
-    const std::uint64_t number = lease_bounds_[worker].note_sent(now_, length);
+    owner_.lease_bounds[worker].forget_before(now_);
+    const std::uint64_t number =
+        owner_.lease_bounds[worker].note_sent(now_, length);
     note_lease_end(worker);
     return number;
 }
 
 void pool_world::note_poll_answer(const std::string& worker)
 {
-    const auto failed = failed_polls_.find(worker);
-    const bool is_single = failed != failed_polls_.end() && failed->second == 1;
-    if (lease_bounds_[worker].note_reachable(now_) && is_single)
-        state_->note_left_unanswered(now_);
-    failed_polls_.erase(worker);
+    const auto failed = owner_.failed_polls.find(worker);
+    const bool is_single =
+        failed != owner_.failed_polls.end() && failed->second == 1;
+    if (owner_.lease_bounds[worker].note_reachable(now_) && is_single)
+        owner_.state->note_left_unanswered(now_);
+    owner_.failed_polls.erase(worker);
 }
 
 void pool_world::note_lease_end(const std::string& worker)
 {
-    state_->set_lease_end(
-        worker, lease_bounds_[worker].ends_by(extended_until_[worker],
-                                              state_->leaves_unanswered(now_)));
+    owner_.state->set_lease_end(worker,
+                                owner_.lease_bounds[worker].ends_by(
+                                    owner_.extended_until[worker],
+                                    owner_.state->leaves_unanswered(now_)));
 }
 
 void pool_world::note_silence(const simulated_worker& worker)
 {
-    ++failed_polls_[worker.id];
-    state_->set_reachable(worker.id, false);
+    ++owner_.failed_polls[worker.id];
+    owner_.state->set_reachable(worker.id, false);
     note_lease_end(worker.id);
-    const auto found = state_->workers().find(worker.id);
-    if (found != state_->workers().end() &&
+    const auto found = owner_.state->workers().find(worker.id);
+    if (found != owner_.state->workers().end() &&
         now_ >= found->second.lease_ends_by + lapse_slack)
-        state_->lose_runs(worker.id, jobs::run_loss::lapsed, now_, wall);
+        owner_.state->lose_runs(worker.id, jobs::run_loss::lapsed, now_, wall);
 }
 
 void pool_world::carry_out_late_polls()
@@ -112,7 +116,7 @@
     for (const late_poll& entry : due)
     {
         simulated_worker& worker = workers_[entry.worker];
-        if (worker.fence > entry.fence)
+        if (worker.fence > entry.fence || worker.is_gone)
             continue;
         worker.fence = entry.fence;
         if (entry.is_extension)
@@ -136,9 +140,9 @@
 
 void pool_world::note_known_restart(const std::string& worker)
 {
-    stored_end_[worker] = 0;
-    forgotten_end_[worker] = 0;
-    unstored_ends_.erase(worker);
+    owner_.stored_end[worker] = 0;
+    owner_.forgotten_end[worker] = 0;
+    owner_.unstored_ends.erase(worker);
 }
 
 } // namespace pimentograde::tests
--- a/tests/jobs/pool_world_store.cpp
+++ b/tests/jobs/pool_world_store.cpp
@@ -18,13 +18,13 @@
 
 void pool_world::note_stored_ends()
 {
-    std::erase_if(unstored_ends_,
+    std::erase_if(owner_.unstored_ends,
                   [&](const auto& entry)
                   {
                       const auto& [worker, ends] = entry;
-                      if (state_->stored_change() < ends.change)
+                      if (owner_.state->stored_change() < ends.change)
                           return false;
-                      stored_end_[worker] = ends.last_end;
+                      owner_.stored_end[worker] = ends.last_end;
                       return true;
                   });
 }
@@ -32,13 +32,18 @@
 void pool_world::store()
 {
     store_roster();
-    for (const auto& change : state_->take_changes(1000))
+    for (const auto& change : owner_.state->take_changes(1000))
     {
+        if (!owner_.has_store())
+        {
+            owner_.state->note_not_stored(change.job, true);
+            continue;
+        }
         if (is_record_away_)
         {
             if (chance(33))
                 stored_[change.job] = {change.value, ++revision_};
-            state_->note_not_stored(change.job, true);
+            owner_.state->note_not_stored(change.job, true);
             continue;
         }
         auto entry =
@@ -64,7 +69,7 @@
                         std::int64_t expected_revision)
 {
     pending_write entry{
-        fence_,           now_, now_, false, std::move(job), std::move(value),
+        owner_.fence,     now_, now_, false, std::move(job), std::move(value),
         expected_revision};
     if (odds_.slow_write == 0 || !chance(odds_.slow_write))
         return entry;
@@ -83,9 +88,10 @@
     {
         if (!entry.has_arrived && now_ >= entry.arrives_at)
             arrive(entry);
-        if (now_ >= entry.answered_at && entry.fence == fence_)
+        if (now_ >= entry.answered_at && entry.fence == owner_.fence)
         {
             answered.push_back(entry);
+            answered.back().is_answer_lost |= !owner_.has_store();
             // It may still arrive.
             entry.answered_at = base::time_point::max();
         }
@@ -94,7 +100,7 @@
                   [&](const pending_write& entry)
                   {
                       return entry.has_arrived &&
-                             (entry.fence != fence_ ||
+                             (entry.fence != owner_.fence ||
                               entry.answered_at == base::time_point::max());
                   });
     for (const pending_write& entry : answered)
@@ -106,7 +112,8 @@
 {
     entry.has_arrived = true;
     stored_item& item = entry.job.empty() ? stored_roster_ : stored_[entry.job];
-    if (entry.fence != fence_ || item.revision != entry.expected_revision)
+    if (entry.fence != stored_fence_ ||
+        item.revision != entry.expected_revision)
         return;
     entry.revision = ++revision_;
     item = {entry.value, entry.revision};
@@ -121,35 +128,35 @@
     }
     const stored_item& item = stored_[entry.job];
     if (entry.is_answer_lost || !entry.has_arrived)
-        state_->note_not_stored(entry.job, true);
+        owner_.state->note_not_stored(entry.job, true);
     else if (entry.revision > 0)
-        state_->note_stored(entry.job, entry.revision);
+        owner_.state->note_stored(entry.job, entry.revision);
     else if (item.value == entry.value)
-        state_->note_stored(entry.job, item.revision);
+        owner_.state->note_stored(entry.job, item.revision);
     else
-        state_->note_store_revision(entry.job, item.revision);
+        owner_.state->note_store_revision(entry.job, item.revision);
 }
 
 void pool_world::note_roster_answer(const pending_write& entry)
 {
-    is_writing_roster_ = false;
+    owner_.is_writing_roster = false;
     if (entry.is_answer_lost || !entry.has_arrived)
         return;
-    known_roster_revision_ = stored_roster_.revision;
+    owner_.known_roster_revision = stored_roster_.revision;
     if (stored_roster_.value == entry.value)
-        state_->note_recorded(entry.roster);
+        owner_.state->note_recorded(entry.roster);
 }
 
 // The write may take effect although its answer is lost.
 void pool_world::store_roster()
 {
-    if (is_writing_roster_ || !state_->is_roster_outdated(now_))
+    if (owner_.is_writing_roster || !owner_.state->is_roster_outdated(now_))
         return;
-    const auto roster = state_->roster(now_);
-    if (is_roster_away_)
+    const auto roster = owner_.state->roster(now_);
+    if (is_roster_away_ || !owner_.has_store())
         return;
-    auto entry =
-        begin_write({}, jobs::encode_roster(roster), known_roster_revision_);
+    auto entry = begin_write({}, jobs::encode_roster(roster),
+                             owner_.known_roster_revision);
     entry.roster = roster;
     if (odds_.slow_write == 0)
         entry.is_answer_lost = chance(odds_.lost_answer);
@@ -159,7 +166,7 @@
         note_answer(entry);
         return;
     }
-    is_writing_roster_ = true;
+    owner_.is_writing_roster = true;
     writes_.push_back(std::move(entry));
 }
 
