--- a/tests/jobs/pool_history_test.cpp
+++ b/tests/jobs/pool_history_test.cpp
@@ -411,3 +411,33 @@
                                       .owner_cut = 30,
                                       .quick_takeover = 50});
 }
+
+// Guards against a worker that the roster lacks although it alone knows an end:
+// it was named as ended while the record of the end was being written.
+TEST_CASE("a live worker is named as ended before its ends are stored")
+{
+    const fault_odds odds{.takeover = 3, .slow_write = 30, .repeated_order = 3};
+    CHECK(play(1324682, odds) == "");
+    check("repeated orders and slow writes", odds);
+}
+
+// Guards against an earlier owner that takes runs for gone, while the next
+// owner learns their ends: from the time of a silent worker, and from the
+// restart of one that has reported to the next owner.
+TEST_CASE("an owner without the store does not repeat what the next one knows")
+{
+    CHECK(play(4985469,
+               {.cut = 4, .long_run = 50, .store_cut = 5, .owner_cut = 60}) ==
+          "");
+    CHECK(play(115885812221666263ULL, {.takeover = 1,
+                                       .long_run = 50,
+                                       .store_cut = 3,
+                                       .owner_cut = 80,
+                                       .quick_takeover = 50}) == "");
+    CHECK(play(65509071030616466ULL, {.late_order = 10,
+                                      .restart = 1,
+                                      .long_run = 30,
+                                      .store_cut = 3,
+                                      .owner_cut = 80,
+                                      .quick_takeover = 50}) == "");
+}
