Let leases on slow clocks end when the next owner expects it

An owner estimated a worker's clock as the time since it had read it, although the clock may be 2 % slow, and an idle worker was not read for hours. A time on that clock which it sent as its last order then lay too far ahead: with 20 s of age 0.4 s. Workers shorten leases, but from the arrival of a call, so that runs could outlive the wait of the next owner when the call took longer than 0.2 s, or when a process stood still before it sent it. Their tasks started elsewhere beside them.

Times count now from what the clock says at least. The clock of an idle worker is read anew after 15 s, so that starts do not seem late to a worker whose clock is exact; such a poll does not wait and extends nothing. Price: one call for each idle worker in 15 s.

--- a/src/pools/ownership_times.hpp
+++ b/src/pools/ownership_times.hpp
@@ -71,12 +71,19 @@
               max_ordering_time - role_lease +
                   longest_lease(std::max(max_extension, order_validity)));
 
-/// What a worker's clock says when `age` has passed since it said `clock_ms`.
-inline std::int64_t clock_after(std::int64_t clock_ms, base::duration age)
+/// What a worker's clock says at least when `age` has passed since it said
+/// `clock_ms`. A time that counts from here ends in time on a slow clock, also
+/// if the call that names it is under way for long.
+inline std::int64_t earliest_clock(std::int64_t clock_ms, base::duration age)
 {
-    return clock_ms + base::count_millis(age);
+    return clock_ms + base::count_millis(age - age / clock_lag_divisor);
 }
 
+/// A clock that was read longer ago is read anew, so that orders do not seem
+/// late to a worker whose clock is exact.
+inline constexpr std::chrono::seconds max_clock_age{15};
+static_assert(max_clock_age / clock_lag_divisor <= order_validity / 4);
+
 } // namespace pimentograde::pools
 
 #endif
--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -107,16 +107,17 @@
             hooks_.may_order};
 }
 
-std::int64_t worker_link::clock_at(base::time_point now) const
+bool worker_link::has_old_clock(base::time_point now) const
 {
-    return clock_after(clock_ms_, now - clock_read_at_);
+    return clock_ms_ > 0 && now - clock_read_at_ >= max_clock_age;
 }
 
 worker_link::extension worker_link::extend_lease(base::time_point now,
                                                  base::duration length)
 {
     const extension sent{lease_bound_.note_sent(now, longest_lease(length)),
-                         clock_at(now) + base::count_millis(length)};
+                         earliest_clock(clock_ms_, now - clock_read_at_) +
+                             base::count_millis(length)};
     lease_until_ms_ = std::max(lease_until_ms_, sent.until_ms);
     lease_bound_.forget_before(now);
     note_lease_end();
@@ -200,16 +201,24 @@
         is_steady ? steady_poll_wait : active_poll_wait, longest);
 }
 
+base::time_point worker_link::idle_until(base::time_point now) const
+{
+    const base::time_point latest = now + idle_wait;
+    if (clock_ms_ == 0)
+        return latest;
+    return std::min<base::time_point>(latest, clock_read_at_ + max_clock_age);
+}
+
 void worker_link::poll_loop()
 {
     while (!is_stopping_)
     {
         const base::time_point now = base::steady_now();
-        if (!needs_poll() || !hooks_.may_order())
+        const bool is_needed = needs_poll() || has_old_clock(now);
+        if (!is_needed || !hooks_.may_order())
         {
-            poll_wakeup_.wait_until(
-                now + (needs_poll() ? base::duration(poll_retry_delay)
-                                    : base::duration(idle_wait)));
+            poll_wakeup_.wait_until(is_needed ? now + poll_retry_delay
+                                              : idle_until(now));
             continue;
         }
         poll(now);
@@ -237,13 +246,15 @@
 {
     platform::listing_request request;
     request.stored_end = end_to_acknowledge(now);
+    const bool is_idle = !needs_poll();
     // After a failure the worker should answer at once, so that the next poll
     // can renew the lease.
-    request.wait = has_failed_ ? base::duration::zero() : poll_wait();
+    request.wait =
+        has_failed_ || is_idle ? base::duration::zero() : poll_wait();
     // The lease of a worker that does not answer must be able to lapse: each
     // extension would postpone the time from which its runs count as lost.
     extension sent;
-    if (clock_ms_ > 0 && !has_failed_)
+    if (clock_ms_ > 0 && !has_failed_ && !is_idle)
         sent = extend_lease(now, extension_length(lease_));
     request.lease_until_ms = sent.until_ms;
     if (request.stored_end > 0)
--- a/src/pools/worker_link.hpp
+++ b/src/pools/worker_link.hpp
@@ -80,8 +80,9 @@
     void send_start(const jobs::start_order& order);
     void send_stop(const jobs::stop_order& order);
     [[nodiscard]] bool needs_poll() const;
+    [[nodiscard]] base::time_point idle_until(base::time_point now) const;
     [[nodiscard]] base::duration poll_wait() const;
-    [[nodiscard]] std::int64_t clock_at(base::time_point now) const;
+    [[nodiscard]] bool has_old_clock(base::time_point now) const;
     /// An extension that a call carries.
     struct extension
     {
--- a/tests/pools/ownership_times_test.cpp
+++ b/tests/pools/ownership_times_test.cpp
@@ -2,13 +2,13 @@
 // for.
 
 #include "jobs/roster.hpp"
+#include "pools/owned_pool.hpp"
 #include "pools/ownership_times.hpp"
 #include "pools/stored_pool.hpp"
 
-#include <doctest/doctest.h>
-
 using namespace pimentograde;
 using namespace pimentograde::pools;
+using namespace pimentograde::node_tests;
 using namespace std::chrono_literals;
 
 namespace
@@ -36,7 +36,8 @@
                                             base::duration arrives_at) const
     {
         const std::chrono::milliseconds sent(
-            clock_after(base::count_millis(clock(read_at)), sent_at - read_at) +
+            earliest_clock(base::count_millis(clock(read_at)),
+                           sent_at - read_at) +
             base::count_millis(length));
         const base::duration until =
             std::min<base::duration>(sent, clock(arrives_at) + longest_lease);
@@ -58,7 +59,7 @@
     {
         const base::duration waits_until =
             loaded_at + inherited_lease(jobs::roster_entry{}, longest);
-        for (const base::duration age : {0s, 1s})
+        for (const base::duration age : {0s, 1s, 20s, 60s, 600s})
             for (const base::duration way : {0ms, 50ms, 450ms, 3000ms})
                 for (const base::duration length :
                      {start_length(longest), extension_length(longest)})
@@ -74,3 +75,19 @@
                 }
     }
 }
+
+// Guards against starts that an exact clock calls late, because the owner has
+// not read it for long.
+TEST_CASE("the clock of an idle worker is read anew")
+{
+    owned_pool all(std::vector<std::string>{"w0"}, 100ms);
+    const auto& worker = *all.workers.at("w0");
+    boost::this_fiber::sleep_for(1s);
+    const int calls = worker.calls;
+    CHECK(eventually([&] { return worker.calls > calls; }, max_clock_age + 1s));
+    // Each call has a cost.
+    boost::this_fiber::sleep_for(1s);
+    CHECK(worker.calls == calls + 1);
+    REQUIRE(all.submit_one_task());
+    CHECK(eventually([&] { return all.is_completed(id_a); }, 3s));
+}
