Start nothing on a restarted worker while the lease is not certain

A worker that restarts has seen no fence. An owner that was cut off from the store, and whose role another instance had taken over, could start a task on the new incarnation: the next owner had heard the worker before, knew it as one without runs, and started the same task elsewhere (TWICE).

An incarnation that has answered while the lease was certain is older than any later ownership, so the next owner does not know it until it has heard it. With a certain lease nothing changes. What is left is a restart between the worker's answer and the start.

--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -499,7 +499,9 @@
     // Until its next report.
     if (answer == start_answer::unreachable && worker != nullptr)
         worker->is_reachable = false;
-    if (answer == start_answer::unhealthy && worker != nullptr)
+    if ((answer == start_answer::unhealthy ||
+         answer == start_answer::unconfirmed) &&
+        worker != nullptr)
         worker->health.note_refusal(now);
     if (answer == start_answer::rejected)
         entry->not_before = now + std::chrono::seconds(1);
--- a/src/jobs/worker_report.cpp
+++ b/src/jobs/worker_report.cpp
@@ -45,6 +45,8 @@
         return "not_sent";
     case start_answer::unreachable:
         return "unreachable";
+    case start_answer::unconfirmed:
+        return "unconfirmed";
     case start_answer::cut_off:
         return "cut_off";
     case start_answer::unknown:
--- a/src/jobs/worker_report.hpp
+++ b/src/jobs/worker_report.hpp
@@ -101,6 +101,8 @@
     not_sent,
     /// The connection failed before anything was sent.
     unreachable,
+    /// Not sent: another owner may have used the worker before it restarted.
+    unconfirmed,
     /// The connection broke before the answer, as when the worker crashes: the
     /// order may take effect later, also at the worker's next incarnation.
     cut_off,
--- a/src/node/pool_claims.cpp
+++ b/src/node/pool_claims.cpp
@@ -256,6 +256,13 @@
                     return session_.may_order(role, revision,
                                               base::suspend_aware_now());
                 })
+            .holds_lease(
+                [this, role = pool_role(pool), revision]
+                {
+                    const auto now = base::suspend_aware_now();
+                    return session_.holds_lease(now) &&
+                           session_.may_order(role, revision, now);
+                })
             .on_lost(
                 [this, pool](std::string_view)
                 {
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -50,7 +50,8 @@
     explicit impl(const builder& parts)
         : pool(parts.pool_), fence(parts.revision_), store(*parts.store_),
           http(*parts.http_), lease(parts.lease_), may_order(parts.may_order_),
-          lost_hook(parts.lost_), state(parts.pool_),
+          holds_lease(parts.holds_lease_), lost_hook(parts.lost_),
+          state(parts.pool_),
           roster(parts.pool_, parts.key_, parts.revision_, *parts.store_),
           writer(parts.pool_, parts.key_, parts.revision_, state, *parts.store_,
                  roster,
@@ -72,6 +73,7 @@
     net::http_client& http;
     base::duration lease;
     std::function<bool()> may_order;
+    std::function<bool()> holds_lease;
     std::function<void(std::string_view)> lost_hook;
     bool is_loaded = false;
     bool is_stopping = false;
@@ -238,6 +240,7 @@
     {
         return !is_stopping && may_order();
     };
+    hooks.holds_lease = holds_lease;
     link = std::make_unique<worker_link>(worker, fence, lease, state, http,
                                          std::move(hooks));
     link->start();
--- a/src/pools/pool_owner.hpp
+++ b/src/pools/pool_owner.hpp
@@ -70,6 +70,9 @@
         builder& remote_factor(double factor);
         /// Returns whether the instance's lease still allows orders.
         builder& may_order(std::function<bool()> check);
+        /// Returns whether no other instance can own the pool at present. If
+        /// not set, none ever can.
+        builder& holds_lease(std::function<bool()> check);
         /// Called once when the ownership ends.
         builder& on_lost(std::function<void(std::string_view reason)> hook);
         std::unique_ptr<pool_owner> build();
@@ -84,6 +87,10 @@
         base::duration lease_{};
         double remote_factor_ = 1.0;
         std::function<bool()> may_order_;
+        std::function<bool()> holds_lease_ = []
+        {
+            return true;
+        };
         std::function<void(std::string_view)> lost_;
     };
 
--- a/src/pools/pool_owner_builder.cpp
+++ b/src/pools/pool_owner_builder.cpp
@@ -49,6 +49,13 @@
     return *this;
 }
 
+pool_owner::builder&
+pool_owner::builder::holds_lease(std::function<bool()> check)
+{
+    holds_lease_ = std::move(check);
+    return *this;
+}
+
 pool_owner::builder&
 pool_owner::builder::on_lost(std::function<void(std::string_view)> hook)
 {
--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -350,6 +350,7 @@
         note_restart(report.born_ms, now);
     if (report.born_ms != 0)
         born_ms_ = report.born_ms;
+    is_confirmed_ = is_confirmed_ || hooks_.holds_lease();
     // At the first answer the lease is one that an earlier owner has granted.
     if (clock_ms_ == 0)
         lease_until_ms_ = std::max(
@@ -401,6 +402,7 @@
     log::write(event_worker_restarted,
                {{"worker", worker_.id}, {"born_ms", born_ms}});
     state_.set_lease_end(worker_.id, now + longest_lease(lease_));
+    is_confirmed_ = false;
     stored_end_ = 0;
     acknowledged_end_ = 0;
     unstored_.reset();
@@ -474,18 +476,42 @@
     }
 }
 
-void worker_link::send_start(const jobs::start_order& order)
+std::optional<jobs::start_answer>
+worker_link::refuse_start(const jobs::start_order& order)
 {
+    using jobs::start_answer;
     const bool is_stored =
         order.required_change == 0 ||
         hooks_.stored(order.required_change,
                       base::steady_now() + order_storage_timeout);
+    if (!is_stored || !hooks_.may_order())
+        return start_answer::not_sent;
+    // The next owner may know all runs of this worker. One that has restarted
+    // since takes orders of both owners until it has heard the next one again.
+    if (!hooks_.holds_lease())
+    {
+        const base::time_point asked_at = base::steady_now();
+        check_restart(asked_at);
+        if (report_sent_at_ < asked_at)
+            return start_answer::not_sent;
+        if (!is_confirmed_)
+            return start_answer::unconfirmed;
+    }
+    if (clock_ms_ == 0 || !is_recorded() ||
+        state_.may_forget_ends(worker_.id, base::steady_now()) ||
+        !state_.awaits_start(order))
+        return start_answer::not_sent;
+    return std::nullopt;
+}
+
+void worker_link::send_start(const jobs::start_order& order)
+{
+    const auto refusal = refuse_start(order);
     const base::time_point now = base::steady_now();
     platform::start_result result;
     extension sent;
-    if (!is_stored || !hooks_.may_order() || clock_ms_ == 0 || !is_recorded() ||
-        state_.may_forget_ends(worker_.id, now) || !state_.awaits_start(order))
-        result.answer = jobs::start_answer::not_sent;
+    if (refusal)
+        result.answer = *refusal;
     else
     {
         try
--- a/src/pools/worker_link.hpp
+++ b/src/pools/worker_link.hpp
@@ -35,6 +35,8 @@
         std::function<void(std::string_view reason)> fenced_off;
         /// Returns whether orders may still be sent.
         std::function<bool()> may_order;
+        /// Returns whether no other instance can own the pool at present.
+        std::function<bool()> holds_lease;
     };
 
     worker_link(jobs::worker_description worker, std::int64_t fence,
@@ -78,6 +80,9 @@
     void note_unreachable(std::string_view reason, base::time_point now);
     void order_loop();
     void send_start(const jobs::start_order& order);
+    /// The answer to a start that must not be sent.
+    [[nodiscard]] std::optional<jobs::start_answer>
+    refuse_start(const jobs::start_order& order);
     void send_stop(const jobs::stop_order& order);
     [[nodiscard]] bool needs_poll() const;
     [[nodiscard]] base::time_point idle_until(base::time_point now) const;
@@ -116,6 +121,9 @@
     bool has_failed_ = false;
     /// Start of the incarnation that has answered last; 0 if none has.
     std::int64_t born_ms_ = 0;
+    /// No other instance could own the pool after this incarnation had
+    /// answered: one that owns it later has heard no earlier incarnation.
+    bool is_confirmed_ = false;
     /// Time at which the latest report that was applied was requested.
     base::time_point report_sent_at_{};
     std::int64_t stored_end_ = 0;
--- a/tests/pools/contested_pool.hpp
+++ b/tests/pools/contested_pool.hpp
@@ -24,6 +24,7 @@
     std::unique_ptr<net::http_client> http =
         net::http_client::builder{}.max_idle(2).build();
     bool may_order = true;
+    bool holds_lease = true;
     std::unique_ptr<pools::pool_owner> owner;
 
     explicit claimant(const net::endpoint& store_address)
@@ -36,6 +37,7 @@
     {
         way.refuses = true;
         way.cut();
+        holds_lease = false;
     }
     [[nodiscard]] bool accepts_starts(const std::string& worker) const
     {
@@ -108,17 +110,25 @@
                 .http(*next.http)
                 .worker_lease(longest_lease)
                 .may_order([allowed = &next.may_order] { return *allowed; })
+                .holds_lease([holds = &next.holds_lease] { return *holds; })
                 .on_lost([](std::string_view) {})
                 .build();
         next.owner->set_policies(
             std::vector{jobs::queue_policy{"queue", "pool", 0, 3, 1.6, 600ms}});
+        list(next, listed);
+        next.owner->start();
+        return next;
+    }
+    void list(claimant& owner, const std::vector<std::string>& listed)
+    {
         std::vector<jobs::worker_description> workers;
         for (const std::string& id : listed)
+        {
+            platform.announce(id);
             workers.push_back(platform::read_worker_entry(
                 id, platform.store.value_of("servers/" + id)));
-        next.owner->set_workers(workers);
-        next.owner->start();
-        return next;
+        }
+        owner.owner->set_workers(workers);
     }
     [[nodiscard]] std::int64_t roster_writes() const
     {
