Keep a worker whose ends are not stored when it is said to have ended

Callers could see a task start again after it had ended: a live worker was named as ended while the record of an end that it had listed was being written.

Such a worker does not count as ended: an end that is not stored is known to it alone, as for a release. The histories use pool_state::end_worker now.

--- a/src/jobs/pool_losses.cpp
+++ b/src/jobs/pool_losses.cpp
@@ -90,8 +90,10 @@
     worker_view* worker = find_worker(id);
     if (worker == nullptr)
         return false;
-    const bool has_ended =
-        worker->runs.empty() && worker->knowledge.has_reported();
+    // An end that is not stored is known to the worker alone.
+    const bool has_ended = worker->runs.empty() &&
+                           worker->knowledge.has_reported() &&
+                           !has_unstored_ends(*worker);
     log_decision({"worker_said_to_have_ended",
                   {},
                   {},
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -158,9 +158,9 @@
     void lose_runs(std::string_view id, run_loss loss, base::time_point now,
                    base::wall_time wall);
     /// The worker is said to have ended with its machine. Only an owner that
-    /// has heard it, and knows of no run there, can tell: otherwise it has been
-    /// used since, or an earlier owner may have used it. Returns whether it
-    /// counts as ended; its runs, late starts and ends are gone then.
+    /// has heard it, and knows of no run or unstored end there, can tell:
+    /// otherwise it has been used since, or an earlier owner may have used it.
+    /// Returns whether it counts as ended; its late starts are gone then.
     bool end_worker(std::string_view id, base::time_point now,
                     base::wall_time wall);
     /// The lease of a silent worker has ended unless an extension has arrived
--- a/tests/jobs/pool_world_machines.cpp
+++ b/tests/jobs/pool_world_machines.cpp
@@ -48,12 +48,8 @@
 // As in pools/pool_owner.
 void pool_world::name_ended(const std::string& id)
 {
-    const auto found = owner_.state->workers().find(id);
-    if (found == owner_.state->workers().end() || !found->second.runs.empty())
-        return;
-    owner_.ended_until.emplace(id, now_ + max_stale_listing_time);
-    owner_.state->lose_runs(id, jobs::run_loss::ended, now_, wall);
-    owner_.state->unlist_worker(id);
+    if (owner_.state->end_worker(id, now_, wall))
+        owner_.ended_until.emplace(id, now_ + max_stale_listing_time);
 }
 
 void pool_world::advance_machine_orders()
