Start no task again on an inference while the next owner may exist

In between it took a run for gone because its lease had lapsed, its worker had restarted or the deadline for a worker that it had never heard had passed, and started the task at a worker that the next owner does not reach; that one had read the end elsewhere and stored it.

While its lease may have run out (2.1 s after the last renewal) an owner starts no task whose last run it has given up without the worker's word, and no inherited job beside a worker whose runs are not certain. Other starts go on: the next owner holds inherited jobs until it has heard each worker, and a worker that it has heard refuses the earlier owner. The order is marked, so that the lease is asked for again right before it is sent.

--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -79,6 +79,9 @@
     /// it.
     int done_run = 0;
     base::time_point not_before{};
+    /// Its last run was given up without the worker's word: the lease had
+    /// lapsed, or the worker had ended or restarted.
+    bool is_given_up = false;
     /// Taken for the cause of crashes, but lasting: it goes on alone.
     bool is_isolated = false;
     /// Since when workers are kept free for it, see `pool_state::hold_worker`.
--- a/src/jobs/pool_losses.cpp
+++ b/src/jobs/pool_losses.cpp
@@ -155,6 +155,7 @@
                           base::count_millis(now - entry.active->ordered_at))});
     clear_run(subject, name, entry);
     entry.not_before = now;
+    entry.is_given_up = true;
 }
 
 void pool_state::check_causes(const std::map<task_id, int>& runs,
--- a/src/jobs/pool_planner.cpp
+++ b/src/jobs/pool_planner.cpp
@@ -112,6 +112,27 @@
                         { return entry.second.knowledge.may_hide_runs(now); });
 }
 
+bool pool_state::are_all_runs_certain() const
+{
+    return std::all_of(workers_.begin(), workers_.end(),
+                       [](const auto& entry)
+                       { return entry.second.knowledge.is_certain(); });
+}
+
+bool pool_state::rests_on_silence(const job& subject, const task& entry) const
+{
+    return entry.is_given_up || (subject.is_inherited && !knows_all_runs_);
+}
+
+bool pool_state::may_start(const job& subject, const task& entry,
+                           base::time_point now) const
+{
+    if (entry.is_done || entry.active || now < entry.not_before)
+        return false;
+    return ownership_ == ownership::exclusive ||
+           !rests_on_silence(subject, entry);
+}
+
 std::vector<pool_state::waiting_job>
 pool_state::waiting_jobs(const resource_amount& free, base::time_point now,
                          base::wall_time wall)
@@ -175,8 +196,10 @@
 }
 
 std::vector<start_order> pool_state::plan(base::time_point now,
-                                          base::wall_time wall)
+                                          base::wall_time wall, ownership held)
 {
+    ownership_ = held;
+    knows_all_runs_ = are_all_runs_certain();
     if (!planned_since_)
         planned_since_ = now;
     std::vector<worker_view*> usable;
@@ -218,7 +241,7 @@
     for (std::size_t index = 0; index < tasks.size(); ++index)
     {
         task& entry = tasks[index];
-        if (entry.is_done || entry.active || now < entry.not_before ||
+        if (!may_start(subject, entry, now) ||
             !has_attempts_left(entry, part, policy_of(subject)))
             continue;
         worker_view* worker = choose_worker_for(
@@ -234,7 +257,8 @@
                   run_state::ordered, now);
         orders.push_back({subject.id_of(position, static_cast<int>(index)), run,
                           worker->description.id, subject.spec.payload,
-                          entry.checkpoint, record_start(subject, entry)});
+                          entry.checkpoint, record_start(subject, entry),
+                          rests_on_silence(subject, entry)});
     }
 }
 
@@ -244,12 +268,9 @@
                            std::vector<start_order>& orders)
 {
     const auto& tasks = subject.steps[position].tasks;
-    const bool is_waiting = std::all_of(tasks.begin(), tasks.end(),
-                                        [now](const task& member) {
-                                            return !member.is_done &&
-                                                   !member.active &&
-                                                   now >= member.not_before;
-                                        });
+    const bool is_waiting = std::all_of(
+        tasks.begin(), tasks.end(),
+        [&](const task& member) { return may_start(subject, member, now); });
     if (!is_waiting)
         return;
     for (const std::string& rack : racks_for(subject, position, workers, now))
@@ -324,8 +345,11 @@
     if (planned.size() == tasks.size())
     {
         for (start_order& order : planned)
-            order.required_change = record_start(
-                subject, tasks[static_cast<std::size_t>(order.task.index)]);
+        {
+            task& member = tasks[static_cast<std::size_t>(order.task.index)];
+            order.required_change = record_start(subject, member);
+            order.needs_exclusive_ownership = rests_on_silence(subject, member);
+        }
         orders.insert(orders.end(), planned.begin(), planned.end());
         subject.steps[position].awaits_rack_since.reset();
         return true;
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -318,6 +318,7 @@
     {
         clear_run(*subject, row.task, *entry);
         entry->not_before = now;
+        entry->is_given_up = false;
     }
     if (subject->status != job_status::open)
     {
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -53,6 +53,15 @@
 
 reported_status to_reported(job_status status, bool has_started);
 
+/// Whether another instance can own the pool already.
+enum class ownership
+{
+    /// The instance's lease holds.
+    exclusive,
+    /// The lease may have run out: the next owner may know more of the runs.
+    contested
+};
+
 /// Why a worker's runs are lost.
 enum class run_loss
 {
@@ -237,8 +246,10 @@
     }
     /// Whether workers of the pool have lately left calls unanswered.
     [[nodiscard]] bool leaves_unanswered(base::time_point now) const;
-    /// Chooses which tasks start now, and on which workers.
-    std::vector<start_order> plan(base::time_point now, base::wall_time wall);
+    /// Chooses which tasks start now, and on which workers. While the ownership
+    /// is contested, no task starts again whose run is only taken for gone.
+    std::vector<start_order> plan(base::time_point now, base::wall_time wall,
+                                  ownership held = ownership::exclusive);
     std::vector<stop_order> take_stops();
 
     /// Number of the latest change that has to be stored.
@@ -339,6 +350,13 @@
                        const task_id& id, task& entry, const step_spec& part,
                        base::time_point now);
     [[nodiscard]] bool are_inherited_runs_known(base::time_point now) const;
+    [[nodiscard]] bool are_all_runs_certain() const;
+    /// Whether the task would start since a run of it is taken for gone,
+    /// without the worker's word.
+    [[nodiscard]] bool rests_on_silence(const job& subject,
+                                        const task& entry) const;
+    [[nodiscard]] bool may_start(const job& subject, const task& entry,
+                                 base::time_point now) const;
     /// `free` is, for each resource, the largest free amount on any worker.
     std::vector<waiting_job> waiting_jobs(const resource_amount& free,
                                           base::time_point now,
@@ -460,6 +478,9 @@
     std::optional<base::time_point> left_unanswered_at_;
     double remote_factor_ = 1.0;
     std::size_t recorded_workers_ = 0;
+    /// Of the latest plan.
+    ownership ownership_ = ownership::exclusive;
+    bool knows_all_runs_ = true;
     /// Time of the last `roster`.
     base::time_point roster_taken_at_{};
     double peak_cores_ = 0.0;
--- a/src/jobs/worker_report.hpp
+++ b/src/jobs/worker_report.hpp
@@ -72,6 +72,9 @@
     /// Number of the change that must be stored before the order is sent; 0 for
     /// none.
     std::uint64_t required_change = 0;
+    /// It is to be sent only while no other owner of the pool can exist: that
+    /// one may have heard of a run which this one takes for gone.
+    bool needs_exclusive_ownership = false;
 };
 
 struct stop_order
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -309,7 +309,9 @@
             link->second->send(std::move(order));
     if (!may_order())
         return;
-    for (auto& order : state.plan(base::steady_now(), base::wall_now()))
+    const auto held =
+        holds_lease() ? jobs::ownership::exclusive : jobs::ownership::contested;
+    for (auto& order : state.plan(base::steady_now(), base::wall_now(), held))
         if (const auto link = links.find(order.worker); link != links.end())
             link->second->send(std::move(order));
     remove_idle_links();
--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -107,6 +107,13 @@
             hooks_.may_order};
 }
 
+// Asked right before the order is sent, when its connection is open.
+bool worker_link::may_send(const jobs::start_order& order) const
+{
+    return hooks_.may_order() &&
+           (!order.needs_exclusive_ownership || hooks_.holds_lease());
+}
+
 bool worker_link::has_old_clock(base::time_point now) const
 {
     return clock_ms_ > 0 && now - clock_read_at_ >= max_clock_age;
@@ -490,6 +497,8 @@
     // since takes orders of both owners until it has heard the next one again.
     if (!hooks_.holds_lease())
     {
+        if (order.needs_exclusive_ownership)
+            return start_answer::not_sent;
         const base::time_point asked_at = base::steady_now();
         check_restart(asked_at);
         if (report_sent_at_ < asked_at)
@@ -517,15 +526,20 @@
         try
         {
             sent = extend_lease(now, start_length(lease_));
-            result = client_.start(target(), order, sent.until_ms,
-                                   now + order_timeout);
+            platform::order_target where = target();
+            where.may_order = [&]
+            {
+                return may_send(order);
+            };
+            result =
+                client_.start(where, order, sent.until_ms, now + order_timeout);
             note_answered(sent);
         }
         catch (const base::error& failure)
         {
             note_failed(sent, failure.effect_unknown());
             if (!failure.effect_unknown())
-                result.answer = hooks_.may_order()
+                result.answer = may_send(order)
                                     ? jobs::start_answer::unreachable
                                     : jobs::start_answer::not_sent;
             else
--- a/src/pools/worker_link.hpp
+++ b/src/pools/worker_link.hpp
@@ -80,6 +80,7 @@
     void note_unreachable(std::string_view reason, base::time_point now);
     void order_loop();
     void send_start(const jobs::start_order& order);
+    [[nodiscard]] bool may_send(const jobs::start_order& order) const;
     /// The answer to a start that must not be sent.
     [[nodiscard]] std::optional<jobs::start_answer>
     refuse_start(const jobs::start_order& order);
--- a/tests/jobs/pool_world.cpp
+++ b/tests/jobs/pool_world.cpp
@@ -665,7 +665,7 @@
             is_sent && worker.stop(order.task, order.run, owner_.fence);
         owner_.state->apply_stop_answer(order, is_done, now_);
     }
-    const auto orders = owner_.state->plan(now_, wall);
+    const auto orders = owner_.state->plan(now_, wall, ownership_of(owner_));
     if (odds_.unlist == 0 || chance(50))
         forget_unlisted();
     store();
--- a/tests/jobs/pool_world.hpp
+++ b/tests/jobs/pool_world.hpp
@@ -305,6 +305,9 @@
     [[nodiscard]] simulated_owner* find_earlier_owner(std::int64_t fence);
     [[nodiscard]] bool reaches(const simulated_worker& worker) const;
     [[nodiscard]] bool may_order(const simulated_owner& owner) const;
+    /// As pools/pool_owner has it from node/session.
+    [[nodiscard]] jobs::ownership
+    ownership_of(const simulated_owner& owner) const;
     [[nodiscard]] base::duration inherited_lease() const;
     void answer_slow_order(const late_order& entry);
     void add_worker();
--- a/tests/jobs/pool_world_owners.cpp
+++ b/tests/jobs/pool_world_owners.cpp
@@ -31,6 +31,13 @@
             now_ < *owner.without_store_since + max_order_time);
 }
 
+jobs::ownership pool_world::ownership_of(const simulated_owner& owner) const
+{
+    return owner.has_store() || now_ < *owner.without_store_since + role_lease
+               ? jobs::ownership::exclusive
+               : jobs::ownership::contested;
+}
+
 bool pool_world::reaches(const simulated_worker& worker) const
 {
     const auto cut = owner_.cut_until.find(worker.id);
