Order machines only by a listing of the present holding of the role

A holder that had lost the machine role and claimed it again, while listings failed, ordered machines by the listing of the time before: the pools agreed to free workers that are long gone, and the present ones would end with their tasks.

The machines are dropped with the rest of the role's state.

Test: 'a holder orders nothing before it has listed the machines' failed before (an order without a listing).

--- a/src/node/fleet_manager.cpp
+++ b/src/node/fleet_manager.cpp
@@ -153,6 +153,8 @@
     moves_.clear();
     recent_.clear();
     ordered_workers_.clear();
+    // The machines may have new workers by the next time.
+    inventory_.set_machines({}, {});
 }
 
 // Orders that earlier holders may have sent. Their records are written under
--- a/tests/node/node_instance_test.cpp
+++ b/tests/node/node_instance_test.cpp
@@ -429,3 +429,24 @@
     CHECK(eventually(is_completed));
     CHECK(all.platform.carried_out.size() == 1);
 }
+
+// Guards against orders by the machines that an earlier holding of the role has
+// listed: the pools would free workers that are gone, and the present ones end
+// with their tasks.
+TEST_CASE("a holder orders nothing before it has listed the machines")
+{
+    cluster all(1, 1);
+    boost::this_fiber::sleep_for(600ms);
+    all.platform.refuses_listings = true;
+    all.platform.store.faults.is_down = true;
+    boost::this_fiber::sleep_for(5s);
+    all.platform.store.faults.is_down = false;
+    REQUIRE(eventually([&] { return all.has_usable_worker(); }));
+    all.platform.store.put(
+        "op/wave/1",
+        R"({"Wave":1,"Machines":["m-w0"],"FinishByS":20,"Cap":1})");
+    boost::this_fiber::sleep_for(3s);
+    CHECK(all.platform.orders.empty());
+    all.platform.refuses_listings = false;
+    CHECK(eventually([&] { return all.platform.carried_out.size() == 1; }));
+}
