Accept a job again that was accepted before while its pool has no owner

A caller that lost the answer to its submission asks again at any instance. While the pool's owner changed, was silent or could not be reached, that call was refused with 503, as not accepted, although the job was stored and ran. A submission that no owner has decided on is looked up in the store now, and a stored job is accepted again; an owner that has not loaded its pool, or ends, says so to the asking instance as an error. If the store does not answer either, the refusal stays: it says that this call handed nothing in.

--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -102,6 +102,15 @@
     return true;
 }
 
+// An owner that has not loaded the pool, or is ending, refuses also jobs that
+// were accepted before.
+bool is_decided(const pools::pool_owner& owner, std::string_view id,
+                const pools::submission_answer& answer)
+{
+    return answer.outcome != submission_kind::refused ||
+           owner.status(id).outcome == job_kind::absent;
+}
+
 base::duration time_left(base::time_point deadline)
 {
     return std::max<base::duration>(
@@ -158,15 +167,19 @@
                                               base::time_point deadline)
 {
     if (const auto owner = claims_.find(queue.pool))
-        return owner->submit(id, std::move(spec), queue.name,
-                             deadline - reply_reserve);
+    {
+        const auto answer = owner->submit(id, std::move(spec), queue.name,
+                                          deadline - reply_reserve);
+        return is_decided(*owner, id, answer)
+                   ? answer
+                   : refuse_unless_stored(queue.pool, id, answer.reason);
+    }
     const holder* current = session_.holder_of(pool_role(queue.pool));
     if (current == nullptr)
-        return {submission_kind::refused, takeover_retry,
-                "the pool has no owner"};
+        return refuse_unless_stored(queue.pool, id, "the pool has no owner");
     if (!liveness_[current->address].should_submit(base::steady_now()))
-        return {submission_kind::refused, takeover_retry,
-                "the pool's owner does not answer"};
+        return refuse_unless_stored(queue.pool, id,
+                                    "the pool's owner does not answer");
     jobs::job subject;
     subject.queue = queue.name;
     subject.spec = std::move(spec);
@@ -184,10 +197,19 @@
     {
         if (failure.effect_unknown())
             return {submission_kind::unknown, {}, failure.what()};
-        return {submission_kind::refused, takeover_retry, failure.what()};
+        return refuse_unless_stored(queue.pool, id, failure.what());
     }
 }
 
+pools::submission_answer
+pool_gateway::refuse_unless_stored(std::string_view pool, std::string_view id,
+                                   std::string reason)
+{
+    if (stored_status(pool, id).outcome == job_kind::found)
+        return {submission_kind::accepted, {}, "accepted before"};
+    return {submission_kind::refused, takeover_retry, std::move(reason)};
+}
+
 pools::job_answer pool_gateway::stored_status(std::string_view pool,
                                               std::string_view id)
 {
@@ -364,13 +386,16 @@
         {
             const auto owner = claims_.find(message.pool);
             if (owner == nullptr)
-                return peer::submit_reply{"refused", takeover_retry,
-                                          "the pool is not owned here"};
+                throw base::error(base::error_code::refused, "submit job",
+                                  message.pool, "the pool is not owned here");
             jobs::job subject =
                 jobs::decode_record(message.job, message.record);
             const auto answer = owner->submit(
                 message.job, std::move(subject.spec), message.queue,
                 base::steady_now() + message.time_left);
+            if (!is_decided(*owner, message.job, answer))
+                throw base::error(base::error_code::refused, "submit job",
+                                  message.pool, answer.reason);
             return peer::submit_reply{name_of(answer.outcome, submission_names),
                                       answer.retry_after, answer.reason};
         });
--- a/src/node/pool_gateway.hpp
+++ b/src/node/pool_gateway.hpp
@@ -69,6 +69,11 @@
     pools::job_answer owner_status(const jobs::queue_policy& queue,
                                    std::string_view id,
                                    base::time_point deadline);
+    /// For a submission that no owner has decided on: an earlier call, whose
+    /// answer was lost, may have handed the job in.
+    pools::submission_answer refuse_unless_stored(std::string_view pool,
+                                                  std::string_view id,
+                                                  std::string reason);
     pools::job_answer stored_status(std::string_view pool, std::string_view id);
 
     session& session_;
--- a/tests/disturbance/interruption_test.cpp
+++ b/tests/disturbance/interruption_test.cpp
@@ -247,6 +247,37 @@
     }
 }
 
+// Guards against a caller that is told that its job was not accepted, although
+// an earlier call, whose answer was lost, has handed it in.
+TEST_CASE("a job accepted before is not refused while its pool has no owner")
+{
+    cluster all(2);
+    REQUIRE(all.client.submit(*all.entries[0], id_a, lasting) == 200);
+    const std::size_t owner = all.owner();
+    REQUIRE(owner < 2);
+    const entry& other = *all.entries[1 - owner];
+    // Claims take long.
+    all.platform.store.faults.commit_delay = 1500ms;
+    net::task_group stopping;
+    stopping.spawn([&] { all.entries[owner]->instance->stop(); });
+    std::map<unsigned, int> known;
+    std::map<unsigned, int> unknown;
+    for (int round = 0; round < 25; ++round)
+    {
+        ++known[all.client.submit(other, id_a, lasting)];
+        if (unknown[503] == 0)
+            ++unknown[all.client.submit(other, id_b, one_task)];
+        boost::this_fiber::sleep_for(100ms);
+    }
+    all.platform.store.faults.commit_delay = {};
+    stopping.join();
+    all.entries[owner].reset();
+    CHECK(known[200] == 25);
+    CHECK(unknown[503] == 1);
+    CHECK(eventually([&] { return all.client.state(other, id_a) == running; }));
+    CHECK(all.platform.starts_of(id_a + ".0.0.0") == 1);
+}
+
 // Guards against submissions that wait for a silent store until their callers
 // give up, and against late notice of its return (kavango-cues trouble-3: 68
 // answers 504 to jobs that had never been written).
