Deny no job on an owner whose lease may have ended

An owner that had been suspended, or was cut off from the store, answered 410 to queries and cancellations of jobs that the next owner may have accepted: the answer rested on a lease that was not asked for again.

Evidence: two checks of the new case of test_node got 410 before, 2.6 s after the store was cut off, and get 503 now.

--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -210,6 +210,14 @@
     return {submission_kind::refused, takeover_retry, std::move(reason)};
 }
 
+pools::job_answer pool_gateway::certain(pools::job_answer answer) const
+{
+    if (answer.outcome == job_kind::absent &&
+        !session_.holds_lease(base::suspend_aware_now()))
+        answer.outcome = job_kind::unavailable;
+    return answer;
+}
+
 pools::job_answer pool_gateway::stored_status(std::string_view pool,
                                               std::string_view id)
 {
@@ -235,7 +243,7 @@
                                              base::time_point deadline)
 {
     if (const auto owner = claims_.find(queue.pool))
-        return owner->status(id);
+        return certain(owner->status(id));
     const holder* current = session_.holder_of(pool_role(queue.pool));
     if (current == nullptr)
         return {job_kind::unavailable, {}};
@@ -283,7 +291,7 @@
                                        base::time_point deadline)
 {
     if (const auto owner = claims_.find(queue.pool))
-        return owner->cancel(id, deadline - reply_reserve);
+        return certain(owner->cancel(id, deadline - reply_reserve));
     const holder* current = session_.holder_of(pool_role(queue.pool));
     if (current == nullptr)
         return {job_kind::unavailable, {}};
@@ -405,17 +413,17 @@
             const auto owner = claims_.find(message.pool);
             return to_reply(owner == nullptr
                                 ? pools::job_answer{job_kind::unavailable, {}}
-                                : owner->status(message.job));
+                                : certain(owner->status(message.job)));
         });
     server.handle<peer::cancel_job>(
         [this](const peer::call_context&, const peer::cancel_job& message)
         {
             const auto owner = claims_.find(message.pool);
-            return to_reply(
-                owner == nullptr
-                    ? pools::job_answer{job_kind::unavailable, {}}
-                    : owner->cancel(message.job,
-                                    base::steady_now() + message.time_left));
+            return to_reply(owner == nullptr
+                                ? pools::job_answer{job_kind::unavailable, {}}
+                                : certain(owner->cancel(
+                                      message.job,
+                                      base::steady_now() + message.time_left)));
         });
     server.handle<peer::count_pending>(
         [this](const peer::call_context&, const peer::count_pending& message)
--- a/src/node/pool_gateway.hpp
+++ b/src/node/pool_gateway.hpp
@@ -74,6 +74,9 @@
     pools::submission_answer refuse_unless_stored(std::string_view pool,
                                                   std::string_view id,
                                                   std::string reason);
+    /// The answer of an owner here, which denies no job once its lease may have
+    /// ended: the next owner may have accepted it.
+    [[nodiscard]] pools::job_answer certain(pools::job_answer answer) const;
     pools::job_answer stored_status(std::string_view pool, std::string_view id);
 
     session& session_;
--- /dev/null
+++ b/tests/node/cut_off_owner_test.cpp
@@ -0,0 +1,37 @@
+// An owner that cannot know whether another instance has replaced it, as after
+// its process was suspended or while it is cut off from the store.
+
+#include "node/cluster.hpp"
+
+#include "platform_standin/relay.hpp"
+
+using namespace pimentograde;
+using namespace pimentograde::node_tests;
+
+// Guards against an owner that denies jobs, or their cancellation, although its
+// lease may have ended and the next owner may have accepted them.
+TEST_CASE("an owner whose lease is not certain denies no job")
+{
+    cluster all(0);
+    platform_standin::relay to_store(all.platform.store_address());
+    all.entries.push_back(std::make_unique<entry>(all.platform, "e0", 1.0,
+                                                  to_store.local_endpoint()));
+    REQUIRE(eventually([&] { return all.owner() == 0; }));
+    const entry& only = *all.entries[0];
+    REQUIRE(eventually(
+        [&] { return all.client.submit(only, id_a, lasting) == 200; }));
+    CHECK(all.client.state(only, id_b) == "410");
+    CHECK(all.client.call(only, "DELETE", "/q/" + id_b).status == 410);
+    to_store.refuses = true;
+    to_store.cut();
+    boost::this_fiber::sleep_for(2600ms);
+    CHECK(all.client.state(only, id_b) == "503");
+    CHECK(all.client.call(only, "DELETE", "/q/" + id_b).status == 503);
+    CHECK(all.client.state(only, id_a) == running);
+    to_store.refuses = false;
+    CHECK(eventually([&] { return all.client.state(only, id_b) == "410"; }));
+    CHECK(eventually(
+        [&] {
+            return all.client.call(only, "DELETE", "/q/" + id_b).status == 410;
+        }));
+}
