Ask the store before an operator of the settings may act

While an instance has no bundle, it asks the store at each of their calls: 403 if a bundle is stored, 503 or 504 if the store does not tell.

--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -46,7 +46,7 @@
     operator_listener::builder builder;
     builder.listen_on(all.settings.operator_listen)
         .find_operator_with([this](std::string_view token)
-                            { return all.access.find_operator(token); })
+                            { return all.find_operator(token); })
         .metrics_from([this] { return all.metrics.expose(); });
     add_operator_routes(builder, all);
     operators = builder.build();
--- a/src/entry/services.cpp
+++ b/src/entry/services.cpp
@@ -19,6 +19,7 @@
 constexpr std::chrono::milliseconds answer_time{250};
 constexpr std::chrono::milliseconds release_limit{1000};
 constexpr std::chrono::milliseconds push_limit{2000};
+constexpr std::chrono::milliseconds bundle_check_limit{2000};
 
 std::shared_ptr<const config::bundle> empty_bundle()
 {
@@ -355,6 +356,20 @@
     members->stop();
 }
 
+std::optional<operator_identity> services::find_operator(std::string_view token)
+{
+    const auto found = access.find_operator(token);
+    if (!found || bundle_)
+        return found;
+    // An operator of the settings; a bundle that has not been read yet may have
+    // withdrawn the key.
+    const auto stored = store->operations().get(
+        rollout::bundle_key, base::steady_now() + bundle_check_limit);
+    if (stored.version != 0 && !bundle_)
+        return std::nullopt;
+    return access.find_operator(token);
+}
+
 bool services::takes_work()
 {
     return documents->admit(base::steady_now()) == rollout::admission::ready;
--- a/src/entry/services.hpp
+++ b/src/entry/services.hpp
@@ -24,6 +24,7 @@
 #include "rollout/versioned_document.hpp"
 
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace pimentograde::entry
@@ -44,6 +45,10 @@
     void stop();
 
     [[nodiscard]] bool takes_work();
+    /// Throws `base::error` if an operator of the settings asks and the store
+    /// does not tell whether a bundle has replaced those.
+    [[nodiscard]] std::optional<operator_identity>
+    find_operator(std::string_view token);
     [[nodiscard]] base::member_id broker_of(const base::pool_name& pool);
     [[nodiscard]] base::member_id owner_of_shard(std::size_t shard);
     /// Pool of a worker by the fleet state, else by the bundle.
