Outlive the reader of the log

When the process that reads standard output or standard error of an instance ended, the next log line raised SIGPIPE and ended the instance, or all of them if one collector reads their logs. SIGPIPE is ignored from the configuration of the log on, and a line that no reader can take is dropped and counted.

--- a/src/log/bounded_output.cpp
+++ b/src/log/bounded_output.cpp
@@ -72,7 +72,9 @@
 bool bounded_output::put(std::string_view line) const
 {
     pollfd state{descriptor_, POLLOUT, 0};
-    if (poll(&state, 1, 0) != 1 || (state.revents & POLLOUT) == 0)
+    // POLLERR: the reader is gone.
+    if (poll(&state, 1, 0) != 1 || (state.revents & POLLOUT) == 0 ||
+        (state.revents & POLLERR) != 0)
         return false;
     std::string text(line.substr(0, max_line_bytes - 1));
     text += '\n';
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -9,6 +9,7 @@
 #include <boost/smart_ptr/make_shared.hpp>
 
 #include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <ctime>
 #include <iostream>
@@ -116,6 +117,8 @@
     if (settings.configured)
         return;
     settings.configured = true;
+    // The reader of the log may go; that must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
     auto backend = boost::make_shared<sinks::text_ostream_backend>();
     backend->add_stream(
         boost::shared_ptr<std::ostream>(&std::cerr, [](std::ostream*) {}));
--- a/tests/log/bounded_output_test.cpp
+++ b/tests/log/bounded_output_test.cpp
@@ -1,7 +1,9 @@
 #include "log/bounded_output.hpp"
+#include "log/events.hpp"
 
 #include <doctest/doctest.h>
 #include <fcntl.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <string>
@@ -57,6 +59,32 @@
     CHECK(text.find("next\n") != std::string::npos);
 }
 
+// Guards against a process that ends, by SIGPIPE, with the reader of its log.
+TEST_CASE("a reader that is gone drops lines and ends nothing")
+{
+    int ends[2];
+    REQUIRE(pipe(ends) == 0);
+    close(ends[0]);
+    log::bounded_output output(ends[1], 1e6);
+    output.write("line", base::time_point(100s));
+    output.write("line", base::time_point(101s));
+    CHECK(output.dropped() == 2);
+    const pid_t child = fork();
+    REQUIRE(child >= 0);
+    if (child == 0)
+    {
+        dup2(ends[1], STDERR_FILENO);
+        log::configure(log::format::plain, log::severity::info, "test");
+        log::write(log::event_lines_dropped);
+        log::write(log::event_lines_dropped);
+        _exit(0);
+    }
+    int status = 0;
+    CHECK(waitpid(child, &status, 0) == child);
+    CHECK(WIFEXITED(status));
+    close(ends[1]);
+}
+
 TEST_CASE("lines beyond the rate are dropped and counted")
 {
     const pipe_pair pipe;
