Take an unknown outcome of an owner for no refusal

An owner of another version that answered a submission with an outcome unknown here had the caller told 503 with Retry-After, as if nothing had been done. The caller gets 504 now.

Evidence: the new case of test_node got 503 before and passes now.

--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -40,7 +40,8 @@
     for (std::size_t index = 0; index < Count; ++index)
         if (value_name == names[index])
             return static_cast<Enum>(index);
-    throw base::error(base::error_code::invalid, "read peer reply", "",
+    // The owner has answered something; whether it acted is not known.
+    throw base::error(base::error_code::cut_off, "read peer reply", "",
                       "unknown value: " + std::string(value_name));
 }
 
