Confirm the configuration after a pause before relying on it

An instance whose process had been paused accepted jobs under a route that was gone, answered 404 for a queue that had been added and 410 or Pending from the earlier assignment, until its watch told it of the change: up to 1.8 s if the watch's connection had gone silent, and longer if the listing after it failed. A gap of 1 s or more between two checks (each 200 ms and at each such answer, on the clock that also runs while suspended) now holds these answers back with 503 until the configuration has been read from the store.

--- a/src/node/caller_api.cpp
+++ b/src/node/caller_api.cpp
@@ -7,6 +7,7 @@
 #include "platform/job_document.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace pimentograde::node
 {
@@ -24,6 +25,9 @@
 // Time reserved for sending a refusal.
 constexpr std::chrono::milliseconds refusal_reserve{150};
 
+constexpr std::string_view outdated_reason =
+    "the configuration may be outdated after a pause";
+
 constexpr unsigned ok = 200;
 constexpr unsigned bad_request = 400;
 constexpr unsigned not_found = 404;
@@ -60,8 +64,10 @@
 };
 
 caller_api::caller_api(pool_gateway& gateway, queue_recorder& queues,
-                       metrics::registry& metrics)
-    : gateway_(gateway), queues_(queues), metrics_(metrics)
+                       metrics::registry& metrics,
+                       std::function<bool()> is_current)
+    : gateway_(gateway), queues_(queues), metrics_(metrics),
+      is_current_(std::move(is_current))
 {
 }
 
@@ -84,7 +90,20 @@
     return response;
 }
 
+// What is denied, and what is counted, depends on the configuration.
 net::http_response caller_api::answer(call& current)
+{
+    net::http_response response = answer_by_configuration(current);
+    const bool depends = response.status == not_found ||
+                         response.status == gone ||
+                         (current.job.empty() && response.status == ok);
+    if (!depends || is_current_())
+        return response;
+    current.reason = outdated_reason;
+    return retry_later(outage_retry_after, current.reason);
+}
+
+net::http_response caller_api::answer_by_configuration(call& current)
 {
     if (!is_configured())
     {
@@ -144,6 +163,11 @@
         current.reason = "the queue's pool is not stored yet";
         return retry_later(outage_retry_after, current.reason);
     }
+    if (!is_current_())
+    {
+        current.reason = outdated_reason;
+        return retry_later(outage_retry_after, current.reason);
+    }
     const auto reply = gateway_.submit(route.policy, current.job,
                                        std::move(spec), current.deadline);
     current.reason = reply.reason;
--- a/src/node/caller_api.hpp
+++ b/src/node/caller_api.hpp
@@ -7,6 +7,7 @@
 #include "node/queue_recorder.hpp"
 #include "platform/configuration.hpp"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,8 +21,10 @@
 class caller_api
 {
 public:
+    /// `is_current` tells whether the configuration can be relied on; false
+    /// after a pause of the process, until it has been confirmed.
     caller_api(pool_gateway& gateway, queue_recorder& queues,
-               metrics::registry& metrics);
+               metrics::registry& metrics, std::function<bool()> is_current);
 
     void set_configuration(const platform::configuration& current);
     /// Whether it knows the queues, and the pools that they had before.
@@ -35,6 +38,7 @@
     struct call;
 
     net::http_response answer(call& current);
+    net::http_response answer_by_configuration(call& current);
     net::http_response submit(call& current);
     std::optional<net::http_response> find_in_earlier_pools(call& current);
     net::http_response status(call& current);
@@ -50,6 +54,7 @@
     pool_gateway& gateway_;
     queue_recorder& queues_;
     metrics::registry& metrics_;
+    std::function<bool()> is_current_;
     std::optional<platform::configuration> configuration_;
 };
 
--- a/src/node/events.hpp
+++ b/src/node/events.hpp
@@ -63,6 +63,9 @@
 inline constexpr log::event event_queues_invalid{
     3326, log::severity::error,
     "the stored pools of the queues are unreadable"};
+inline constexpr log::event event_paused{
+    3327, log::severity::warning,
+    "the process did not run for a while; confirming the configuration"};
 
 } // namespace pimentograde::node
 
--- a/src/node/node_instance.cpp
+++ b/src/node/node_instance.cpp
@@ -10,6 +10,7 @@
 #include "node/caller_api.hpp"
 #include "node/events.hpp"
 #include "node/fleet_manager.hpp"
+#include "node/pause_watch.hpp"
 #include "node/pool_claims.hpp"
 #include "node/pool_gateway.hpp"
 #include "node/prefix_watch.hpp"
@@ -42,6 +43,7 @@
 constexpr std::chrono::milliseconds worker_batching{150};
 constexpr std::chrono::milliseconds member_batching{30};
 constexpr std::chrono::milliseconds operator_batching{50};
+constexpr std::chrono::milliseconds pause_check_interval{200};
 constexpr std::chrono::seconds caller_idle_timeout{60};
 constexpr std::size_t max_caller_connections = 3000;
 
@@ -75,7 +77,8 @@
                  settings.longest_worker_lease, settings.remote_factor,
                  [this](bool is_needed) { set_worker_watch(is_needed); }),
           gateway(members, claims, *store), queues(*store),
-          caller_requests(gateway, queues, metrics),
+          caller_requests(gateway, queues, metrics,
+                          [this] { return is_configuration_current(); }),
           fleet(members, gateway, *store, *worker_http,
                 settings.machine_service,
                 {settings.move_time, settings.maintenance_time,
@@ -89,6 +92,9 @@
                        worker_batching, worker_hooks())
     {
     }
+    ~impl() { is_stopping = true; }
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
 
     platform::node_settings settings;
     metrics::registry metrics;
@@ -108,6 +114,7 @@
     std::unique_ptr<net::http_server> readiness;
     std::unique_ptr<net::http_server> metrics_server;
     std::unique_ptr<peer::peer_server> peers;
+    pause_watch pauses;
     net::task_group fibers;
     settings_reader read_settings;
     bool is_stopping = false;
@@ -121,6 +128,9 @@
     void log_store_state(bool is_ok);
     void adopt(const platform::store_item& item);
     void adopt_configuration(const platform::store_item& item);
+    bool is_configuration_current();
+    void watch_pauses();
+    void confirm_configuration();
     void open_listeners();
     void open_peer_listener();
     [[nodiscard]] bool is_ready() const;
@@ -227,6 +237,42 @@
                                              {"pools", current.pools.size()}});
 }
 
+bool node_instance::impl::is_configuration_current()
+{
+    const base::duration paused = pauses.note(base::suspend_aware_now());
+    if (paused > base::duration::zero())
+        log::write(event_paused, {{"paused_ms", base::count_millis(paused)}});
+    return pauses.is_confirmed();
+}
+
+// The watch tells of a change in time only while the process runs: a request
+// may be handled before it, or its connection may have gone silent.
+void node_instance::impl::watch_pauses()
+{
+    while (!is_stopping)
+    {
+        if (!is_configuration_current())
+            confirm_configuration();
+        boost::this_fiber::sleep_for(pause_check_interval);
+    }
+}
+
+void node_instance::impl::confirm_configuration()
+{
+    const base::time_point asked_at = base::suspend_aware_now();
+    try
+    {
+        if (const auto item = store->get(platform::configuration_key))
+            adopt(*item);
+        pauses.note_confirmed(asked_at);
+    }
+    catch (const base::error& failure)
+    {
+        log::write(event_store_lost, {{"step", "confirm configuration"},
+                                      {"reason", failure.what()}});
+    }
+}
+
 bool node_instance::impl::is_ready() const
 {
     return !is_stopping && caller_requests.is_configured() && peers != nullptr;
@@ -295,6 +341,7 @@
     queues.start();
     claims.start();
     fleet.start();
+    fibers.spawn_restarting("watch pauses", [this] { watch_pauses(); });
     // The port may be in use for a while, for example by a connection.
     fibers.spawn_restarting("listen for peers",
                             [this] { open_peer_listener(); });
--- /dev/null
+++ b/tests/node/pause_test.cpp
@@ -0,0 +1,73 @@
+// Answers of an instance whose process was paused, and whose connections to the
+// store have gone silent meanwhile.
+
+#include "node/cluster.hpp"
+#include "node/pause_watch.hpp"
+
+#include "platform_standin/relay.hpp"
+
+#include <thread>
+
+using namespace pimentograde;
+using namespace pimentograde::node_tests;
+
+namespace
+{
+
+std::string configuration_with(const std::string& prefix)
+{
+    return R"({"Version":2,"Routes":[{"Name":"queue","Host":"h","Prefix":")" +
+           prefix + R"(","Service":"pool","MaxAttempts":3}],
+        "Services":[{"Name":"pool"}]})";
+}
+
+} // namespace
+
+// Guards against an instance that was paused and, from the configuration that
+// it had before, accepts a job under a route that is gone or denies a queue.
+TEST_CASE("after a pause no job is accepted under an old configuration")
+{
+    cluster all(1);
+    platform_standin::relay to_store(all.platform.store_address());
+    all.entries.push_back(std::make_unique<entry>(all.platform, "e1", 1.0,
+                                                  to_store.local_endpoint()));
+    const entry& paused = *all.entries[1];
+    REQUIRE(eventually(
+        [&] { return all.client.submit(paused, id_a, two_steps) == 200; }));
+    REQUIRE(all.owner() == 0);
+    CHECK(all.client.call(paused, "GET", "/new/").status == 404);
+    to_store.holds_answers = true;
+    all.platform.store.put("op/config", configuration_with("/new/"));
+    // The whole process stands still.
+    std::this_thread::sleep_for(1500ms);
+    const auto refused =
+        all.client.call(paused, "POST", "/q/" + id_b, two_steps);
+    CHECK(refused.status == 503);
+    CHECK(all.client.call(paused, "GET", "/new/").status == 503);
+    CHECK(all.client.call(paused, "GET", "/q/" + id_b).status == 503);
+    to_store.holds_answers = false;
+    CHECK(eventually(
+        [&] { return all.client.call(paused, "GET", "/new/").status == 200; },
+        3s));
+    CHECK(all.client.call(paused, "POST", "/q/" + id_b, two_steps).status ==
+          404);
+    CHECK(all.platform.starts_of(id_b + ".0.0.0") == 0);
+}
+
+// Guards against a confirmation that was under way during the pause.
+TEST_CASE("what was asked for before a pause ended confirms nothing")
+{
+    node::pause_watch pauses;
+    const base::time_point start(100s);
+    CHECK(pauses.note(start) == 0s);
+    CHECK(pauses.note(start + 900ms) == 0s);
+    CHECK(pauses.is_confirmed());
+    CHECK(pauses.note(start + 2s) == 1100ms);
+    CHECK_FALSE(pauses.is_confirmed());
+    pauses.note_confirmed(start + 1s);
+    CHECK_FALSE(pauses.is_confirmed());
+    CHECK(pauses.note(start + 2100ms) == 0s);
+    CHECK_FALSE(pauses.is_confirmed());
+    pauses.note_confirmed(start + 2100ms);
+    CHECK(pauses.is_confirmed());
+}
