--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -40,7 +40,8 @@
     for (std::size_t index = 0; index < Count; ++index)
         if (value_name == names[index])
             return static_cast<Enum>(index);
-    throw base::error(base::error_code::invalid, "read peer reply", "",
+    // The owner has answered something; whether it acted is not known.
+    throw base::error(base::error_code::cut_off, "read peer reply", "",
                       "unknown value: " + std::string(value_name));
 }
 
@@ -102,6 +103,15 @@
     return true;
 }
 
+// An owner that has not loaded the pool, or is ending, refuses also jobs that
+// were accepted before.
+bool is_decided(const pools::pool_owner& owner, std::string_view id,
+                const pools::submission_answer& answer)
+{
+    return answer.outcome != submission_kind::refused ||
+           owner.status(id).outcome == job_kind::absent;
+}
+
 base::duration time_left(base::time_point deadline)
 {
     return std::max<base::duration>(
@@ -158,15 +168,19 @@
                                               base::time_point deadline)
 {
     if (const auto owner = claims_.find(queue.pool))
-        return owner->submit(id, std::move(spec), queue.name,
-                             deadline - reply_reserve);
+    {
+        const auto answer = owner->submit(id, std::move(spec), queue.name,
+                                          deadline - reply_reserve);
+        return is_decided(*owner, id, answer)
+                   ? answer
+                   : refuse_unless_stored(queue.pool, id, answer.reason);
+    }
     const holder* current = session_.holder_of(pool_role(queue.pool));
     if (current == nullptr)
-        return {submission_kind::refused, takeover_retry,
-                "the pool has no owner"};
+        return refuse_unless_stored(queue.pool, id, "the pool has no owner");
     if (!liveness_[current->address].should_submit(base::steady_now()))
-        return {submission_kind::refused, takeover_retry,
-                "the pool's owner does not answer"};
+        return refuse_unless_stored(queue.pool, id,
+                                    "the pool's owner does not answer");
     jobs::job subject;
     subject.queue = queue.name;
     subject.spec = std::move(spec);
@@ -184,10 +198,27 @@
     {
         if (failure.effect_unknown())
             return {submission_kind::unknown, {}, failure.what()};
-        return {submission_kind::refused, takeover_retry, failure.what()};
+        return refuse_unless_stored(queue.pool, id, failure.what());
     }
 }
 
+pools::submission_answer
+pool_gateway::refuse_unless_stored(std::string_view pool, std::string_view id,
+                                   std::string reason)
+{
+    if (stored_status(pool, id).outcome == job_kind::found)
+        return {submission_kind::accepted, {}, "accepted before"};
+    return {submission_kind::refused, takeover_retry, std::move(reason)};
+}
+
+pools::job_answer pool_gateway::certain(pools::job_answer answer) const
+{
+    if (answer.outcome == job_kind::absent &&
+        !session_.holds_lease(base::suspend_aware_now()))
+        answer.outcome = job_kind::unavailable;
+    return answer;
+}
+
 pools::job_answer pool_gateway::stored_status(std::string_view pool,
                                               std::string_view id)
 {
@@ -213,7 +244,7 @@
                                              base::time_point deadline)
 {
     if (const auto owner = claims_.find(queue.pool))
-        return owner->status(id);
+        return certain(owner->status(id));
     const holder* current = session_.holder_of(pool_role(queue.pool));
     if (current == nullptr)
         return {job_kind::unavailable, {}};
@@ -261,7 +292,7 @@
                                        base::time_point deadline)
 {
     if (const auto owner = claims_.find(queue.pool))
-        return owner->cancel(id, deadline - reply_reserve);
+        return certain(owner->cancel(id, deadline - reply_reserve));
     const holder* current = session_.holder_of(pool_role(queue.pool));
     if (current == nullptr)
         return {job_kind::unavailable, {}};
@@ -364,13 +395,16 @@
         {
             const auto owner = claims_.find(message.pool);
             if (owner == nullptr)
-                return peer::submit_reply{"refused", takeover_retry,
-                                          "the pool is not owned here"};
+                throw base::error(base::error_code::refused, "submit job",
+                                  message.pool, "the pool is not owned here");
             jobs::job subject =
                 jobs::decode_record(message.job, message.record);
             const auto answer = owner->submit(
                 message.job, std::move(subject.spec), message.queue,
                 base::steady_now() + message.time_left);
+            if (!is_decided(*owner, message.job, answer))
+                throw base::error(base::error_code::refused, "submit job",
+                                  message.pool, answer.reason);
             return peer::submit_reply{name_of(answer.outcome, submission_names),
                                       answer.retry_after, answer.reason};
         });
@@ -380,17 +414,17 @@
             const auto owner = claims_.find(message.pool);
             return to_reply(owner == nullptr
                                 ? pools::job_answer{job_kind::unavailable, {}}
-                                : owner->status(message.job));
+                                : certain(owner->status(message.job)));
         });
     server.handle<peer::cancel_job>(
         [this](const peer::call_context&, const peer::cancel_job& message)
         {
             const auto owner = claims_.find(message.pool);
-            return to_reply(
-                owner == nullptr
-                    ? pools::job_answer{job_kind::unavailable, {}}
-                    : owner->cancel(message.job,
-                                    base::steady_now() + message.time_left));
+            return to_reply(owner == nullptr
+                                ? pools::job_answer{job_kind::unavailable, {}}
+                                : certain(owner->cancel(
+                                      message.job,
+                                      base::steady_now() + message.time_left)));
         });
     server.handle<peer::count_pending>(
         [this](const peer::call_context&, const peer::count_pending& message)
