Doubt the first report of an incarnation while the next owner may exist

The new incarnation has seen no fence, so it answered, and its empty list made all runs certain.

Such a report counts for the runs that it lists, but neither makes the runs of inherited jobs certain nor the worker usable until the ownership is exclusive again. The histories ask workers before each start, as worker_link does.

--- a/src/jobs/pool_planner.cpp
+++ b/src/jobs/pool_planner.cpp
@@ -116,7 +116,10 @@
 {
     return std::all_of(workers_.begin(), workers_.end(),
                        [](const auto& entry)
-                       { return entry.second.knowledge.is_certain(); });
+                       {
+                           return entry.second.knowledge.is_certain() &&
+                                  !entry.second.knowledge.is_doubtful();
+                       });
 }
 
 bool pool_state::rests_on_silence(const job& subject, const task& entry) const
@@ -199,12 +202,15 @@
                                           base::wall_time wall, ownership held)
 {
     ownership_ = held;
+    if (held == ownership::exclusive)
+        for (auto& [id, worker] : workers_)
+            worker.knowledge.end_doubt();
     knows_all_runs_ = are_all_runs_certain();
     if (!planned_since_)
         planned_since_ = now;
     std::vector<worker_view*> usable;
     for (auto& [id, worker] : workers_)
-        if (worker.accepts_starts(now))
+        if (worker.accepts_starts(now) && !worker.knowledge.is_doubtful())
             usable.push_back(&worker);
     std::vector<start_order> orders;
     if (usable.empty())
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -97,11 +97,14 @@
 
 void pool_state::apply_report(std::string_view id, const worker_report& report,
                               base::time_point sent_at, base::time_point now,
-                              base::wall_time wall)
+                              base::wall_time wall, ownership held)
 {
     worker_view* worker = find_worker(id);
     if (worker == nullptr)
         return;
+    if (held == ownership::contested &&
+        (worker->born_ms == 0 || report.born_ms != worker->born_ms))
+        worker->knowledge.note_doubt();
     const bool has_restarted = report.born_ms != 0 && worker->born_ms != 0 &&
                                report.born_ms != worker->born_ms;
     if (report.born_ms != 0)
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -199,7 +199,8 @@
     /// stopped.
     void apply_report(std::string_view id, const worker_report& report,
                       base::time_point sent_at, base::time_point now,
-                      base::wall_time wall);
+                      base::wall_time wall,
+                      ownership held = ownership::exclusive);
     /// Whether the run is still to be started: it has not been given up or
     /// stopped since it was planned.
     [[nodiscard]] bool awaits_start(const start_order& order) const;
--- a/src/jobs/run_knowledge.hpp
+++ b/src/jobs/run_knowledge.hpp
@@ -26,6 +26,13 @@
     /// The worker has listed all its runs under this owner's fence, and ignores
     /// orders under lower ones from then on.
     void note_report();
+    /// The report came from an incarnation that this owner had not heard, while
+    /// its ownership was contested: a later owner may have heard the
+    /// incarnation before, whose runs have ended or been lost since.
+    void note_doubt() { is_doubtful_ = true; }
+    /// The ownership is exclusive, so there has been no later owner.
+    void end_doubt() { is_doubtful_ = false; }
+    [[nodiscard]] bool is_doubtful() const { return is_doubtful_; }
     /// The list no longer holds: the worker is gone, silent beyond its lease or
     /// has restarted. What earlier owners may have there does not change.
     void forget_report() { has_reported_ = false; }
@@ -52,6 +59,7 @@
 
     ground ground_ = ground::unused;
     bool has_reported_ = false;
+    bool is_doubtful_ = false;
     base::time_point hidden_until_{};
 };
 
--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -365,7 +365,9 @@
     clock_ms_ = listing.clock_ms;
     clock_read_at_ = now;
     note_lease_end();
-    state_.apply_report(worker_.id, report, sent_at, now, base::wall_now());
+    state_.apply_report(worker_.id, report, sent_at, now, base::wall_now(),
+                        hooks_.holds_lease() ? jobs::ownership::exclusive
+                                             : jobs::ownership::contested);
     hooks_.changed();
     const std::int64_t last_end =
         report.ended.empty() ? stored_end_ : report.ended.back().number;
--- a/tests/jobs/pool_history_test.cpp
+++ b/tests/jobs/pool_history_test.cpp
@@ -434,6 +434,13 @@
                                        .store_cut = 3,
                                        .owner_cut = 80,
                                        .quick_takeover = 50}) == "");
+    // Its first report comes from an incarnation that the next owner has heard.
+    CHECK(play(23085498301814696ULL, {.late_order = 10,
+                                      .restart = 1,
+                                      .long_run = 30,
+                                      .store_cut = 3,
+                                      .owner_cut = 80,
+                                      .quick_takeover = 50}) == "");
     CHECK(play(65509071030616466ULL, {.late_order = 10,
                                       .restart = 1,
                                       .long_run = 30,
--- a/tests/jobs/pool_world.cpp
+++ b/tests/jobs/pool_world.cpp
@@ -312,6 +312,15 @@
         owner_.state->apply_start_answer(order, start_answer::not_sent, now_);
         return;
     }
+    // As pools/worker_link asks before each start.
+    if (ownership_of(owner_) == jobs::ownership::contested &&
+        owner_.known_born[worker.id] != worker.born_ms)
+    {
+        owner_.lease_bounds[worker.id].note_answered(extension);
+        owner_.state->apply_start_answer(order, start_answer::unconfirmed,
+                                         now_);
+        return;
+    }
     if (delay(order))
     {
         owner_.lease_bounds[worker.id].note_failed(extension);
@@ -443,7 +452,8 @@
         report.running.push_back({task, run.run, {}, 50});
     report.ended = worker.ended;
     // Asked a little earlier than the last order, as on a real network.
-    owner_.state->apply_report(worker.id, report, now_, now_, wall);
+    owner_.state->apply_report(worker.id, report, now_, now_, wall,
+                               ownership_of(owner_));
     if (!report.ended.empty() && !owner_.unstored_ends.contains(worker.id))
         owner_.unstored_ends[worker.id] = {report.ended.back().number,
                                            owner_.state->change_number()};
