Refuse submissions at once beside a slow store, and log takeovers in one line

Callers should learn at once when to come back: the lookup gets 100 ms, and 16 of them are open at most.

--- a/src/jobs/pool_roster.cpp
+++ b/src/jobs/pool_roster.cpp
@@ -66,16 +66,6 @@
     }
     for (const roster_late_start& start : entry.late_starts)
         inherit_late_start(worker, start, now);
-    log_decision(
-        {"worker_inherited",
-         {},
-         {},
-         0,
-         entry.worker.id,
-         (entry.runs ? "runs=" + std::to_string(entry.runs->size())
-                     : "runs=unknown for_ms=" +
-                           std::to_string(base::count_millis(deadline - now))) +
-             " late_starts=" + std::to_string(entry.late_starts.size())});
     if (!entry.runs)
         return;
     worker.recorded_runs = entry.runs->size();
--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -4,6 +4,8 @@
 #include "jobs/job_record.hpp"
 #include "pools/job_writer.hpp"
 
+#include <boost/fiber/future.hpp>
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -22,6 +24,11 @@
 // Time reserved for sending the response to the caller.
 constexpr std::chrono::milliseconds reply_reserve{150};
 
+// Callers of a pool without an owner should learn at once when to come back.
+constexpr std::chrono::milliseconds lookup_limit{100};
+// Bounds the memory of lookups that a slow store leaves open.
+constexpr std::size_t max_lookups = 16;
+
 constexpr std::array submission_names{"accepted", "refused", "unknown"};
 constexpr std::array job_names{"found", "absent", "unavailable"};
 constexpr std::array status_names{"queued", "running", "completed", "failed",
@@ -206,9 +213,23 @@
 pool_gateway::refuse_unless_stored(std::string_view pool, std::string_view id,
                                    std::string reason)
 {
-    if (stored_status(pool, id).outcome == job_kind::found)
-        return {submission_kind::accepted, {}, "accepted before"};
-    return {submission_kind::refused, takeover_retry, std::move(reason)};
+    pools::submission_answer refusal{submission_kind::refused, takeover_retry,
+                                     std::move(reason)};
+    if (lookups_.size() >= max_lookups)
+        return refusal;
+    const auto lookup = std::make_shared<boost::fibers::promise<bool>>();
+    auto is_stored = lookup->get_future();
+    lookups_.spawn(
+        [this, lookup, key_pool = std::string(pool), key_id = std::string(id)]
+        {
+            lookup->set_value(stored_status(key_pool, key_id).outcome ==
+                              job_kind::found);
+        });
+    const bool is_answered =
+        is_stored.wait_for(lookup_limit) == boost::fibers::future_status::ready;
+    if (!is_answered || !is_stored.get())
+        return refusal;
+    return {submission_kind::accepted, {}, "accepted before"};
 }
 
 pools::job_answer pool_gateway::certain(pools::job_answer answer) const
--- a/src/node/pool_gateway.hpp
+++ b/src/node/pool_gateway.hpp
@@ -2,6 +2,7 @@
 #define PIMENTOGRADE_NODE_POOL_GATEWAY_HPP
 
 #include "base/time.hpp"
+#include "net/task_group.hpp"
 #include "node/peer_liveness.hpp"
 #include "node/pool_claims.hpp"
 #include "node/session.hpp"
@@ -70,7 +71,8 @@
                                    std::string_view id,
                                    base::time_point deadline);
     /// For a submission that no owner has decided on: an earlier call, whose
-    /// answer was lost, may have handed the job in.
+    /// answer was lost, may have handed the job in. A refusal does not wait for
+    /// a slow store.
     pools::submission_answer refuse_unless_stored(std::string_view pool,
                                                   std::string_view id,
                                                   std::string reason);
@@ -84,6 +86,7 @@
     platform::store_client& store_;
     std::map<net::endpoint, std::unique_ptr<peer::peer_client>> clients_;
     std::map<net::endpoint, peer_liveness> liveness_;
+    net::task_group lookups_;
 };
 
 } // namespace pimentograde::node
--- a/src/pools/ownership_times.hpp
+++ b/src/pools/ownership_times.hpp
@@ -49,14 +49,6 @@
            lapse_slack;
 }
 
-/// How long runs may last on a worker of earlier owners that its owner has not
-/// heard since it loaded the pool. `longest` is the longest lease that workers
-/// grant: extensions are shortened to it.
-constexpr base::duration unheard_worker_lease(base::duration longest)
-{
-    return max_orders_after_takeover + longest_lease(longest);
-}
-
 /// The length of the leases by which an owner extends the runs of a worker.
 constexpr base::duration extension_length(base::duration longest)
 {
@@ -67,6 +59,14 @@
 {
     return std::min<base::duration>(longest, order_validity);
 }
+
+/// How long runs may last on a worker of earlier owners that its owner has not
+/// heard since it loaded the pool. `longest` is the longest lease that workers
+/// grant: extensions are shortened to it.
+constexpr base::duration unheard_worker_lease(base::duration longest)
+{
+    return max_orders_after_takeover + longest_lease(extension_length(longest));
+}
 static_assert(unheard_worker_lease(max_extension) >=
               max_ordering_time - role_lease +
                   longest_lease(std::max(max_extension, order_validity)));
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -204,11 +204,17 @@
     std::span<const jobs::roster_entry> entries)
 {
     const base::time_point now = base::steady_now();
+    // One line, since a takeover logs the runs that it finds, too.
+    std::string known;
     for (const auto& entry : entries)
     {
         state.inherit_worker(entry, now + inherited_lease(entry, lease), now);
         link_of(entry.worker);
+        known += (known.empty() ? "" : " ") + entry.worker.id + '=' +
+                 (entry.runs ? std::to_string(entry.runs->size()) : "unknown");
     }
+    if (!entries.empty())
+        log_decision({"workers_inherited", {}, {}, 0, {}, known});
 }
 
 // Lets the next owner go on without waiting for workers that are silent.
