--- a/src/fleet/ordered_workers.cpp
+++ b/src/fleet/ordered_workers.cpp
@@ -16,6 +16,9 @@
     // A row that cannot be read.
     if (entry.pool.empty())
         return false;
+    // Its worker has not joined yet, or is missing in the row.
+    if (entry.status == machine_status::up && entry.worker.empty())
+        return false;
     // `down` also stands for a state that cannot be read.
     return entry.worker != worker || entry.status == machine_status::moving ||
            entry.status == machine_status::in_maintenance;
--- a/src/jobs/pool_losses.cpp
+++ b/src/jobs/pool_losses.cpp
@@ -226,6 +226,8 @@
         // report the run is stopped there, so that it cannot start.
         entry->active->state = run_state::unsettled;
         entry->active->since = now;
+        // The earlier incarnation may have carried it out.
+        entry->is_given_up = true;
     }
     check_causes(lost, now, wall);
     worker.knowledge.forget_report();
--- a/src/jobs/pool_planner.cpp
+++ b/src/jobs/pool_planner.cpp
@@ -114,7 +114,8 @@
 
 bool pool_state::are_all_runs_certain() const
 {
-    return std::all_of(workers_.begin(), workers_.end(),
+    return !has_given_up_worker_ &&
+           std::all_of(workers_.begin(), workers_.end(),
                        [](const auto& entry)
                        {
                            return entry.second.knowledge.is_certain() &&
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -83,6 +83,8 @@
     if (found == workers_.end() || !found->second.runs.empty())
         return;
     resolve_runs(found->second);
+    has_given_up_worker_ =
+        has_given_up_worker_ || !found->second.knowledge.is_certain();
     workers_.erase(found);
 }
 
--- a/src/jobs/pool_roster.cpp
+++ b/src/jobs/pool_roster.cpp
@@ -322,8 +322,11 @@
 
 void pool_state::set_lease_end(std::string_view id, base::time_point at)
 {
-    if (worker_view* worker = find_worker(id))
-        worker->lease_ends_by = at;
+    worker_view* worker = find_worker(id);
+    if (worker == nullptr)
+        return;
+    worker->lease_ends_by = at;
+    worker->knowledge.note_lease(at);
 }
 
 } // namespace pimentograde::jobs
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -482,6 +482,9 @@
     /// Of the latest plan.
     ownership ownership_ = ownership::exclusive;
     bool knows_all_runs_ = true;
+    /// A worker was forgotten without its word, since no run could exist there
+    /// any more.
+    bool has_given_up_worker_ = false;
     /// Time of the last `roster`.
     base::time_point roster_taken_at_{};
     double peak_cores_ = 0.0;
--- a/src/jobs/run_knowledge.cpp
+++ b/src/jobs/run_knowledge.cpp
@@ -1,5 +1,7 @@
 #include "jobs/run_knowledge.hpp"
 
+#include <algorithm>
+
 namespace pimentograde::jobs
 {
 
@@ -18,6 +20,11 @@
     return result;
 }
 
+void run_knowledge::note_lease(base::time_point until)
+{
+    hidden_until_ = std::max(hidden_until_, until);
+}
+
 void run_knowledge::note_report()
 {
     ground_ = ground::report;
--- a/src/jobs/run_knowledge.hpp
+++ b/src/jobs/run_knowledge.hpp
@@ -26,6 +26,9 @@
     /// The worker has listed all its runs under this owner's fence, and ignores
     /// orders under lower ones from then on.
     void note_report();
+    /// Runs that are not known may exist until `until`, since this owner
+    /// extends the worker's lease.
+    void note_lease(base::time_point until);
     /// The report came from an incarnation that this owner had not heard, while
     /// its ownership was contested: a later owner may have heard the
     /// incarnation before, whose runs have ended or been lost since.
--- a/tests/machines/ordered_workers_test.cpp
+++ b/tests/machines/ordered_workers_test.cpp
@@ -107,6 +107,7 @@
                       start + 500ms) == workers{});
     CHECK(ended_after(orders, listed("w1", machine_status::down),
                       start + 750ms) == workers{});
+    CHECK(ended_after(orders, listed(""), start + 800ms) == workers{});
     CHECK(ended_after(orders, listed("w2"), start + 1s) == workers{"w1"});
 }
 
