--- a/src/jobs/pool_planner.cpp
+++ b/src/jobs/pool_planner.cpp
@@ -123,7 +123,7 @@
                        });
 }
 
-bool pool_state::rests_on_silence(const job& subject, const task& entry) const
+bool pool_state::rests_on_inference(const job& subject, const task& entry) const
 {
     return entry.is_given_up || (subject.is_inherited && !knows_all_runs_);
 }
@@ -134,7 +134,7 @@
     if (entry.is_done || entry.active || now < entry.not_before)
         return false;
     return ownership_ == ownership::exclusive ||
-           !rests_on_silence(subject, entry);
+           !rests_on_inference(subject, entry);
 }
 
 std::vector<pool_state::waiting_job>
@@ -265,7 +265,7 @@
         orders.push_back({subject.id_of(position, static_cast<int>(index)), run,
                           worker->description.id, subject.spec.payload,
                           entry.checkpoint, record_start(subject, entry),
-                          rests_on_silence(subject, entry)});
+                          rests_on_inference(subject, entry)});
     }
 }
 
@@ -355,7 +355,8 @@
         {
             task& member = tasks[static_cast<std::size_t>(order.task.index)];
             order.required_change = record_start(subject, member);
-            order.needs_exclusive_ownership = rests_on_silence(subject, member);
+            order.needs_exclusive_ownership =
+                rests_on_inference(subject, member);
         }
         orders.insert(orders.end(), planned.begin(), planned.end());
         subject.steps[position].awaits_rack_since.reset();
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -104,8 +104,10 @@
     worker_view* worker = find_worker(id);
     if (worker == nullptr)
         return;
+    const bool is_first_report =
+        worker->born_ms == 0 && !worker->knowledge.has_reported();
     if (held == ownership::contested &&
-        (worker->born_ms == 0 || report.born_ms != worker->born_ms))
+        (is_first_report || report.born_ms != worker->born_ms))
         worker->knowledge.note_doubt();
     const bool has_restarted = report.born_ms != 0 && worker->born_ms != 0 &&
                                report.born_ms != worker->born_ms;
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -354,8 +354,8 @@
     [[nodiscard]] bool are_all_runs_certain() const;
     /// Whether the task would start since a run of it is taken for gone,
     /// without the worker's word.
-    [[nodiscard]] bool rests_on_silence(const job& subject,
-                                        const task& entry) const;
+    [[nodiscard]] bool rests_on_inference(const job& subject,
+                                          const task& entry) const;
     [[nodiscard]] bool may_start(const job& subject, const task& entry,
                                  base::time_point now) const;
     /// `free` is, for each resource, the largest free amount on any worker.
