--- a/src/entry/services.cpp
+++ b/src/entry/services.cpp
@@ -358,7 +358,7 @@
 
 std::optional<operator_identity> services::find_operator(std::string_view token)
 {
-    const auto found = access.find_operator(token);
+    auto found = access.find_operator(token);
     if (!found || bundle_)
         return found;
     // An operator of the settings; a bundle that has not been read yet may have
