--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -130,3 +130,36 @@
     pool.lose(run_loss::ended);
     CHECK(starts(pool.next->plan(), "a"));
 }
+
+// Guards against a second run of a task whose end has not been read yet: the
+// owner's own polls extend the worker's lease beyond the earlier owner's time.
+TEST_CASE("a worker whose list was cut short keeps its tasks while its lease "
+          "is extended")
+{
+    unheard_pool pool;
+    pool_state& state = pool.next->state;
+    // 500 other ends come first.
+    worker_report part;
+    part.is_truncated = true;
+    state.apply_report(pool.order.worker, part, pool.next->now + 10ms,
+                       pool.next->now + 10ms, wall);
+    state.set_lease_end(pool.order.worker, pool.next->now + unknown_lease + 5s);
+    CHECK(pool.next->plan(unknown_lease - 1ms).empty());
+    CHECK(pool.next->plan(unknown_lease + 1ms).empty());
+}
+
+// Guards against a second run beside the next owner, which may have heard the
+// worker and extends its lease; this owner has dropped it.
+TEST_CASE("a contested owner starts nothing again since it has forgotten a "
+          "worker that it never heard")
+{
+    unheard_pool pool;
+    pool_state& state = pool.next->state;
+    state.unlist_worker(pool.order.worker);
+    const base::time_point later = pool.next->now + unknown_lease;
+    CHECK(state.plan(later, wall, ownership::contested).empty());
+    // What `remove_idle_links` does right after the plan.
+    REQUIRE(state.can_forget(pool.order.worker, later));
+    state.forget_worker(pool.order.worker);
+    CHECK(state.plan(later + 250ms, wall, ownership::contested).empty());
+}
