--- a/tests/disturbance/interruption_test.cpp
+++ b/tests/disturbance/interruption_test.cpp
@@ -278,6 +278,36 @@
     CHECK(all.platform.starts_of(id_a + ".0.0.0") == 1);
 }
 
+// Guards against refusals that wait for a slow store, which is asked whether
+// the job was accepted before (kavango-cues scale-2: 303 ms instead of 3 ms).
+TEST_CASE("a slow store does not delay refusals while a pool has no owner")
+{
+    cluster all(2);
+    REQUIRE(all.client.submit(*all.entries[0], id_a, lasting) == 200);
+    const std::size_t owner = all.owner();
+    REQUIRE(owner < 2);
+    const entry& other = *all.entries[1 - owner];
+    all.platform.store.faults.commit_delay = 1500ms;
+    net::task_group stopping;
+    stopping.spawn([&] { all.entries[owner]->instance->stop(); });
+    boost::this_fiber::sleep_for(200ms);
+    all.platform.store.faults.answer_delay = 600ms;
+    int refusals = 0;
+    for (int round = 0; round < 5; ++round)
+    {
+        const base::time_point asked_at = base::steady_now();
+        if (all.client.submit(other, id_b, one_task) != 503)
+            break;
+        ++refusals;
+        CHECK(base::steady_now() - asked_at < 400ms);
+    }
+    CHECK(refusals > 0);
+    all.platform.store.faults.answer_delay = {};
+    all.platform.store.faults.commit_delay = {};
+    stopping.join();
+    all.entries[owner].reset();
+}
+
 // Guards against submissions that wait for a silent store until their callers
 // give up, and against late notice of its return (kavango-cues trouble-3: 68
 // answers 504 to jobs that had never been written).
