Reserve ports of test servers until they are bound

Cause: each test process chose ports at random from one range, found them free and released them until its servers started; an entry of a test chose four such ports one by one.

Change: a test process takes blocks of ports and holds the first port of each until it ends, so no two processes share a block; the ports of a block are handed out in turn. Weighed: servers on port 0 (the settings name the ports in advance, and the inner one and the metrics one are consecutive); retrying the start (hides a product that cannot listen).

The old function has no such test to fail in one process; its fault was a matter of chance.

--- a/tests/late_orders/late_orders_test.cpp
+++ b/tests/late_orders/late_orders_test.cpp
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <cstdlib>
+#include <random>
 
 using namespace pimentograde;
 using namespace pimentograde::node_tests;
--- a/tests/node/cluster.hpp
+++ b/tests/node/cluster.hpp
@@ -7,8 +7,8 @@
 #include "net/io_scheduler.hpp"
 #include "net/task_group.hpp"
 #include "node/node_instance.hpp"
+#include "node/test_ports.hpp"
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/fiber/operations.hpp>
 
 #include "platform_standin/platform_double.hpp"
@@ -19,7 +19,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <random>
 #include <string>
 #include <vector>
 
@@ -30,34 +29,6 @@
 using namespace std::chrono_literals;
 using platform_standin::platform_double;
 
-/// Finds two consecutive free ports below the kernel's ephemeral range, and
-/// returns the first. Chosen at random, since test processes run in parallel.
-inline std::uint16_t find_free_port_pair()
-{
-    using boost::asio::ip::tcp;
-    constexpr int first_port = 12'000;
-    constexpr int last_port = 31'000;
-    static std::mt19937 random{std::random_device{}()};
-    std::uniform_int_distribution<int> choose(first_port, last_port);
-    auto& io = net::this_thread_io();
-    const auto loopback = boost::asio::ip::make_address("127.0.0.1");
-    const auto is_free = [&](int port)
-    {
-        boost::system::error_code failure;
-        tcp::acceptor listener(io);
-        listener.open(tcp::v4());
-        listener.bind(tcp::endpoint(loopback, static_cast<std::uint16_t>(port)),
-                      failure);
-        return !failure;
-    };
-    while (true)
-    {
-        const int port = choose(random);
-        if (is_free(port) && is_free(port + 1))
-            return static_cast<std::uint16_t>(port);
-    }
-}
-
 inline bool eventually(const std::function<bool()>& holds,
                        base::duration limit = 15s)
 {
@@ -80,14 +51,15 @@
           double cores = 1.0, std::optional<net::endpoint> way_to_store = {},
           std::optional<std::uint16_t> internal_port = {})
     {
+        auto& ports = test_ports::of_this_process();
         settings.cores = cores;
         settings.name = name;
         settings.zone = "z";
         settings.address = "127.0.0.1";
         settings.first_internal_port =
-            internal_port ? *internal_port : find_free_port_pair();
-        settings.caller_listen = {"127.0.0.1", find_free_port_pair()};
-        settings.readiness_listen = {"127.0.0.1", find_free_port_pair()};
+            internal_port ? *internal_port : ports.reserve(2);
+        settings.caller_listen = {"127.0.0.1", ports.reserve(1)};
+        settings.readiness_listen = {"127.0.0.1", ports.reserve(1)};
         settings.store = way_to_store.value_or(platform.store_address());
         settings.machine_service = platform.machine_address();
         settings.longest_worker_lease = 1500ms;
--- a/tests/node/node_instance_test.cpp
+++ b/tests/node/node_instance_test.cpp
@@ -449,7 +449,7 @@
     using boost::asio::ip::tcp;
     cluster all(0);
     all.platform.configure(1, "pool");
-    const std::uint16_t port = find_free_port_pair();
+    const std::uint16_t port = test_ports::of_this_process().reserve(2);
     std::optional<tcp::acceptor> other;
     other.emplace(
         net::this_thread_io(),
