Promise each place for a long-running task once

Cause: a long-running task is stopped if another worker can take it now. A task that is being stopped counts at the worker that it leaves until it starts again, so its place looked free to the next task: four tasks of two workers were stopped in one millisecond for two places (limit of two tasks of the step on a worker). Ruled out: no room (most was free), a wait of the planner (two tasks of the step start meanwhile).

Change: places are given to the tasks that wait for one before another task is stopped; a worker that has the only place for one is not released.

Evidence: both new cases of leave_test fail before (four stops for two places; the last place released).

--- a/src/jobs/pool_leave.cpp
+++ b/src/jobs/pool_leave.cpp
@@ -16,6 +16,13 @@
 // about every 2 s.
 constexpr std::chrono::milliseconds max_report_age{2800};
 
+bool awaits_place(const task& entry)
+{
+    return !entry.is_done &&
+           (!entry.active || entry.active->state == run_state::stopping ||
+            entry.active->state == run_state::stopped);
+}
+
 } // namespace
 
 void pool_state::evacuate(worker_view& worker, base::time_point now)
@@ -77,20 +84,39 @@
 
 bool pool_state::has_place_elsewhere(const worker_view& worker,
                                      const job& subject, std::size_t position,
-                                     base::time_point now)
+                                     base::time_point now) const
+{
+    lasting_places places = places_beside(&worker, now);
+    return take_place(places, subject, position);
+}
+
+lasting_places pool_state::places_beside(const worker_view* excluded,
+                                         base::time_point now) const
+{
+    lasting_places places;
+    for (const auto& [id, worker] : workers_)
+        if (&worker != excluded && worker.accepts_starts(now) &&
+            !worker.is_reserved(now))
+            places.add_worker(worker);
+    for (const job* subject : open_)
+        for (std::size_t position = 0; position < subject->steps.size();
+             ++position)
+        {
+            if (!subject->spec_of(position).is_long_running)
+                continue;
+            for (const task& entry : subject->steps[position].tasks)
+                if (awaits_place(entry))
+                    take_place(places, *subject, position);
+        }
+    return places;
+}
+
+bool pool_state::take_place(lasting_places& places, const job& subject,
+                            std::size_t position) const
 {
-    std::vector<worker_view*> others;
-    for (auto& [id, other] : workers_)
-        if (&other != &worker)
-            others.push_back(&other);
-    const placement_request request{
-        .step = &subject.spec_of(position),
-        .rack = {},
-        .avoided = {},
-        .same_step_count = [&](const worker_view& other)
-        { return same_step_count(other, subject, position); },
-        .is_same_unit = {}};
-    return choose_worker(others, request, now) != nullptr;
+    return places.take(subject.spec_of(position), subject.steps[position],
+                       [&](const worker_view& worker)
+                       { return same_step_count(worker, subject, position); });
 }
 
 bool pool_state::prepare_leave(std::string_view id, base::time_point until,
@@ -109,7 +135,10 @@
     const bool has_long_running = std::any_of(
         open_.begin(), open_.end(),
         [](const job* subject) { return subject->spec.is_long_running(); });
-    if (is_last && has_long_running)
+    const bool has_only_place =
+        worker->accepts_starts(now) && places_beside(nullptr, now).taken() >
+                                           places_beside(worker, now).taken();
+    if ((is_last && has_long_running) || has_only_place)
         return false;
     worker->leaving_until = std::max(worker->leaving_until, until);
     evacuate(*worker, now);
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -5,6 +5,7 @@
 #include "jobs/admission.hpp"
 #include "jobs/arrival_rate.hpp"
 #include "jobs/job.hpp"
+#include "jobs/lasting_places.hpp"
 #include "jobs/ordering.hpp"
 #include "jobs/roster.hpp"
 #include "jobs/worker_report.hpp"
@@ -435,7 +436,13 @@
     [[nodiscard]] bool has_place_elsewhere(const worker_view& worker,
                                            const job& subject,
                                            std::size_t position,
-                                           base::time_point now);
+                                           base::time_point now) const;
+    /// Places beside those of the long-running tasks that are stopped, are
+    /// being stopped or have not started.
+    [[nodiscard]] lasting_places places_beside(const worker_view* excluded,
+                                               base::time_point now) const;
+    bool take_place(lasting_places& places, const job& subject,
+                    std::size_t position) const;
     [[nodiscard]] bool may_interrupt(const job& subject, const task_id& id,
                                      base::time_point now) const;
     void log_decision(const decision& entry) const;
--- a/tests/jobs/leave_test.cpp
+++ b/tests/jobs/leave_test.cpp
@@ -41,3 +41,70 @@
     pool.report("w2", {});
     CHECK(pool.state.prepare_leave("w2", until, pool.now));
 }
+
+namespace
+{
+
+/// Long-running tasks of which two run on each of the first workers; the step
+/// may use each worker for two.
+struct lasting_fixture : pool_fixture
+{
+    std::vector<start_order> orders;
+
+    explicit lasting_fixture(int tasks)
+        : pool_fixture({describe("w1"), describe("w2"), describe("w3")})
+    {
+        auto lasting = make_step(tasks);
+        lasting.is_long_running = true;
+        lasting.max_per_worker = 2;
+        lasting.max_unavailable = tasks;
+        submit("j", make_job({lasting}));
+        orders = plan_and_start();
+        for (const auto& [id, worker] : state.workers())
+        {
+            std::vector<start_order> there;
+            for (const start_order& order : orders)
+                if (order.worker == id)
+                    there.push_back(order);
+            report(id, running(there, 100));
+        }
+    }
+};
+
+} // namespace
+
+// Guards against long-running tasks that are stopped and never start again
+// (LOST): the workers of several left at once, and each was promised the same
+// place on another one.
+TEST_CASE("long-running tasks of two leaving workers do not share one place")
+{
+    lasting_fixture pool(4);
+    REQUIRE(pool.orders.size() == 4);
+    const std::string idle = "w3";
+    REQUIRE(pool.state.workers().at(idle).runs.empty());
+    const base::time_point until = pool.now + 10s;
+    pool.state.prepare_leave("w1", until, pool.now);
+    pool.state.prepare_leave("w2", until, pool.now);
+    const auto stops = pool.state.take_stops();
+    CHECK(stops.size() == 2);
+    for (const stop_order& stop : stops)
+        CHECK(stop.worker == "w1");
+}
+
+// Guards against the same where the other worker leaves after the stop.
+TEST_CASE("a worker does not leave with the only place for a stopped task")
+{
+    lasting_fixture pool(2);
+    REQUIRE(pool.orders.size() == 2);
+    REQUIRE(pool.orders[0].worker == "w1");
+    pool.state.update_worker(describe("w4", 500));
+    pool.state.note_recorded(pool.state.roster(pool.now));
+    pool.report("w4", {});
+    const base::time_point until = pool.now + 10s;
+    CHECK(pool.state.prepare_leave("w2", until, pool.now));
+    pool.state.prepare_leave("w1", until, pool.now);
+    CHECK(pool.state.take_stops().size() == 2);
+    // The fourth worker is too small for the tasks.
+    CHECK_FALSE(pool.state.prepare_leave("w3", until, pool.now));
+    CHECK(pool.state.workers().at("w3").accepts_starts(pool.now));
+}
