Take no run for known where nothing has been said

The default now has no ground and may hide runs at any time; a worker that the store lists and no roster names gets its ground by name (never_used).

Nothing that callers see changes: the one place that relied on the default names its ground.

--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -56,7 +56,10 @@
 
 void pool_state::update_worker(const worker_description& description)
 {
-    worker_view& worker = workers_[description.id];
+    const auto [found, is_new] = workers_.try_emplace(description.id);
+    worker_view& worker = found->second;
+    if (is_new)
+        worker.knowledge = run_knowledge::never_used();
     const bool begins_draining =
         description.is_draining && !worker.description.is_draining;
     worker.is_listed = true;
--- a/src/jobs/run_knowledge.cpp
+++ b/src/jobs/run_knowledge.cpp
@@ -5,6 +5,13 @@
 namespace pimentograde::jobs
 {
 
+run_knowledge run_knowledge::never_used()
+{
+    run_knowledge result;
+    result.ground_ = ground::unused;
+    return result;
+}
+
 run_knowledge run_knowledge::stated_by_roster()
 {
     run_knowledge result;
@@ -15,7 +22,6 @@
 run_knowledge run_knowledge::unknown_until(base::time_point until)
 {
     run_knowledge result;
-    result.ground_ = ground::none;
     result.hidden_until_ = until;
     return result;
 }
--- a/src/jobs/run_knowledge.hpp
+++ b/src/jobs/run_knowledge.hpp
@@ -13,9 +13,11 @@
 class run_knowledge
 {
 public:
-    /// Knowledge about a worker that no roster names: an owner starts runs only
-    /// on workers that its stored roster names.
+    /// No ground: any run may exist at any time.
     run_knowledge() = default;
+    /// No roster names the worker: an owner starts runs only on workers that
+    /// its stored roster names.
+    static run_knowledge never_used();
     /// An earlier owner has stored all its runs and has started no others
     /// since.
     static run_knowledge stated_by_roster();
@@ -60,10 +62,10 @@
         none
     };
 
-    ground ground_ = ground::unused;
+    ground ground_ = ground::none;
     bool has_reported_ = false;
     bool is_doubtful_ = false;
-    base::time_point hidden_until_{};
+    base::time_point hidden_until_ = base::time_point::max();
 };
 
 } // namespace pimentograde::jobs
