Give the planner its basis as an argument

pool_state::plan kept the ownership and whether all runs are certain as members for the functions that it calls, so a caller outside of plan would have read those of the plan before. They are one argument now, and its default is the careful one.

--- a/src/jobs/pool_planner.cpp
+++ b/src/jobs/pool_planner.cpp
@@ -97,6 +97,14 @@
 
 } // namespace
 
+struct pool_state::plan_basis
+{
+    base::time_point now;
+    ownership held = ownership::contested;
+    /// Each worker's runs are certain, so that a task without a run has none.
+    bool knows_all_runs = false;
+};
+
 struct pool_state::waiting_job
 {
     job* subject = nullptr;
@@ -123,18 +131,19 @@
                        });
 }
 
-bool pool_state::rests_on_inference(const job& subject, const task& entry) const
+bool pool_state::rests_on_inference(const job& subject, const task& entry,
+                                    const plan_basis& basis)
 {
-    return entry.is_given_up || (subject.is_inherited && !knows_all_runs_);
+    return entry.is_given_up || (subject.is_inherited && !basis.knows_all_runs);
 }
 
 bool pool_state::may_start(const job& subject, const task& entry,
-                           base::time_point now) const
+                           const plan_basis& basis)
 {
-    if (entry.is_done || entry.active || now < entry.not_before)
+    if (entry.is_done || entry.active || basis.now < entry.not_before)
         return false;
-    return ownership_ == ownership::exclusive ||
-           !rests_on_inference(subject, entry);
+    return basis.held == ownership::exclusive ||
+           !rests_on_inference(subject, entry, basis);
 }
 
 std::vector<pool_state::waiting_job>
@@ -202,11 +211,10 @@
 std::vector<start_order> pool_state::plan(base::time_point now,
                                           base::wall_time wall, ownership held)
 {
-    ownership_ = held;
     if (held == ownership::exclusive)
         for (auto& [id, worker] : workers_)
             worker.knowledge.end_doubt();
-    knows_all_runs_ = are_all_runs_certain();
+    const plan_basis basis{now, held, are_all_runs_certain()};
     if (!planned_since_)
         planned_since_ = now;
     std::vector<worker_view*> usable;
@@ -227,9 +235,9 @@
                 continue;
             const std::size_t planned = orders.size();
             if (entry.subject->spec_of(position).is_gang)
-                plan_gang(*entry.subject, position, usable, now, orders);
+                plan_gang(*entry.subject, position, usable, basis, orders);
             else
-                plan_step(*entry.subject, position, usable, now, orders);
+                plan_step(*entry.subject, position, usable, basis, orders);
             if (orders.size() == planned)
                 continue;
             free = largest_free(usable);
@@ -240,15 +248,16 @@
 
 void pool_state::plan_step(job& subject, std::size_t position,
                            std::span<worker_view* const> workers,
-                           base::time_point now,
+                           const plan_basis& basis,
                            std::vector<start_order>& orders)
 {
+    const base::time_point now = basis.now;
     const step_spec& part = subject.spec_of(position);
     auto& tasks = subject.steps[position].tasks;
     for (std::size_t index = 0; index < tasks.size(); ++index)
     {
         task& entry = tasks[index];
-        if (!may_start(subject, entry, now) ||
+        if (!may_start(subject, entry, basis) ||
             !has_attempts_left(entry, part, policy_of(subject)))
             continue;
         worker_view* worker = choose_worker_for(
@@ -265,23 +274,24 @@
         orders.push_back({subject.id_of(position, static_cast<int>(index)), run,
                           worker->description.id, subject.spec.payload,
                           entry.checkpoint, record_start(subject, entry),
-                          rests_on_inference(subject, entry)});
+                          rests_on_inference(subject, entry, basis)});
     }
 }
 
 void pool_state::plan_gang(job& subject, std::size_t position,
                            std::span<worker_view* const> workers,
-                           base::time_point now,
+                           const plan_basis& basis,
                            std::vector<start_order>& orders)
 {
     const auto& tasks = subject.steps[position].tasks;
     const bool is_waiting = std::all_of(
         tasks.begin(), tasks.end(),
-        [&](const task& member) { return may_start(subject, member, now); });
+        [&](const task& member) { return may_start(subject, member, basis); });
     if (!is_waiting)
         return;
-    for (const std::string& rack : racks_for(subject, position, workers, now))
-        if (start_gang(subject, position, rack, workers, now, orders))
+    for (const std::string& rack :
+         racks_for(subject, position, workers, basis.now))
+        if (start_gang(subject, position, rack, workers, basis, orders))
             return;
 }
 
@@ -323,9 +333,10 @@
 bool pool_state::start_gang(job& subject, std::size_t position,
                             const std::string& rack,
                             std::span<worker_view* const> workers,
-                            base::time_point now,
+                            const plan_basis& basis,
                             std::vector<start_order>& orders)
 {
+    const base::time_point now = basis.now;
     auto& tasks = subject.steps[position].tasks;
     int run = 0;
     std::string checkpoint;
@@ -356,7 +367,7 @@
             task& member = tasks[static_cast<std::size_t>(order.task.index)];
             order.required_change = record_start(subject, member);
             order.needs_exclusive_ownership =
-                rests_on_inference(subject, member);
+                rests_on_inference(subject, member, basis);
         }
         orders.insert(orders.end(), planned.begin(), planned.end());
         subject.steps[position].awaits_rack_since.reset();
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -294,6 +294,7 @@
     [[nodiscard]] double active_cores(base::time_point now) const;
 
 private:
+    struct plan_basis;
     struct waiting_job;
 
     job* find(std::string_view id);
@@ -355,26 +356,27 @@
     [[nodiscard]] bool are_all_runs_certain() const;
     /// Whether the task would start since a run of it is taken for gone,
     /// without the worker's word.
-    [[nodiscard]] bool rests_on_inference(const job& subject,
-                                          const task& entry) const;
-    [[nodiscard]] bool may_start(const job& subject, const task& entry,
-                                 base::time_point now) const;
+    [[nodiscard]] static bool rests_on_inference(const job& subject,
+                                                 const task& entry,
+                                                 const plan_basis& basis);
+    [[nodiscard]] static bool may_start(const job& subject, const task& entry,
+                                        const plan_basis& basis);
     /// `free` is, for each resource, the largest free amount on any worker.
     std::vector<waiting_job> waiting_jobs(const resource_amount& free,
                                           base::time_point now,
                                           base::wall_time wall);
     void plan_step(job& subject, std::size_t position,
-                   std::span<worker_view* const> workers, base::time_point now,
-                   std::vector<start_order>& orders);
+                   std::span<worker_view* const> workers,
+                   const plan_basis& basis, std::vector<start_order>& orders);
     void plan_gang(job& subject, std::size_t position,
-                   std::span<worker_view* const> workers, base::time_point now,
-                   std::vector<start_order>& orders);
+                   std::span<worker_view* const> workers,
+                   const plan_basis& basis, std::vector<start_order>& orders);
     [[nodiscard]] std::vector<std::string>
     racks_for(job& subject, std::size_t position,
               std::span<worker_view* const> workers, base::time_point now);
     bool start_gang(job& subject, std::size_t position, const std::string& rack,
-                    std::span<worker_view* const> workers, base::time_point now,
-                    std::vector<start_order>& orders);
+                    std::span<worker_view* const> workers,
+                    const plan_basis& basis, std::vector<start_order>& orders);
     void log_starts(std::span<const start_order> orders) const;
     int same_step_count(const worker_view& worker, const job& subject,
                         std::size_t position) const;
@@ -486,9 +488,6 @@
     std::optional<base::time_point> left_unanswered_at_;
     double remote_factor_ = 1.0;
     std::size_t recorded_workers_ = 0;
-    /// Of the latest plan.
-    ownership ownership_ = ownership::exclusive;
-    bool knows_all_runs_ = true;
     /// A worker was forgotten without its word, since no run could exist there
     /// any more.
     bool has_given_up_worker_ = false;
