Reserve the ports of a demo

`make demo` failed when another process used one of its fixed ports: with a listener on 20001 "the test double ended with 1", on 20112 "e2 ended with 3". Two demos at once on one machine failed the same way. Cause: ports from 20000 on were neither checked nor held.

Measurements and the failure run use the same ranges.

--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -13,15 +13,9 @@
 import threading
 import time
 
+import port_range
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-# Two deployments at once need different ports.
-FIRST_PORT = int(os.environ.get("PIMENTOGRADE_FIRST_PORT", "20000"))
-STORE_PORT = FIRST_PORT + 1
-LIST_PORT = FIRST_PORT + 2
-CONTROL_PORT = FIRST_PORT + 3
-FIRST_MEMBER_PORT = FIRST_PORT + 100
-FIRST_WORKER_PORT = FIRST_PORT + 1001
-PORTS_PER_MEMBER = 10
 PEER_SECRET = "loopback-peer-secret-0123456789"
 STOP_SECONDS = 20
 
@@ -74,7 +68,8 @@
     def __init__(self, deployment, name, index):
         self.name = name
         self.deployment = deployment
-        base = FIRST_MEMBER_PORT + index * PORTS_PER_MEMBER
+        base = deployment.ports.member(index)
+        self.index = index
         self.caller_port = base
         self.operator_port = base + 1
         self.peer_port = base + 2
@@ -82,7 +77,7 @@
 
     def start(self):
         zones = self.deployment.bundle["zones"]
-        zone = zones[self.caller_port // PORTS_PER_MEMBER % len(zones)]
+        zone = zones[self.index % len(zones)]
         environment = dict(os.environ, PIMENTOGRADE_PEER_SECRET=PEER_SECRET)
         log = open(self.deployment.folder / f"{self.name}.log", "ab")
         self.process = subprocess.Popen(
@@ -92,8 +87,8 @@
                 "--caller-listen", f"127.0.0.1:{self.caller_port}",
                 "--operator-listen", f"127.0.0.1:{self.operator_port}",
                 "--peer-listen", f"127.0.0.1:{self.peer_port}",
-                "--store", f"127.0.0.1:{STORE_PORT}",
-                "--instance-list", f"127.0.0.1:{LIST_PORT}",
+                "--store", f"127.0.0.1:{self.deployment.ports.store}",
+                "--instance-list", f"127.0.0.1:{self.deployment.ports.list}",
                 "--bootstrap-operators",
                 f"ana:author:{token_digest('ana')},"
                 f"luis:reviewer:{token_digest('luis')}",
@@ -143,13 +138,14 @@
     def __init__(self, build, name, members=None):
         self.build = pathlib.Path(build).resolve()
         self.name = name
-        self.folder = self.build / "run" / f"{name}-{FIRST_PORT}"
+        self.ports = port_range.of_this_process()
+        self.folder = self.build / "run" / f"{name}-{self.ports.first}"
         self.folder.mkdir(parents=True, exist_ok=True)
         for old in self.folder.glob("*.log"):
             old.unlink()
         self.bundle = json.loads((ROOT / "examples" / f"{name}.json").read_text())
         for index, worker in enumerate(self.bundle["workers"]):
-            worker["address"] = f"127.0.0.1:{FIRST_WORKER_PORT + index}"
+            worker["address"] = f"127.0.0.1:{self.ports.worker(index)}"
         self.bundle_path = self.folder / "bundle.json"
         self.bundle_path.write_text(json.dumps(self.bundle))
         count = members or MEMBERS[name]
@@ -171,9 +167,9 @@
             [
                 str(self.build / "pimentograde_standin"),
                 "--bundle", str(self.bundle_path),
-                "--store-port", str(STORE_PORT),
-                "--list-port", str(LIST_PORT),
-                "--control-port", str(CONTROL_PORT),
+                "--store-port", str(self.ports.store),
+                "--list-port", str(self.ports.list),
+                "--control-port", str(self.ports.control),
             ],
             stdout=log, stderr=log,
         )
@@ -190,7 +186,7 @@
         raise Fault("the test double did not start within 10 s")
 
     def control(self, method, path, body=None):
-        status, answer = http_json(CONTROL_PORT, method, path, body)
+        status, answer = http_json(self.ports.control, method, path, body)
         if status != 200:
             raise Fault(f"control {path}: status {status}: {answer}")
         return answer
--- a/tools/wave_run.py
+++ b/tools/wave_run.py
@@ -5,7 +5,7 @@
 import threading
 import time
 
-from deployment import CONTROL_PORT, Fault
+from deployment import Fault
 
 RACK_LOST_SECONDS = 8
 
@@ -16,7 +16,7 @@
     return subprocess.Popen(
         [str(deployment.build / "pimentograde_load"), "--entry", entries,
          "--bundle", str(deployment.bundle_path),
-         "--control", f"127.0.0.1:{CONTROL_PORT}", "--seconds", str(seconds),
+         "--control", f"127.0.0.1:{deployment.ports.control}", "--seconds", str(seconds),
          "--seed", str(seed), "--interval-seconds", "1000"],
         stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
     )
