Keep no worker free that cannot leave

Cause: a wave asks for two workers whose long-running tasks no other worker can take. Each request kept them free of new tasks for 2.5 s, and it is repeated for as long as the wave waits.

Change: a worker leaves if all long-running tasks that run on it, or wait for a place and have one, have places without it; else it takes other tasks again. That one rule replaces the checks of single tasks and of the only place.

--- a/src/jobs/pool_leave.cpp
+++ b/src/jobs/pool_leave.cpp
@@ -39,9 +39,7 @@
         const step_spec& part = subject->spec_of(position);
         const bool is_draining = worker.description.is_draining;
         if (part.is_long_running &&
-            (is_draining ||
-             (may_interrupt(*subject, name, now) &&
-              has_place_elsewhere(worker, *subject, position, now))))
+            (is_draining || may_interrupt(*subject, name, now)))
             stop_run(name, *entry, "the worker is leaving", now);
         else if (part.is_checkpointing && is_draining)
             stop_run(name, *entry, "the worker is draining", now);
@@ -82,21 +80,12 @@
     return unavailable < std::max(subject.spec_of(position).max_unavailable, 1);
 }
 
-bool pool_state::has_place_elsewhere(const worker_view& worker,
-                                     const job& subject, std::size_t position,
-                                     base::time_point now) const
-{
-    lasting_places places = places_beside(&worker, now);
-    return take_place(places, subject, position);
-}
-
-lasting_places pool_state::places_beside(const worker_view* excluded,
-                                         base::time_point now) const
+lasting_places pool_state::places_on(
+    const std::function<bool(const worker_view&)>& is_usable) const
 {
     lasting_places places;
     for (const auto& [id, worker] : workers_)
-        if (&worker != excluded && worker.accepts_starts(now) &&
-            !worker.is_reserved(now))
+        if (is_usable(worker))
             places.add_worker(worker);
     for (const job* subject : open_)
         for (std::size_t position = 0; position < subject->steps.size();
@@ -111,6 +100,40 @@
     return places;
 }
 
+bool pool_state::can_leave(const worker_view& leaving,
+                           base::time_point now) const
+{
+    const lasting_places before = places_on(
+        [&](const worker_view& worker)
+        {
+            return !worker.is_reserved(now) &&
+                   (&worker == &leaving ? worker.accepts_starts_if_it_stays(now)
+                                        : worker.accepts_starts(now));
+        });
+    lasting_places after = places_on(
+        [&](const worker_view& worker)
+        {
+            return !worker.is_reserved(now) && &worker != &leaving &&
+                   worker.accepts_starts(now);
+        });
+    if (after.taken() < before.taken())
+        return false;
+    return std::all_of(leaving.runs.begin(), leaving.runs.end(),
+                       [&](const auto& run)
+                       {
+                           const job* subject = find_job(run.first.job);
+                           const task* entry = subject == nullptr
+                                                   ? nullptr
+                                                   : subject->find(run.first);
+                           if (entry == nullptr || awaits_place(*entry))
+                               return true;
+                           const std::size_t position =
+                               subject->position_of(run.first);
+                           return !subject->spec_of(position).is_long_running ||
+                                  take_place(after, *subject, position);
+                       });
+}
+
 bool pool_state::take_place(lasting_places& places, const job& subject,
                             std::size_t position) const
 {
@@ -135,11 +158,15 @@
     const bool has_long_running = std::any_of(
         open_.begin(), open_.end(),
         [](const job* subject) { return subject->spec.is_long_running(); });
-    const bool has_only_place =
-        worker->accepts_starts(now) && places_beside(nullptr, now).taken() >
-                                           places_beside(worker, now).taken();
-    if ((is_last && has_long_running) || has_only_place)
+    const bool has_to_stay =
+        (is_last && has_long_running) ||
+        (!worker->description.is_draining && !can_leave(*worker, now));
+    if (has_to_stay)
+    {
+        // It takes other tasks again: places may not come for long.
+        worker->leaving_until = {};
         return false;
+    }
     worker->leaving_until = std::max(worker->leaving_until, until);
     evacuate(*worker, now);
     // Ends that are not stored would be lost with the worker.
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -185,9 +185,9 @@
     void forget_worker(std::string_view id);
     /// Places no new runs on the worker until `until` and stops its
     /// long-running tasks, as far as the availability of their steps allows, so
-    /// that they start on other workers; does nothing while there is no other
-    /// worker for them. Returns whether the worker has no runs left, and no end
-    /// that it alone knows.
+    /// that they start on other workers; does nothing while the others have no
+    /// places for all of them. Returns whether the worker has no runs left, and
+    /// no end that it alone knows.
     bool prepare_leave(std::string_view id, base::time_point until,
                        base::time_point now);
     /// Replaces the workers whose instances are to be maintained soon.
@@ -435,14 +435,14 @@
                      std::span<worker_view* const> workers,
                      base::time_point now);
     void evacuate(worker_view& worker, base::time_point now);
-    [[nodiscard]] bool has_place_elsewhere(const worker_view& worker,
-                                           const job& subject,
-                                           std::size_t position,
-                                           base::time_point now) const;
-    /// Places beside those of the long-running tasks that are stopped, are
-    /// being stopped or have not started.
-    [[nodiscard]] lasting_places places_beside(const worker_view* excluded,
-                                               base::time_point now) const;
+    /// Whether the long-running tasks that run on the worker, or wait for a
+    /// place, have places without it.
+    [[nodiscard]] bool can_leave(const worker_view& leaving,
+                                 base::time_point now) const;
+    /// Gives places to the long-running tasks that are stopped, are being
+    /// stopped or have not started.
+    [[nodiscard]] lasting_places
+    places_on(const std::function<bool(const worker_view&)>& is_usable) const;
     bool take_place(lasting_places& places, const job& subject,
                     std::size_t position) const;
     [[nodiscard]] bool may_interrupt(const job& subject, const task_id& id,
--- a/src/jobs/worker_view.cpp
+++ b/src/jobs/worker_view.cpp
@@ -213,12 +213,17 @@
 }
 
 bool worker_view::accepts_starts(base::time_point now) const
+{
+    return now >= leaving_until && accepts_starts_if_it_stays(now);
+}
+
+bool worker_view::accepts_starts_if_it_stays(base::time_point now) const
 {
     return is_listed && recorded == roster_mark::with_starts &&
            knowledge.has_reported() && is_reachable &&
-           !description.is_draining && now >= leaving_until &&
-           now >= no_room_until && now >= forgets_ends_until &&
-           !has_unknown_runs && !health.is_quarantined(now);
+           !description.is_draining && now >= no_room_until &&
+           now >= forgets_ends_until && !has_unknown_runs &&
+           !health.is_quarantined(now);
 }
 
 roster_mark worker_view::wanted_mark(base::time_point now) const
--- a/src/jobs/worker_view.hpp
+++ b/src/jobs/worker_view.hpp
@@ -214,6 +214,7 @@
     [[nodiscard]] worker_description described_as_known() const;
     [[nodiscard]] resource_amount free() const;
     [[nodiscard]] bool accepts_starts(base::time_point now) const;
+    [[nodiscard]] bool accepts_starts_if_it_stays(base::time_point now) const;
     /// Whether the worker is listed or may still have runs.
     [[nodiscard]] bool may_run_something() const
     {
--- a/tests/jobs/leave_test.cpp
+++ b/tests/jobs/leave_test.cpp
@@ -108,3 +108,34 @@
     CHECK_FALSE(pool.state.prepare_leave("w3", until, pool.now));
     CHECK(pool.state.workers().at("w3").accepts_starts(pool.now));
 }
+
+// Guards against accepted jobs that never run (LOST): workers that could not
+// leave, since no other one could take their long-running tasks, were kept free
+// of other tasks as long as they were asked to leave.
+TEST_CASE("a worker that cannot leave goes on taking tasks")
+{
+    lasting_fixture pool(6);
+    REQUIRE(pool.orders.size() == 6);
+    for (const std::string worker : {"w1", "w2"})
+        CHECK_FALSE(pool.state.prepare_leave(worker, pool.now + 10s, pool.now));
+    CHECK(pool.state.take_stops().empty());
+    CHECK(pool.state.workers().at("w1").accepts_starts(pool.now));
+    CHECK(pool.state.workers().at("w2").accepts_starts(pool.now));
+}
+
+// Guards against the same after the places for its tasks have gone.
+TEST_CASE("a worker that can no longer leave takes tasks again")
+{
+    lasting_fixture pool(2);
+    REQUIRE(pool.orders[0].worker == "w1");
+    const base::time_point until = pool.now + 10s;
+    pool.state.prepare_leave("w1", until, pool.now);
+    CHECK(pool.state.take_stops().size() == 2);
+    worker_report ends = ended(pool.orders[0], end_kind::stopped, 1);
+    ends.ended.push_back({2, pool.orders[1].task, 1, end_kind::stopped, {}});
+    pool.report("w1", ends);
+    pool.state.unlist_worker("w2");
+    pool.state.unlist_worker("w3");
+    CHECK_FALSE(pool.state.prepare_leave("w1", until, pool.now));
+    CHECK(pool.state.workers().at("w1").accepts_starts(pool.now));
+}
