Keep a stored job when its request comes again without time left

The caller had been told that the job was refused.

Cause: an owner that gets the request of a job again looks at the job only while time is left; then it withdraws a job of which no write has been sent. The test for that asked for a dirty record without a write under way, which also holds for a stored job whose progress waits for the store. The job was dropped while it ran, its ends were acknowledged as those of an unknown job, and the next owner read the record and started it anew.

Change: pool_state::withdraw decides itself, and removes only a job that is not stored, may not be, and is not being written; a job that is stored is accepted, however late the request. Ruled out: late writes of the earlier owner (they fail on the ownership), a wrong roster (the runs were ordered by the same owner).

--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -215,7 +215,7 @@
             entry.last_run += max_unstored_starts;
             entry.crashes.note_new_owner();
         }
-    withdraw(subject.id);
+    erase_job(subject.id);
     const auto entry = jobs_.emplace(subject.id, std::move(subject)).first;
     if (entry->second.status == job_status::open)
         open_.insert(&entry->second);
@@ -235,7 +235,17 @@
     return true;
 }
 
-void pool_state::withdraw(std::string_view id)
+bool pool_state::withdraw(std::string_view id)
+{
+    const job* subject = find_job(id);
+    if (subject == nullptr || subject->is_stored || subject->may_be_stored ||
+        is_being_written(*subject))
+        return false;
+    erase_job(id);
+    return true;
+}
+
+void pool_state::erase_job(std::string_view id)
 {
     const auto found = jobs_.find(id);
     if (found == jobs_.end())
@@ -526,7 +536,7 @@
 
 void pool_state::remove_job(std::string_view id)
 {
-    withdraw(id);
+    erase_job(id);
 }
 
 bool pool_state::leaves_unanswered(base::time_point now) const
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -134,8 +134,9 @@
     void restore(job subject, base::time_point now, base::wall_time wall);
     /// Returns whether the job is known. Does not change an ended job.
     bool cancel(std::string_view id, base::wall_time wall);
-    /// Removes a job whose record is known not to be stored.
-    void withdraw(std::string_view id);
+    /// Removes a job of whose record no write has been sent, so that the store
+    /// cannot hold it. Returns false, and removes nothing, for any other job.
+    bool withdraw(std::string_view id);
     [[nodiscard]] std::optional<reported_status>
     status_of(std::string_view id) const;
     [[nodiscard]] const job* find_job(std::string_view id) const;
@@ -307,6 +308,7 @@
     queue_statistics& statistics_of(const job& subject);
     [[nodiscard]] const queue_statistics&
     known_statistics(const job& subject) const;
+    void erase_job(std::string_view id);
     void mark_dirty(job& subject);
     /// The write of the record has to be repeated.
     void mark_unwritten(job& subject);
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -118,7 +118,6 @@
     void apply_workers();
     worker_link& link_of(const jobs::worker_description& worker);
     void remove_idle_links();
-    [[nodiscard]] bool was_never_written(const jobs::job& subject) const;
     submission_answer answer_submission(std::string_view id,
                                         base::time_point deadline);
 };
@@ -327,44 +326,36 @@
                                                       base::time_point deadline)
 {
     using kind = submission_answer::kind;
-    while (base::steady_now() < deadline && !is_stopping)
+    const jobs::job* subject = nullptr;
+    const auto is_decided = [&]
     {
-        writer.wait_until(
-            [&]
-            {
-                const jobs::job* found = state.find_job(id);
-                return found == nullptr || found->is_stored;
-            },
-            std::min<base::time_point>(deadline, base::steady_now() +
-                                                     stored_check_interval));
-        const jobs::job* subject = state.find_job(id);
-        // The same job may have been submitted twice, and the other call may
-        // have withdrawn it.
-        if (subject == nullptr)
-            return {kind::refused, outage_retry_after,
-                    "the store refused the job"};
-        if (subject->is_stored)
-            return {kind::accepted, {}, "stored"};
-        if (writer.is_failing() && was_never_written(*subject))
-        {
-            state.withdraw(id);
+        subject = state.find_job(id);
+        return subject == nullptr || subject->is_stored;
+    };
+    while (!is_decided())
+    {
+        const base::time_point now = base::steady_now();
+        // The job of another call must not be withdrawn, but this owner ends.
+        if (is_stopping)
+            return {kind::unknown, {}, "not stored in time"};
+        if (writer.is_failing() && state.withdraw(id))
             return {kind::refused, outage_retry_after,
                     "the store refuses writes"};
-        }
+        if (now >= deadline)
+            return state.withdraw(id)
+                       ? submission_answer{kind::refused, outage_retry_after,
+                                           "not stored in time"}
+                       : submission_answer{
+                             kind::unknown, {}, "not stored in time"};
+        writer.wait_until(
+            is_decided,
+            std::min<base::time_point>(deadline, now + stored_check_interval));
     }
-    // The job of another call must not be withdrawn, but this owner ends.
-    const jobs::job* subject = state.find_job(id);
-    if (subject == nullptr || is_stopping || !was_never_written(*subject))
-        return {kind::unknown, {}, "not stored in time"};
-    state.withdraw(id);
-    return {kind::refused, outage_retry_after, "not stored in time"};
-}
-
-// No write of the job's record has been sent, so it is certain not to run.
-bool pool_owner::impl::was_never_written(const jobs::job& subject) const
-{
-    return !subject.may_be_stored && state.is_dirty(subject) &&
-           !jobs::pool_state::is_being_written(subject);
+    // The same job may have been submitted twice, and the other call may have
+    // withdrawn it.
+    if (subject == nullptr)
+        return {kind::refused, outage_retry_after, "the store refused the job"};
+    return {kind::accepted, {}, "stored"};
 }
 
 std::unique_ptr<pool_owner> pool_owner::builder::build()
--- a/tests/jobs/pool_state_test.cpp
+++ b/tests/jobs/pool_state_test.cpp
@@ -598,3 +598,32 @@
     pool.state.prepare_leave("w1", pool.now + 10s, pool.now);
     CHECK(pool.state.take_stops().empty());
 }
+
+// Guards against a job that is forgotten although the store may hold it: the
+// next owner runs it again.
+TEST_CASE("a job is withdrawn only if no write of it has been sent")
+{
+    pool_fixture pool({describe("w1")});
+    const auto submit = [&](const std::string& id)
+    {
+        pool.state.submit(id, make_job({make_step(1)}), "queue", pool.now,
+                          wall);
+    };
+    submit("new");
+    CHECK(pool.state.withdraw("new"));
+    CHECK(pool.state.find_job("new") == nullptr);
+    CHECK_FALSE(pool.state.withdraw("new"));
+    submit("written");
+    pool.state.take_changes(100);
+    CHECK_FALSE(pool.state.withdraw("written"));
+    pool.state.note_not_stored("written", true);
+    CHECK_FALSE(pool.state.withdraw("written"));
+    pool.state.note_store_revision("written", 3);
+    pool.store();
+    CHECK_FALSE(pool.state.withdraw("written"));
+    const auto orders = pool.plan_and_start();
+    REQUIRE(orders.size() == 1);
+    pool.report("w1", running(orders, 10));
+    CHECK_FALSE(pool.state.withdraw("written"));
+    CHECK(pool.state.find_job("written") != nullptr);
+}
