Count no crash against a task whose start order was overdue

Cause: a start without an answer counts half when its worker restarts, also where a report made after the order lacked the run, where the order was taken over from an earlier owner, and where the worker refuses the start after its restart. One such restart 11 s after the order and another one at a start without an answer made up the second crash. Such an order was a suspect as well, so it hid other suspects.

Change: an unconfirmed run is marked as overdue when a later report lacks it, or when it comes from the roster; it is then no suspect. A refused or unsent start withdraws the crash that was noted meanwhile. A start that gets no answer just before the restart still counts half: the crash may be why.

Tests: "a restart before a late start arrives does not count as a crash" (3 of its 5 checks fail before) and "restarts before late starts arrive are no crashes under a task" (fails before).

--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -53,6 +53,9 @@
     /// The start order got no answer and the worker has not listed the run
     /// since: the order may still take effect.
     bool is_unconfirmed = false;
+    /// A later report of the worker lacked the run, or it is not known when the
+    /// order was sent: if it is still to arrive, it does so late.
+    bool is_overdue = false;
     /// Taken from the roster of an earlier owner, which may have seen its end
     /// since and started the task again.
     bool is_from_roster = false;
--- a/src/jobs/pool_crashes.cpp
+++ b/src/jobs/pool_crashes.cpp
@@ -81,9 +81,18 @@
 void pool_state::note_crash(worker_view& worker, run_loss loss,
                             const std::set<task_id>& kept, base::time_point now)
 {
+    // An order that is overdue hardly arrived just before the crash.
+    const auto may_be_cause = [&](const task_id& name)
+    {
+        const job* subject = find_job(name.job);
+        const task* entry = subject == nullptr ? nullptr : subject->find(name);
+        const bool is_overdue =
+            entry != nullptr && entry->active && entry->active->is_overdue;
+        return !kept.contains(name) && !is_overdue;
+    };
     std::vector<task_id> suspects;
     for (const recent_start& start : worker.recent_starts)
-        if (!kept.contains(start.task))
+        if (may_be_cause(start.task))
             suspects.push_back(start.task);
     const bool at_start = !suspects.empty();
     // A worker without known runs that ends may have been moved, or an earlier
@@ -100,7 +109,7 @@
     {
         unexplained_crashes_.push_back(now);
         for (const auto& [name, run] : worker.runs)
-            if (!kept.contains(name))
+            if (may_be_cause(name))
                 suspects.push_back(name);
     }
     const bool is_only_suspect =
--- a/src/jobs/pool_losses.cpp
+++ b/src/jobs/pool_losses.cpp
@@ -270,6 +270,7 @@
         begin_run(*subject, subject->position_of(start.task), start.task.index,
                   start.run, worker, run_state::unsettled, now);
         entry->active->is_unconfirmed = true;
+        entry->active->is_overdue = true;
         // The earlier owner may have started the task elsewhere since.
         entry->active->is_from_roster = worker.is_inherited;
     }
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -425,7 +425,10 @@
             continue;
         const run_state state = entry->active->state;
         if (state == run_state::unsettled)
+        {
+            entry->active->is_overdue = entry->active->is_unconfirmed;
             stop_run(name, *entry, "the start got no answer", now);
+        }
         if (state != run_state::running && state != run_state::stopped)
             continue;
         log_decision({"run_absent", name.job, to_string(name), number,
@@ -498,7 +501,8 @@
         }
         return;
     }
-    if (entry->crashes.withdraw_start(order.run))
+    // The run has not begun, also where the worker has restarted meanwhile.
+    if (entry->crashes.withdraw(order.run, order.worker))
         note_crash_change(*subject);
     clear_run(*subject, order.task, *entry);
     entry->not_before = now;
--- a/src/jobs/pool_roster.cpp
+++ b/src/jobs/pool_roster.cpp
@@ -87,6 +87,7 @@
                                      : run_state::unsettled,
               now);
     entry->active->is_unconfirmed = !inherited.is_confirmed;
+    entry->active->is_overdue = !inherited.is_confirmed;
     if (!inherited.is_confirmed && !worker.awaits_late_start(inherited.task))
         note_late_start(worker, inherited.task, inherited.run, *entry, now);
     entry->active->is_from_roster = true;
--- a/tests/jobs/crash_test.cpp
+++ b/tests/jobs/crash_test.cpp
@@ -530,3 +530,43 @@
     }
     CHECK(has_started);
 }
+
+// Guards against a crash of a worker that counts against a task whose start
+// order had not arrived there.
+TEST_CASE("a restart before a late start arrives does not count as a crash")
+{
+    crashing_pool pool;
+    const std::string worker = pool.add("a:1");
+    pool.report(worker, of_incarnation(1));
+    SUBCASE("the worker has reported without the run")
+    {
+        pool.plan_unanswered();
+        pool.report(worker, of_incarnation(1));
+        for (const stop_order& order : pool.state.take_stops())
+            pool.state.apply_stop_answer(order, false, pool.now);
+        pool.report(worker, of_incarnation(2));
+    }
+    SUBCASE("the worker refuses the start after its restart")
+    {
+        pool.submit("j", make_job({make_step(1)}));
+        const auto orders = pool.plan();
+        REQUIRE(orders.size() == 1);
+        pool.report(worker, of_incarnation(2));
+        pool.state.apply_start_answer(orders[0], start_answer::no_room,
+                                      pool.now);
+    }
+    SUBCASE("an earlier owner has sent the start")
+    {
+        pool.plan_unanswered();
+        const auto roster = pool.state.final_roster(pool.now);
+        crashing_pool next;
+        next.state.restore(
+            decode_record("j", encode_record(*pool.state.find_job("j"))),
+            next.now, wall);
+        for (const roster_entry& entry : roster)
+            next.state.inherit_worker(entry, next.now + 2s, next.now);
+        next.report(worker, of_incarnation(2));
+        CHECK(next.first_task("j").crashes.empty());
+    }
+    CHECK(pool.first_task("j").crashes.empty());
+}
--- a/tests/jobs/pool_history_test.cpp
+++ b/tests/jobs/pool_history_test.cpp
@@ -309,6 +309,19 @@
                   .roster_outage = 1});
 }
 
+// Guards against giving up a task for restarts of workers that its late starts
+// had not reached.
+TEST_CASE("restarts before late starts arrive are no crashes under a task")
+{
+    CHECK(play(71069863, {.lost_answer = 10,
+                          .late_order = 10,
+                          .restart = 1,
+                          .cut = 1,
+                          .takeover = 1,
+                          .failure = 10,
+                          .roster_outage = 1}) == "");
+}
+
 // The cases below guard against two runs at once and against a start after the
 // end of a task: a live worker that the owner has not heard yet is named as
 // ended (kavango-cues, issue 49, TWICE).
