Count crashes in a burst half, also right after a start

Cause: the first and the second loss count as one crash each, as if the workers had crashed independently.

Change: a loss of a worker beside the loss of two others within 2 s, none of which had the task or a member of its gang, counts half for that task. The mark is kept in the job's record as one more column, which earlier versions ignore. Two bursts give up no task; five crashes right after starts are enough as before, so a deadly task crashes no more workers than the limit was. Ruled out: waiting for the end of a burst before a task is given up, since its job would be shown as failed later for each deadly task.

--- a/src/jobs/crash_history.hpp
+++ b/src/jobs/crash_history.hpp
@@ -36,6 +36,8 @@
     /// No other task could have caused the crash.
     bool is_only_suspect = false;
     crash_evidence evidence = crash_evidence::unconfirmed;
+    /// Several workers without the task were lost at about the same time.
+    bool is_in_burst = false;
 
     bool operator==(const worker_crash&) const = default;
 };
@@ -68,6 +70,8 @@
     void note_new_owner();
     /// The worker is known to have ended under the task.
     void confirm(std::string_view worker);
+    /// The crash under the run was one of a burst. Returns whether that is new.
+    bool note_burst(int run);
     /// The worker lists the run, or how it ended. Returns whether a crash was
     /// withdrawn.
     bool withdraw(int run, std::string_view worker);
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -102,14 +102,16 @@
            !entry.checkpoint.empty() || !entry.crashes.empty();
 }
 
-// One row per crash: run, worker, address, at start, only suspect, evidence.
+// One row per crash: run, worker, address, at start, only suspect, evidence, in
+// a burst. Earlier versions leave out the last column, and ignore it.
 json::array encode_crashes(const crash_history& history)
 {
     json::array rows;
     for (const worker_crash& crash : history.crashes())
         rows.push_back(json::array{
             crash.run, crash.worker, crash.address, crash.at_start ? 1 : 0,
-            crash.is_only_suspect ? 1 : 0, static_cast<int>(crash.evidence)});
+            crash.is_only_suspect ? 1 : 0, static_cast<int>(crash.evidence),
+            crash.is_in_burst ? 1 : 0});
     return rows;
 }
 
@@ -126,6 +128,7 @@
 
 crash_history decode_crashes(const json::array& rows)
 {
+    constexpr std::size_t burst_column = 6;
     crash_history history;
     for (const json::value& row : rows)
     {
@@ -137,7 +140,8 @@
         history.add({cells.at(0).to_number<int>(),
                      std::string(cells.at(1).as_string()),
                      std::string(cells.at(2).as_string()), flag(3), flag(4),
-                     decode_evidence(cells.at(5).to_number<int>())});
+                     decode_evidence(cells.at(5).to_number<int>()),
+                     cells.size() > burst_column && flag(burst_column)});
     }
     return history;
 }
--- a/src/jobs/pool_crashes.cpp
+++ b/src/jobs/pool_crashes.cpp
@@ -22,6 +22,10 @@
 constexpr std::size_t observed_share_divisor = 2;
 // How long starts are spread over time after a crash.
 constexpr std::chrono::seconds crash_alert{10};
+// Losses of so many workers within this time are a burst: they are likely to
+// have one cause.
+constexpr std::chrono::seconds burst_length{2};
+constexpr std::size_t min_losses_of_burst = 3;
 // How long a crash that no start explains counts as a sign of others.
 constexpr std::chrono::seconds unexplained_crash_retention{20};
 constexpr std::chrono::seconds min_observation{5};
@@ -118,6 +122,47 @@
                     { return is_same_unit(other, suspects.front()); });
     for (const task_id& name : suspects)
         note_suspect(worker, name, loss, at_start, is_only_suspect);
+    note_loss(worker, suspects, now);
+}
+
+// Whether enough other workers were lost lately that the task was not on.
+bool pool_state::is_lost_in_burst(const task_id& name) const
+{
+    std::set<std::string_view> lost;
+    for (const worker_loss& loss : recent_losses_)
+    {
+        if (std::none_of(loss.suspects.begin(), loss.suspects.end(),
+                         [&](const auto& suspect)
+                         { return is_same_unit(suspect.first, name); }))
+            lost.insert(loss.worker);
+        if (lost.size() + 1 >= min_losses_of_burst)
+            return true;
+    }
+    return false;
+}
+
+void pool_state::note_loss(const worker_view& worker,
+                           std::span<const task_id> suspects,
+                           base::time_point now)
+{
+    std::erase_if(recent_losses_, [&](const worker_loss& loss)
+                  { return now - loss.at > burst_length; });
+    worker_loss latest{now, worker.description.id, {}};
+    for (const task_id& name : suspects)
+        if (const auto run = worker.runs.find(name); run != worker.runs.end())
+            latest.suspects.insert(*run);
+    recent_losses_.push_back(std::move(latest));
+    if (recent_losses_.size() < min_losses_of_burst)
+        return;
+    for (const worker_loss& loss : recent_losses_)
+        for (const auto& [name, run] : loss.suspects)
+        {
+            job* subject = find(name.job);
+            task* entry = subject == nullptr ? nullptr : subject->find(name);
+            if (entry != nullptr && !entry->crashes.empty() &&
+                is_lost_in_burst(name) && entry->crashes.note_burst(run))
+                note_crash_change(*subject);
+        }
 }
 
 void pool_state::note_suspect(worker_view& worker, const task_id& name,
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -403,6 +403,11 @@
     /// `kept` are the tasks whose runs are known to have begun later.
     void note_crash(worker_view& worker, run_loss loss,
                     const std::set<task_id>& kept, base::time_point now);
+    /// Marks the crashes under tasks that share their time with losses of
+    /// several other workers.
+    void note_loss(const worker_view& worker, std::span<const task_id> suspects,
+                   base::time_point now);
+    [[nodiscard]] bool is_lost_in_burst(const task_id& name) const;
     void note_suspect(worker_view& worker, const task_id& name, run_loss loss,
                       bool at_start, bool is_only_suspect);
     void confirm_crashes(worker_view& worker, base::time_point now,
@@ -474,6 +479,14 @@
     arrival_rate arrivals_;
     /// Times of crashes that no task has caused by its start.
     std::deque<base::time_point> unexplained_crashes_;
+    /// A worker that was lost, and the runs that may have caused it.
+    struct worker_loss
+    {
+        base::time_point at;
+        std::string worker;
+        std::map<task_id, int> suspects;
+    };
+    std::deque<worker_loss> recent_losses_;
     /// Time of the first plan.
     std::optional<base::time_point> planned_since_;
     /// Time of the last crash that a start may have caused.
--- a/tests/jobs/crash_test.cpp
+++ b/tests/jobs/crash_test.cpp
@@ -570,3 +570,60 @@
     }
     CHECK(pool.first_task("j").crashes.empty());
 }
+
+// Guards against giving up a task for bursts of crashes that came right after
+// its starts.
+TEST_CASE("crashes in bursts right after starts count half")
+{
+    crash_history history;
+    for (int run = 1; run <= 4; ++run)
+    {
+        CHECK_FALSE(history.is_cause(0.0));
+        history.add({run, "w", "a:" + std::to_string(run), true, true,
+                     crash_evidence::confirmed});
+        CHECK(history.note_burst(run));
+        CHECK_FALSE(history.note_burst(run));
+    }
+    CHECK(history.is_cause(0.0));
+    CHECK_FALSE(history.is_cause(0.1));
+    // Limits the workers that one task may crash.
+    history.add({5, "w", "a:5", true, true, crash_evidence::confirmed});
+    history.note_burst(5);
+    CHECK(history.is_cause(0.1));
+}
+
+// Guards against a healthy job that is given up since its task starts on a
+// worker just before each of two bursts.
+TEST_CASE("a task is not given up for two bursts of crashes at its starts")
+{
+    crashing_pool pool;
+    for (int index = 0; index < 6; ++index)
+        pool.add("a:" + std::to_string(index));
+    pool.submit("j", make_job({make_step(1)}));
+    for (int burst = 0; burst < 2; ++burst)
+    {
+        const std::string other = "other" + std::to_string(burst);
+        pool.submit(other, make_job({make_step(4, 8000)}));
+        std::vector<start_order> orders;
+        for (int round = 0; round < 2; ++round)
+            for (const start_order& order : pool.plan_and_start())
+                orders.push_back(order);
+        const std::string worker = worker_of(orders, "j");
+        REQUIRE_FALSE(worker.empty());
+        int lost = 0;
+        for (const start_order& order : orders)
+            if (order.task.job == other && ++lost <= 2)
+                pool.crash(order.worker);
+        REQUIRE(lost >= 2);
+        pool.crash(worker);
+        REQUIRE(pool.first_task("j").crashes.crashes().size() ==
+                static_cast<std::size_t>(burst + 1));
+        CHECK(pool.first_task("j").crashes.crashes().back().is_in_burst);
+        pool.state.cancel(other, wall);
+        pool.store();
+    }
+    CHECK(pool.state.status_of("j") == reported_status::running);
+    const auto& crashes = pool.first_task("j").crashes.crashes();
+    job restored = decode_record("j", encode_record(*pool.state.find_job("j")));
+    CHECK(restored.steps.at(0).tasks.at(0).crashes.crashes() == crashes);
+}
