Count a crash in full once its run was known to be on the worker

Workers' owners saw a task crash six workers, where three further starts after three crashes are too many ("too many starts" in the histories of "given up across owners"). Cause: the start that an ended owner had recorded counts half for the next one, and kept that weight when the next owner had the run from the roster and then saw its worker restart, since only the first crash of each run was kept.

Change: evidence that the run was on the worker replaces that of a start without an answer, for the same run and worker.

--- a/src/jobs/crash_history.cpp
+++ b/src/jobs/crash_history.cpp
@@ -40,11 +40,17 @@
 void crash_history::add(worker_crash crash)
 {
     withdraw_start(crash.run);
-    const bool is_known = std::any_of(crashes_.begin(), crashes_.end(),
-                                      [&](const worker_crash& earlier)
-                                      { return earlier.run == crash.run; });
-    if (is_known)
+    const auto known = std::find_if(crashes_.begin(), crashes_.end(),
+                                    [&](const worker_crash& earlier)
+                                    { return earlier.run == crash.run; });
+    if (known != crashes_.end())
+    {
+        if (known->worker == crash.worker &&
+            known->evidence == crash_evidence::start_unanswered &&
+            crash.evidence != crash_evidence::starting)
+            *known = std::move(crash);
         return;
+    }
     crashes_.push_back(std::move(crash));
     if (crashes_.size() > max_recorded_crashes)
         crashes_.erase(crashes_.begin());
--- a/src/jobs/crash_history.hpp
+++ b/src/jobs/crash_history.hpp
@@ -61,7 +61,8 @@
 {
 public:
     /// The first crash of each run counts: its start order may have reached
-    /// any later incarnation of the worker, or none.
+    /// any later incarnation of the worker, or none. Once the run is known to
+    /// have been on the worker, that counts instead.
     void add(worker_crash crash);
     /// The run has not begun, or has ended. Returns whether it was `starting`.
     bool withdraw_start(int run);
--- a/tests/jobs/crash_test.cpp
+++ b/tests/jobs/crash_test.cpp
@@ -627,3 +627,17 @@
     job restored = decode_record("j", encode_record(*pool.state.find_job("j")));
     CHECK(restored.steps.at(0).tasks.at(0).crashes.crashes() == crashes);
 }
+
+// Guards against a crash that counts half although the next owner learns that
+// the run was on the worker.
+TEST_CASE("a run known to have been on its worker counts in full")
+{
+    crash_history history;
+    history.add({1, "w1", "a:1", true, true, crash_evidence::confirmed});
+    history.add({2, "w2", "b:1", true, true, crash_evidence::start_unanswered});
+    CHECK_FALSE(history.is_cause(0.0));
+    history.add({2, "w2", "b:1", true, true, crash_evidence::unconfirmed});
+    history.confirm("w2");
+    CHECK(history.is_cause(0.0));
+    CHECK(history.crashes().size() == 2);
+}
--- a/tests/jobs/pool_history_test.cpp
+++ b/tests/jobs/pool_history_test.cpp
@@ -191,6 +191,15 @@
           {.takeover = 2, .roster_outage = 1, .deadly = 4});
 }
 
+// Guards against crashes under a task that count half for the next owner,
+// although it learns that the run was on the worker.
+TEST_CASE("a task that crashes its workers is given up by short-lived owners")
+{
+    for (const std::uint64_t seed : {14792ULL, 110006ULL})
+        CHECK(play(seed, {.takeover = 2, .roster_outage = 1, .deadly = 4}) ==
+              "");
+}
+
 TEST_CASE("a task that crashes its workers is given up in spite of late orders")
 {
     check("deadly tasks and late orders",
