Check the recorded crashes before a new owner starts a task

Callers of workers saw a task crash six of them ("too many starts" in the histories of "given up across owners"). Cause: the crashes under a task are checked when a worker is lost; a start whose owner has ended becomes a crash when the record is read, and nothing checked that. The task was started once more by each new owner.

Change: a new owner remembers the tasks with crashes in their records, and checks them once the workers have said what became of the inherited runs, before its first start of an inherited job. Tasks with a run and tasks that last are left as they were. It costs no write. Ruled out for the first crash, which leaves no record: a write of the record before each start, since it would delay all starts by a write; naming started runs in the roster, which is as many writes.

--- a/src/jobs/pool_crashes.cpp
+++ b/src/jobs/pool_crashes.cpp
@@ -212,6 +212,24 @@
     }
 }
 
+// The last start of an earlier owner may have crashed its worker. The workers
+// say first what became of it. A task that lasts starts apart as it is.
+void pool_state::check_inherited_suspects(base::time_point now,
+                                          base::wall_time wall)
+{
+    if (inherited_suspects_.empty() || !are_inherited_runs_known(now))
+        return;
+    for (const task_id& name : std::exchange(inherited_suspects_, {}))
+    {
+        job* subject = find(name.job);
+        task* entry = subject == nullptr ? nullptr : subject->find(name);
+        if (entry == nullptr || entry->active ||
+            subject->spec_of(subject->position_of(name)).is_long_running)
+            continue;
+        handle_cause(*subject, name, *entry, now, wall);
+    }
+}
+
 // A task that lasts has no limit of attempts, so its job goes on.
 void pool_state::handle_cause(job& subject, const task_id& id, task& entry,
                               base::time_point now, base::wall_time wall)
--- a/src/jobs/pool_planner.cpp
+++ b/src/jobs/pool_planner.cpp
@@ -209,6 +209,7 @@
     knows_all_runs_ = are_all_runs_certain();
     if (!planned_since_)
         planned_since_ = now;
+    check_inherited_suspects(now, wall);
     std::vector<worker_view*> usable;
     for (auto& [id, worker] : workers_)
         if (worker.accepts_starts(now) && !worker.knowledge.is_doubtful())
--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -209,12 +209,19 @@
         statistics.note_job(subject.estimates.work);
     }
     // An earlier owner may have started runs without storing their numbers.
-    for (step& part : subject.steps)
-        for (task& entry : part.tasks)
+    for (std::size_t position = 0; position < subject.steps.size(); ++position)
+    {
+        auto& tasks = subject.steps[position].tasks;
+        for (std::size_t index = 0; index < tasks.size(); ++index)
         {
+            task& entry = tasks[index];
             entry.last_run += max_unstored_starts;
             entry.crashes.note_new_owner();
+            if (!entry.crashes.empty())
+                inherited_suspects_.push_back(
+                    subject.id_of(position, static_cast<int>(index)));
         }
+    }
     withdraw(subject.id);
     const auto entry = jobs_.emplace(subject.id, std::move(subject)).first;
     if (entry->second.status == job_status::open)
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -412,6 +412,7 @@
                       bool at_start, bool is_only_suspect);
     void confirm_crashes(worker_view& worker, base::time_point now,
                          base::wall_time wall);
+    void check_inherited_suspects(base::time_point now, base::wall_time wall);
     void handle_cause(job& subject, const task_id& id, task& entry,
                       base::time_point now, base::wall_time wall);
     [[nodiscard]] double crash_chance_at_start(base::time_point now);
@@ -487,6 +488,8 @@
         std::map<task_id, int> suspects;
     };
     std::deque<worker_loss> recent_losses_;
+    /// Tasks with crashes in the records of an earlier owner.
+    std::vector<task_id> inherited_suspects_;
     /// Time of the first plan.
     std::optional<base::time_point> planned_since_;
     /// Time of the last crash that a start may have caused.
--- a/tests/jobs/crash_test.cpp
+++ b/tests/jobs/crash_test.cpp
@@ -641,3 +641,32 @@
     CHECK(history.is_cause(0.0));
     CHECK(history.crashes().size() == 2);
 }
+
+// Guards against owners that end before they have noted a crash: each next one
+// started the task again.
+TEST_CASE("the next owner does not start the cause of crashes")
+{
+    crashing_pool pool;
+    for (const char* address : {"a:1", "b:1", "c:1", "d:1"})
+        pool.add(address);
+    pool.submit("j", make_job({make_step(1)}));
+    pool.crash(pool.plan_and_start().at(0).worker);
+    std::string record;
+    for (int owners = 0; owners < 2; ++owners)
+    {
+        // The owner ends right after its start.
+        const auto orders = pool.plan();
+        REQUIRE(orders.size() == 1);
+        record = encode_record(*pool.state.find_job("j"));
+        crashing_pool next;
+        next.state.restore(decode_record("j", record), next.now, wall);
+        for (const char* address : {"e:1", "f:1", "g:1", "h:1"})
+            next.add(address);
+        next.store();
+        std::swap(pool.state, next.state);
+        pool.now = next.now;
+    }
+    CHECK(pool.plan().empty());
+    pool.store();
+    CHECK(pool.state.status_of("j") == reported_status::failed);
+}
--- a/tests/jobs/pool_history_test.cpp
+++ b/tests/jobs/pool_history_test.cpp
@@ -195,7 +195,7 @@
 // although it learns that the run was on the worker.
 TEST_CASE("a task that crashes its workers is given up by short-lived owners")
 {
-    for (const std::uint64_t seed : {14792ULL, 110006ULL})
+    for (const std::uint64_t seed : {14792ULL, 110006ULL, 3737223814ULL})
         CHECK(play(seed, {.takeover = 2, .roster_outage = 1, .deadly = 4}) ==
               "");
 }
