--- a/src/jobs/pool_crashes.cpp
+++ b/src/jobs/pool_crashes.cpp
@@ -22,6 +22,10 @@
 constexpr std::size_t observed_share_divisor = 2;
 // How long starts are spread over time after a crash.
 constexpr std::chrono::seconds crash_alert{10};
+// Losses of so many workers within this time are a burst: they are likely to
+// have one cause.
+constexpr std::chrono::seconds burst_length{2};
+constexpr std::size_t min_losses_of_burst = 3;
 // How long a crash that no start explains counts as a sign of others.
 constexpr std::chrono::seconds unexplained_crash_retention{20};
 constexpr std::chrono::seconds min_observation{5};
@@ -81,9 +85,18 @@
 void pool_state::note_crash(worker_view& worker, run_loss loss,
                             const std::set<task_id>& kept, base::time_point now)
 {
+    // An order that is overdue hardly arrived just before the crash.
+    const auto may_be_cause = [&](const task_id& name)
+    {
+        const job* subject = find_job(name.job);
+        const task* entry = subject == nullptr ? nullptr : subject->find(name);
+        const bool is_overdue =
+            entry != nullptr && entry->active && entry->active->is_overdue;
+        return !kept.contains(name) && !is_overdue;
+    };
     std::vector<task_id> suspects;
     for (const recent_start& start : worker.recent_starts)
-        if (!kept.contains(start.task))
+        if (may_be_cause(start.task))
             suspects.push_back(start.task);
     const bool at_start = !suspects.empty();
     // A worker without known runs that ends may have been moved, or an earlier
@@ -100,7 +113,7 @@
     {
         unexplained_crashes_.push_back(now);
         for (const auto& [name, run] : worker.runs)
-            if (!kept.contains(name))
+            if (may_be_cause(name))
                 suspects.push_back(name);
     }
     const bool is_only_suspect =
@@ -109,6 +122,47 @@
                     { return is_same_unit(other, suspects.front()); });
     for (const task_id& name : suspects)
         note_suspect(worker, name, loss, at_start, is_only_suspect);
+    note_loss(worker, suspects, now);
+}
+
+// Whether enough other workers were lost lately that the task was not on.
+bool pool_state::is_lost_in_burst(const task_id& name) const
+{
+    std::set<std::string_view> lost;
+    for (const worker_loss& loss : recent_losses_)
+    {
+        if (std::none_of(loss.suspects.begin(), loss.suspects.end(),
+                         [&](const auto& suspect)
+                         { return is_same_unit(suspect.first, name); }))
+            lost.insert(loss.worker);
+        if (lost.size() + 1 >= min_losses_of_burst)
+            return true;
+    }
+    return false;
+}
+
+void pool_state::note_loss(const worker_view& worker,
+                           std::span<const task_id> suspects,
+                           base::time_point now)
+{
+    std::erase_if(recent_losses_, [&](const worker_loss& loss)
+                  { return now - loss.at > burst_length; });
+    worker_loss latest{now, worker.description.id, {}};
+    for (const task_id& name : suspects)
+        if (const auto run = worker.runs.find(name); run != worker.runs.end())
+            latest.suspects.insert(*run);
+    recent_losses_.push_back(std::move(latest));
+    if (recent_losses_.size() < min_losses_of_burst)
+        return;
+    for (const worker_loss& loss : recent_losses_)
+        for (const auto& [name, run] : loss.suspects)
+        {
+            job* subject = find(name.job);
+            task* entry = subject == nullptr ? nullptr : subject->find(name);
+            if (entry != nullptr && !entry->crashes.empty() &&
+                is_lost_in_burst(name) && entry->crashes.note_burst(run))
+                note_crash_change(*subject);
+        }
 }
 
 void pool_state::note_suspect(worker_view& worker, const task_id& name,
@@ -158,6 +212,24 @@
     }
 }
 
+// The last start of an earlier owner may have crashed its worker. The workers
+// say first what became of it. A task that lasts starts apart as it is.
+void pool_state::check_inherited_suspects(base::time_point now,
+                                          base::wall_time wall)
+{
+    if (inherited_suspects_.empty() || !are_inherited_runs_known(now))
+        return;
+    for (const task_id& name : std::exchange(inherited_suspects_, {}))
+    {
+        job* subject = find(name.job);
+        task* entry = subject == nullptr ? nullptr : subject->find(name);
+        if (entry == nullptr || entry->active ||
+            subject->spec_of(subject->position_of(name)).is_long_running)
+            continue;
+        handle_cause(*subject, name, *entry, now, wall);
+    }
+}
+
 // A task that lasts has no limit of attempts, so its job goes on.
 void pool_state::handle_cause(job& subject, const task_id& id, task& entry,
                               base::time_point now, base::wall_time wall)
--- a/tests/jobs/crash_test.cpp
+++ b/tests/jobs/crash_test.cpp
@@ -530,3 +530,143 @@
     }
     CHECK(has_started);
 }
+
+// Guards against a crash of a worker that counts against a task whose start
+// order had not arrived there.
+TEST_CASE("a restart before a late start arrives does not count as a crash")
+{
+    crashing_pool pool;
+    const std::string worker = pool.add("a:1");
+    pool.report(worker, of_incarnation(1));
+    SUBCASE("the worker has reported without the run")
+    {
+        pool.plan_unanswered();
+        pool.report(worker, of_incarnation(1));
+        for (const stop_order& order : pool.state.take_stops())
+            pool.state.apply_stop_answer(order, false, pool.now);
+        pool.report(worker, of_incarnation(2));
+    }
+    SUBCASE("the worker refuses the start after its restart")
+    {
+        pool.submit("j", make_job({make_step(1)}));
+        const auto orders = pool.plan();
+        REQUIRE(orders.size() == 1);
+        pool.report(worker, of_incarnation(2));
+        pool.state.apply_start_answer(orders[0], start_answer::no_room,
+                                      pool.now);
+    }
+    SUBCASE("an earlier owner has sent the start")
+    {
+        pool.plan_unanswered();
+        const auto roster = pool.state.final_roster(pool.now);
+        crashing_pool next;
+        next.state.restore(
+            decode_record("j", encode_record(*pool.state.find_job("j"))),
+            next.now, wall);
+        for (const roster_entry& entry : roster)
+            next.state.inherit_worker(entry, next.now + 2s, next.now);
+        next.report(worker, of_incarnation(2));
+        CHECK(next.first_task("j").crashes.empty());
+    }
+    CHECK(pool.first_task("j").crashes.empty());
+}
+
+// Guards against giving up a task for bursts of crashes that came right after
+// its starts.
+TEST_CASE("crashes in bursts right after starts count half")
+{
+    crash_history history;
+    for (int run = 1; run <= 4; ++run)
+    {
+        CHECK_FALSE(history.is_cause(0.0));
+        history.add({run, "w", "a:" + std::to_string(run), true, true,
+                     crash_evidence::confirmed});
+        CHECK(history.note_burst(run));
+        CHECK_FALSE(history.note_burst(run));
+    }
+    CHECK(history.is_cause(0.0));
+    CHECK_FALSE(history.is_cause(0.1));
+    // Limits the workers that one task may crash.
+    history.add({5, "w", "a:5", true, true, crash_evidence::confirmed});
+    history.note_burst(5);
+    CHECK(history.is_cause(0.1));
+}
+
+// Guards against a healthy job that is given up since its task starts on a
+// worker just before each of two bursts.
+TEST_CASE("a task is not given up for two bursts of crashes at its starts")
+{
+    crashing_pool pool;
+    for (int index = 0; index < 6; ++index)
+        pool.add("a:" + std::to_string(index));
+    pool.submit("j", make_job({make_step(1)}));
+    for (int burst = 0; burst < 2; ++burst)
+    {
+        const std::string other = "other" + std::to_string(burst);
+        pool.submit(other, make_job({make_step(4, 8000)}));
+        std::vector<start_order> orders;
+        for (int round = 0; round < 2; ++round)
+            for (const start_order& order : pool.plan_and_start())
+                orders.push_back(order);
+        const std::string worker = worker_of(orders, "j");
+        REQUIRE_FALSE(worker.empty());
+        int lost = 0;
+        for (const start_order& order : orders)
+            if (order.task.job == other && ++lost <= 2)
+                pool.crash(order.worker);
+        REQUIRE(lost >= 2);
+        pool.crash(worker);
+        REQUIRE(pool.first_task("j").crashes.crashes().size() ==
+                static_cast<std::size_t>(burst + 1));
+        CHECK(pool.first_task("j").crashes.crashes().back().is_in_burst);
+        pool.state.cancel(other, wall);
+        pool.store();
+    }
+    CHECK(pool.state.status_of("j") == reported_status::running);
+    const auto& crashes = pool.first_task("j").crashes.crashes();
+    job restored = decode_record("j", encode_record(*pool.state.find_job("j")));
+    CHECK(restored.steps.at(0).tasks.at(0).crashes.crashes() == crashes);
+}
+
+// Guards against a crash that counts half although the next owner learns that
+// the run was on the worker.
+TEST_CASE("a run known to have been on its worker counts in full")
+{
+    crash_history history;
+    history.add({1, "w1", "a:1", true, true, crash_evidence::confirmed});
+    history.add({2, "w2", "b:1", true, true, crash_evidence::start_unanswered});
+    CHECK_FALSE(history.is_cause(0.0));
+    history.add({2, "w2", "b:1", true, true, crash_evidence::unconfirmed});
+    history.confirm("w2");
+    CHECK(history.is_cause(0.0));
+    CHECK(history.crashes().size() == 2);
+}
+
+// Guards against owners that end before they have noted a crash: each next one
+// started the task again.
+TEST_CASE("the next owner does not start the cause of crashes")
+{
+    crashing_pool pool;
+    for (const char* address : {"a:1", "b:1", "c:1", "d:1"})
+        pool.add(address);
+    pool.submit("j", make_job({make_step(1)}));
+    pool.crash(pool.plan_and_start().at(0).worker);
+    std::string record;
+    for (int owners = 0; owners < 2; ++owners)
+    {
+        // The owner ends right after its start.
+        const auto orders = pool.plan();
+        REQUIRE(orders.size() == 1);
+        record = encode_record(*pool.state.find_job("j"));
+        crashing_pool next;
+        next.state.restore(decode_record("j", record), next.now, wall);
+        for (const char* address : {"e:1", "f:1", "g:1", "h:1"})
+            next.add(address);
+        next.store();
+        std::swap(pool.state, next.state);
+        pool.now = next.now;
+    }
+    CHECK(pool.plan().empty());
+    pool.store();
+    CHECK(pool.state.status_of("j") == reported_status::failed);
+}
--- a/tests/jobs/pool_history_test.cpp
+++ b/tests/jobs/pool_history_test.cpp
@@ -191,6 +191,15 @@
           {.takeover = 2, .roster_outage = 1, .deadly = 4});
 }
 
+// Guards against crashes under a task that count half for the next owner,
+// although it learns that the run was on the worker.
+TEST_CASE("a task that crashes its workers is given up by short-lived owners")
+{
+    for (const std::uint64_t seed : {14792ULL, 110006ULL, 3737223814ULL})
+        CHECK(play(seed, {.takeover = 2, .roster_outage = 1, .deadly = 4}) ==
+              "");
+}
+
 TEST_CASE("a task that crashes its workers is given up in spite of late orders")
 {
     check("deadly tasks and late orders",
@@ -309,6 +318,19 @@
                   .roster_outage = 1});
 }
 
+// Guards against giving up a task for restarts of workers that its late starts
+// had not reached.
+TEST_CASE("restarts before late starts arrive are no crashes under a task")
+{
+    CHECK(play(71069863, {.lost_answer = 10,
+                          .late_order = 10,
+                          .restart = 1,
+                          .cut = 1,
+                          .takeover = 1,
+                          .failure = 10,
+                          .roster_outage = 1}) == "");
+}
+
 // The cases below guard against two runs at once and against a start after the
 // end of a task: a live worker that the owner has not heard yet is named as
 // ended (kavango-cues, issue 49, TWICE).
