Believe an address only where the worker was known to be

Seen (test): two runs of one task at once. A new owner whose list still shows the address that a worker had before polls that address, another worker answers there with 421, and the runs that the roster states are given up and started again while they go on.

Cause: a 421 from the listed address counted as the end of the worker's runs, although nobody had known these runs to be there. Ruled out: workers whose runs the roster does not state (run_knowledge keeps inherited jobs waiting), and answers of an address that the list no longer shows.

Change: a link remembers where the runs' incarnation was: the address of the roster, then that of the worker's last answer. A 421 from any other address makes the worker unreachable, and its runs wait for its lease.

--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -49,7 +49,7 @@
                          base::duration lease, jobs::pool_state& state,
                          net::http_client& http, hooks functions)
     : worker_(std::move(worker)), fence_(fence), lease_(lease), state_(state),
-      client_(http), hooks_(std::move(functions))
+      client_(http), hooks_(std::move(functions)), known_at_(target().where)
 {
 }
 
@@ -321,6 +321,14 @@
         // It says nothing about the address where the worker is now.
         if (from != target().where)
             return false;
+        // The list may show an address that the worker has left before.
+        if (from != known_at_)
+        {
+            note_unreachable("another worker answers where it was not heard",
+                             now);
+            poll_wakeup_.wait_until(now + replaced_poll_delay);
+            return false;
+        }
         // The known incarnation of the worker has ended, with all its runs.
         state_.lose_runs(worker_.id, jobs::run_loss::ended, now,
                          base::wall_now());
@@ -335,6 +343,7 @@
         poll_wakeup_.wait_until(now + poll_retry_delay);
         return false;
     }
+    known_at_ = from;
     apply_report(listing, sent_at, now);
     return true;
 }
--- a/src/pools/worker_link.hpp
+++ b/src/pools/worker_link.hpp
@@ -120,6 +120,9 @@
     std::deque<any_order> orders_;
     bool is_stopping_ = false;
     bool has_failed_ = false;
+    /// Where the incarnation that the runs belong to is: the address of its
+    /// last answer or, before that, of the roster.
+    net::endpoint known_at_;
     /// Start of the incarnation that has answered last; 0 if none has.
     std::int64_t born_ms_ = 0;
     /// No other instance could own the pool after this incarnation had
--- a/tests/pools/contested_pool.hpp
+++ b/tests/pools/contested_pool.hpp
@@ -8,6 +8,7 @@
 #include "pools/roster_store.hpp"
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -68,6 +69,8 @@
 
     platform_double platform;
     std::vector<std::unique_ptr<claimant>> claimants;
+    /// Addresses that the list shows instead of those of the workers.
+    std::map<std::string, net::endpoint> listed_addresses;
 
     contested_pool()
     {
@@ -127,6 +130,9 @@
             platform.announce(id);
             workers.push_back(platform::read_worker_entry(
                 id, platform.store.value_of("servers/" + id)));
+            if (const auto found = listed_addresses.find(id);
+                found != listed_addresses.end())
+                workers.back().address = net::to_string(found->second);
         }
         owner.owner->set_workers(workers);
     }
--- a/tests/pools/moved_worker_test.cpp
+++ b/tests/pools/moved_worker_test.cpp
@@ -1,5 +1,6 @@
 // A worker that starts again under its id at another address.
 
+#include "pools/contested_pool.hpp"
 #include "pools/owned_pool.hpp"
 
 using namespace pimentograde;
@@ -98,3 +99,35 @@
     CHECK(eventually([&] { return all.is_completed(id_a); }, 5s));
     CHECK(all.starts() == 2);
 }
+
+// Guards against two runs at once: the list of a new owner still shows the
+// address that a worker had before, and the answer of another worker there
+// counted as the end of the runs that the roster states.
+TEST_CASE("another worker at an older address ends no runs of the roster")
+{
+    contested_pool pool;
+    auto& worker = pool.add_worker("w1", 1500ms);
+    pool.add_worker("w2", 100ms);
+    claimant& first = pool.take_over({"w1"});
+    REQUIRE(eventually([&] { return first.accepts_starts("w1"); }));
+    REQUIRE(first.submit(id_a, 4));
+    REQUIRE(eventually([&] { return worker.running_count() == 1; }));
+    // Its start is not the cause of the worker's end.
+    boost::this_fiber::sleep_for(400ms);
+    worker.highest_reachable_fence = first.owner->fence();
+    first.owner->quiesce();
+    left_address earlier(worker);
+    earlier.has_left = true;
+    pool.listed_addresses["w1"] = earlier.server->local_endpoint();
+    claimant& next = pool.take_over({"w1", "w2"});
+    REQUIRE(eventually([&] { return earlier.refusals > 0; }, 500ms));
+    REQUIRE(eventually([&] { return next.accepts_starts("w2"); }, 500ms));
+    boost::this_fiber::sleep_for(300ms);
+    CHECK(worker.running_count() == 1);
+    CHECK(pool.platform.worker("w2").starts.empty());
+    worker.highest_reachable_fence = 0;
+    pool.listed_addresses.clear();
+    pool.list(next, {"w1", "w2"});
+    CHECK(eventually([&] { return next.is_completed(id_a); }, 3s));
+    CHECK(pool.platform.starts_of(id_a + ".0.0.0") == 1);
+}
