Let an owner refuse no job that the next one may have

Seen (test): a caller hands a job in again at an owner that has been replaced without knowing it, as after a pause or a cut, and gets 503, as not accepted and never to run, although the next owner has accepted the job and runs it.

Cause: a refusal held as soon as the owner did not know the job; that its lease may have ended counted for status and cancellation only. Ruled out: an acceptance by the replaced owner, since its write fails on the ownership.

Change: such a refusal is undecided while the lease is not certain, and the job is looked up in the store, as for a pool without an owner. While the store has left all calls unanswered the lookup is left out: refusals beside a silent store stay as quick as they were. Open: that refusal does not rest on knowledge.

--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -110,15 +110,6 @@
     return true;
 }
 
-// An owner that has not loaded the pool, or is ending, refuses also jobs that
-// were accepted before.
-bool is_decided(const pools::pool_owner& owner, std::string_view id,
-                const pools::submission_answer& answer)
-{
-    return answer.outcome != submission_kind::refused ||
-           owner.status(id).outcome == job_kind::absent;
-}
-
 base::duration time_left(base::time_point deadline)
 {
     return std::max<base::duration>(
@@ -215,7 +206,7 @@
 {
     pools::submission_answer refusal{submission_kind::refused, takeover_retry,
                                      std::move(reason)};
-    if (lookups_.size() >= max_lookups)
+    if (lookups_.size() >= max_lookups || store_.is_silent())
         return refusal;
     const auto lookup = std::make_shared<boost::fibers::promise<bool>>();
     auto is_stored = lookup->get_future();
@@ -232,6 +223,17 @@
     return {submission_kind::accepted, {}, "accepted before"};
 }
 
+// An owner that has not loaded the pool, or is ending, refuses also jobs that
+// were accepted before; one whose lease may have ended, those that the next
+// owner has accepted.
+bool pool_gateway::is_decided(const pools::pool_owner& owner,
+                              std::string_view id,
+                              const pools::submission_answer& answer) const
+{
+    return answer.outcome != submission_kind::refused ||
+           certain(owner.status(id)).outcome == job_kind::absent;
+}
+
 pools::job_answer pool_gateway::certain(pools::job_answer answer) const
 {
     if (answer.outcome == job_kind::absent &&
--- a/src/node/pool_gateway.hpp
+++ b/src/node/pool_gateway.hpp
@@ -76,6 +76,11 @@
     pools::submission_answer refuse_unless_stored(std::string_view pool,
                                                   std::string_view id,
                                                   std::string reason);
+    /// Whether the owner's answer holds; a refusal may concern a job that it
+    /// does not know.
+    [[nodiscard]] bool is_decided(const pools::pool_owner& owner,
+                                  std::string_view id,
+                                  const pools::submission_answer& answer) const;
     /// The answer of an owner here, which denies no job once its lease may have
     /// ended: the next owner may have accepted it.
     [[nodiscard]] pools::job_answer certain(pools::job_answer answer) const;
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -409,6 +409,11 @@
     impl_->http->cancel();
 }
 
+bool store_client::is_silent() const
+{
+    return impl_->answers.is_silent();
+}
+
 std::string encode_base64(std::string_view bytes)
 {
     // 4 characters for each 3 bytes, and the terminator that OpenSSL writes.
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -136,6 +136,9 @@
     void end_lease(std::int64_t lease);
     /// Ends all calls in progress.
     void cancel();
+    /// Whether calls have been without an answer since the last one that got
+    /// one.
+    [[nodiscard]] bool is_silent() const;
 
 private:
     struct impl;
--- a/tests/node/cut_off_owner_test.cpp
+++ b/tests/node/cut_off_owner_test.cpp
@@ -35,3 +35,34 @@
             return all.client.call(only, "DELETE", "/q/" + id_b).status == 410;
         }));
 }
+
+// Guards against an owner that has been replaced without knowing it, and says
+// of a job that the next owner has accepted that it was not accepted.
+TEST_CASE("an owner that was replaced refuses no job that the next one has")
+{
+    cluster all(0);
+    platform_standin::relay to_store(all.platform.store_address());
+    all.entries.push_back(std::make_unique<entry>(all.platform, "e0", 1.0,
+                                                  to_store.local_endpoint()));
+    REQUIRE(eventually([&] { return all.owner() == 0; }));
+    all.entries.push_back(std::make_unique<entry>(all.platform, "e1"));
+    const entry& replaced = *all.entries[0];
+    const entry& next = *all.entries[1];
+    to_store.refuses = true;
+    to_store.cut();
+    // Its write shows that the store is away.
+    REQUIRE(eventually(
+        [&] { return all.client.submit(replaced, id_a, lasting) != 200; }));
+    REQUIRE(eventually(
+        [&] { return all.client.submit(next, id_b, lasting) == 200; }));
+    REQUIRE(all.client.owns_pool(replaced));
+    to_store.refuses = false;
+    for (int round = 0; round < 5; ++round)
+    {
+        const unsigned status = all.client.submit(replaced, id_b, lasting);
+        CHECK((status == 200 || status == 504));
+    }
+    CHECK(eventually([&]
+                     { return all.client.state(replaced, id_b) == running; }));
+    CHECK(all.platform.starts_of(id_b + ".0.0.0") == 1);
+}
