Bound the numbers of a route

Seen (test): a route with MaxAttempts allows no attempt, so its jobs fail at the first failure, and TargetDurationMs or TimeoutMs of the largest whole number become -1 ms.

Cause: the numbers were cut off to an int, or overflowed in nanoseconds. A configuration is not rejected for it, since its other routes count.

Change: times count as a year at most, attempts and priorities as a million.

Evidence: the new case of test_platform fails before (5 of 6 checks); test_platform passes (28 cases, 227 assertions).

--- a/src/platform/configuration.cpp
+++ b/src/platform/configuration.cpp
@@ -12,9 +12,10 @@
 namespace
 {
 
-constexpr std::chrono::hours max_wave_time{24 * 365};
-// Machines.
-constexpr std::int64_t max_cap = 1'000'000;
+// Longer times mean the same to routes.
+constexpr std::chrono::hours max_time{24 * 365};
+// Machines, attempts, ranks.
+constexpr std::int64_t max_count = 1'000'000;
 
 json::object parse_object(std::string_view text, std::string_view step)
 {
@@ -34,22 +35,35 @@
     return row.get_object();
 }
 
+// The store accepts any whole number that its own checks allow.
+std::int64_t read_clamped(const json::object& source, std::string_view name,
+                          std::int64_t min, std::int64_t max,
+                          std::int64_t fallback)
+{
+    return std::clamp(read_integer(source, name, fallback), min, max);
+}
+
+base::duration read_time(const json::object& source, std::string_view name)
+{
+    return std::chrono::milliseconds(read_clamped(
+        source, name, 0, std::chrono::milliseconds(max_time).count(), 0));
+}
+
 queue_route read_route(const json::object& source)
 {
     queue_route route;
     route.host = read_text(source, "Host");
     route.path_prefix = read_text(source, "Prefix");
-    route.timeout =
-        std::chrono::milliseconds(read_integer(source, "TimeoutMs"));
+    route.timeout = read_time(source, "TimeoutMs");
     route.policy.name = read_text(source, "Name");
     // The pool whose workers run the queue's tasks.
     route.policy.pool = read_text(source, "Service");
-    route.policy.priority = static_cast<int>(read_integer(source, "Priority"));
+    route.policy.priority = static_cast<int>(
+        read_clamped(source, "Priority", -max_count, max_count, 0));
     route.policy.max_attempts =
-        static_cast<int>(read_integer(source, "MaxAttempts", 1));
+        static_cast<int>(read_clamped(source, "MaxAttempts", 1, max_count, 1));
     route.policy.stretch = read_number(source, "Stretch", 1.0);
-    route.policy.target =
-        std::chrono::milliseconds(read_integer(source, "TargetDurationMs"));
+    route.policy.target = read_time(source, "TargetDurationMs");
     return route;
 }
 
@@ -108,14 +122,14 @@
         wave.machines.emplace_back(row.get_string());
     }
     const double limit_s = read_number(source, "FinishByS", 0.0);
-    if (!(limit_s >= 0.0 && limit_s <= base::count_seconds(max_wave_time)))
+    if (!(limit_s >= 0.0 && limit_s <= base::count_seconds(max_time)))
         throw base::error(base::error_code::invalid, "read wave", "",
                           "FinishByS is out of range");
     constexpr double nanos_per_second = 1e9;
     wave.time_limit =
         base::duration(static_cast<std::int64_t>(limit_s * nanos_per_second));
     // Bound of the machines that are down at once, not of their number.
-    wave.max_down = static_cast<int>(read_bounded(source, "Cap", max_cap, 1));
+    wave.max_down = static_cast<int>(read_bounded(source, "Cap", max_count, 1));
     return wave;
 }
 
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -134,6 +134,24 @@
     CHECK_THROWS_AS(read_configuration("[]"), base::error);
 }
 
+// Guards against jobs that fail at their first attempt, or are never in time,
+// since a number of the configuration does not fit.
+TEST_CASE("numbers of a route that are very large count as large")
+{
+    const auto current = read_configuration(
+        R"({"Version":3,"Routes":[{"Name":"a","Host":"h","Prefix":"/a/",)"
+        R"("Service":"p","MaxAttempts":4294967296,"Priority":4294967296,)"
+        R"("TargetDurationMs":9223372036854775807,)"
+        R"("TimeoutMs":9223372036854775807}],"Services":[]})");
+    REQUIRE(current.queues.size() == 1);
+    const queue_route& route = current.queues[0];
+    CHECK(route.policy.max_attempts > 1000);
+    CHECK(route.policy.priority > 1000);
+    CHECK(route.policy.target > 24h);
+    CHECK(base::steady_now() + route.policy.target > base::steady_now());
+    CHECK(route.timeout > 24h);
+}
+
 // Guards against an entry of another writer that is used, or that ends the
 // process.
 TEST_CASE("an unusable worker entry is refused")
