Hand a queue's policy over with its job

Seen (test): a job of a queue that was just added fails at its first failure, although the queue allows three attempts.

Cause: the instance that forwards the job has read the configuration, the pool's owner has not yet, and gives a queue that it does not know one attempt, no target and the first rank. Ruled out: a queue that is no longer configured; its policy stays with the owner and in the records.

Change: the forwarded job carries the policy, as its record does, and the owner uses it until it knows the queue.

--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -63,6 +63,12 @@
     policies_[policy.name] = policy;
 }
 
+void pool_state::add_policy(const queue_policy& policy)
+{
+    if (!policy.name.empty())
+        policies_.try_emplace(policy.name, policy);
+}
+
 const queue_policy& pool_state::policy_of(const job& subject) const
 {
     static const queue_policy unknown_queue;
@@ -200,8 +206,7 @@
     subject.is_stored = true;
     subject.stored_status = subject.status;
     subject.is_inherited = true;
-    if (!subject.policy.name.empty())
-        policies_.try_emplace(subject.queue, subject.policy);
+    add_policy(subject.policy);
     if (subject.status == job_status::open)
     {
         queue_statistics& statistics = statistics_of(subject);
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -112,6 +112,8 @@
     /// Adds or replaces the policy of one queue. The policy of a queue that is
     /// no longer configured stays in effect for its jobs.
     void set_policy(const queue_policy& policy);
+    /// Adds the policy of a queue that has none yet.
+    void add_policy(const queue_policy& policy);
 
     /// How many times as long a gang runs on more than one rack.
     void set_remote_factor(double factor) { remote_factor_ = factor; }
--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -181,6 +181,7 @@
                                     "the pool's owner does not answer");
     jobs::job subject;
     subject.queue = queue.name;
+    subject.policy = queue;
     subject.spec = std::move(spec);
     const peer::submit_job message{queue.pool, queue.name, std::string(id),
                                    jobs::encode_record(subject),
@@ -422,6 +423,7 @@
                                   message.pool, "the pool is not owned here");
             jobs::job subject =
                 jobs::decode_record(message.job, message.record);
+            owner->add_policy(subject.policy);
             const auto answer = owner->submit(
                 message.job, std::move(subject.spec), message.queue,
                 base::steady_now() + message.time_left);
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -403,6 +403,11 @@
         impl_->state.set_policy(policy);
 }
 
+void pool_owner::add_policy(const jobs::queue_policy& policy)
+{
+    impl_->state.add_policy(policy);
+}
+
 void pool_owner::set_workers(std::span<const jobs::worker_description> workers)
 {
     impl_->workers.assign(workers.begin(), workers.end());
--- a/src/pools/pool_owner.hpp
+++ b/src/pools/pool_owner.hpp
@@ -106,6 +106,8 @@
     void quiesce();
 
     void set_policies(std::span<const jobs::queue_policy> policies);
+    /// Sets the policy of a queue that this owner does not know yet.
+    void add_policy(const jobs::queue_policy& policy);
     /// Sets all workers of the pool that the store lists.
     void set_workers(std::span<const jobs::worker_description> workers);
 
