Keep records of ended jobs by the steady clock

Seen (test): a job that has ended is denied with 410 and, when its caller hands it in again after a lost answer, runs again: the time of day of the instance that ended it was ten minutes behind that of the next owner.

Cause: a record was removed 150 s after the time of day of its end. That time jumps, and differs between instances. Ruled out: the age of restored jobs in the ranking, which is bounded.

Change: the time counts on the steady clock from when the owner first finds the record to be one of an ended job. A takeover begins it anew, so records stay longer, never shorter.

--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -147,6 +147,8 @@
     base::wall_time accepted_wall{};
     base::time_point accepted_at{};
     base::wall_time ended_wall{};
+    /// Since when this owner keeps the record of the ended job.
+    std::optional<base::time_point> kept_since;
     /// One entry for each step of each occurrence, occurrences first.
     std::vector<step> steps;
     job_estimates estimates;
--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -518,14 +518,21 @@
     mark_unwritten(*subject);
 }
 
-std::vector<std::string> pool_state::expired_jobs(base::wall_time limit) const
+std::vector<std::string> pool_state::expired_jobs(base::time_point now,
+                                                  base::duration retention)
 {
     std::vector<std::string> expired;
-    for (const auto& [id, subject] : jobs_)
-        if (subject.status != job_status::open && subject.steps.empty() &&
-            subject.is_stored && !is_dirty(subject) &&
-            !is_being_written(subject) && subject.ended_wall < limit)
+    for (auto& [id, subject] : jobs_)
+    {
+        if (subject.status == job_status::open || !subject.steps.empty() ||
+            !subject.is_stored || is_dirty(subject) ||
+            is_being_written(subject))
+            continue;
+        if (!subject.kept_since)
+            subject.kept_since = now;
+        if (now - *subject.kept_since >= retention)
             expired.push_back(id);
+    }
     return expired;
 }
 
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -271,9 +271,12 @@
     void note_store_revision(std::string_view id, std::int64_t revision);
     /// The write failed; `may_be_stored` when it may still take effect.
     void note_not_stored(std::string_view id, bool may_be_stored);
-    /// Ids of the jobs that ended before `limit` and are stored, to be removed.
+    /// Ids of the ended jobs that are stored and have been kept for
+    /// `retention`, to be removed. To be called from time to time; the time
+    /// counts from the first call after the end or the takeover, since the time
+    /// of day may jump and differs between instances.
     [[nodiscard]] std::vector<std::string>
-    expired_jobs(base::wall_time limit) const;
+    expired_jobs(base::time_point now, base::duration retention);
     void remove_job(std::string_view id);
 
     [[nodiscard]] std::size_t job_count() const { return jobs_.size(); }
--- a/src/pools/job_writer.cpp
+++ b/src/pools/job_writer.cpp
@@ -94,7 +94,7 @@
     stored_ = std::max(stored_, state_.stored_change());
     work_.wait_until(base::steady_now() + idle_wait);
     if (base::steady_now() >= next_removal_)
-        remove_expired(base::wall_now());
+        remove_expired(base::steady_now());
 }
 
 bool job_writer::write_roster()
@@ -293,10 +293,10 @@
         {{"pool", pool_}, {"records", changes.size()}, {"reason", reason}});
 }
 
-void job_writer::remove_expired(base::wall_time wall)
+void job_writer::remove_expired(base::time_point now)
 {
     next_removal_ = base::steady_now() + removal_interval;
-    auto expired = state_.expired_jobs(wall - record_retention);
+    auto expired = state_.expired_jobs(now, record_retention);
     if (expired.empty())
         return;
     constexpr std::size_t removals_per_transaction = 31;
--- a/src/pools/job_writer.hpp
+++ b/src/pools/job_writer.hpp
@@ -70,7 +70,7 @@
                         const platform::commit_result& result);
     void note_failure(std::span<const jobs::record_change> changes,
                       std::string_view reason, bool may_be_stored);
-    void remove_expired(base::wall_time wall);
+    void remove_expired(base::time_point now);
 
     std::string pool_;
     std::string owner_key_;
--- a/tests/jobs/pool_state_test.cpp
+++ b/tests/jobs/pool_state_test.cpp
@@ -41,6 +41,20 @@
     CHECK(pool.state.status_of("j") == reported_status::completed);
 }
 
+// Guards against records that are removed while callers may ask, or never.
+TEST_CASE("an ended job is kept for the given time")
+{
+    pool_fixture pool({describe("w1")});
+    pool.submit("j", make_job({make_step(1)}));
+    const auto orders = pool.plan_and_start();
+    CHECK(pool.state.expired_jobs(pool.now, 0s).empty());
+    pool.report("w1", ended(orders[0], end_kind::done));
+    pool.store();
+    CHECK(pool.state.expired_jobs(pool.now, 150s).empty());
+    CHECK(pool.state.expired_jobs(pool.now + 149s, 150s).empty());
+    CHECK(pool.state.expired_jobs(pool.now + 150s, 150s).size() == 1);
+}
+
 // Guards against more attempts than the queue allows, also when a worker
 // reports the same ended run twice.
 TEST_CASE("a job fails after its last attempt, each counted once")
