--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -63,6 +63,12 @@
     policies_[policy.name] = policy;
 }
 
+void pool_state::add_policy(const queue_policy& policy)
+{
+    if (!policy.name.empty())
+        policies_.try_emplace(policy.name, policy);
+}
+
 const queue_policy& pool_state::policy_of(const job& subject) const
 {
     static const queue_policy unknown_queue;
@@ -200,8 +206,7 @@
     subject.is_stored = true;
     subject.stored_status = subject.status;
     subject.is_inherited = true;
-    if (!subject.policy.name.empty())
-        policies_.try_emplace(subject.queue, subject.policy);
+    add_policy(subject.policy);
     if (subject.status == job_status::open)
     {
         queue_statistics& statistics = statistics_of(subject);
@@ -530,14 +535,21 @@
     mark_unwritten(*subject);
 }
 
-std::vector<std::string> pool_state::expired_jobs(base::wall_time limit) const
+std::vector<std::string> pool_state::expired_jobs(base::time_point now,
+                                                  base::duration retention)
 {
     std::vector<std::string> expired;
-    for (const auto& [id, subject] : jobs_)
-        if (subject.status != job_status::open && subject.steps.empty() &&
-            subject.is_stored && !is_dirty(subject) &&
-            !is_being_written(subject) && subject.ended_wall < limit)
+    for (auto& [id, subject] : jobs_)
+    {
+        if (subject.status == job_status::open || !subject.steps.empty() ||
+            !subject.is_stored || is_dirty(subject) ||
+            is_being_written(subject))
+            continue;
+        if (!subject.kept_since)
+            subject.kept_since = now;
+        if (now - *subject.kept_since >= retention)
             expired.push_back(id);
+    }
     return expired;
 }
 
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -112,6 +112,8 @@
     /// Adds or replaces the policy of one queue. The policy of a queue that is
     /// no longer configured stays in effect for its jobs.
     void set_policy(const queue_policy& policy);
+    /// Adds the policy of a queue that has none yet.
+    void add_policy(const queue_policy& policy);
 
     /// How many times as long a gang runs on more than one rack.
     void set_remote_factor(double factor) { remote_factor_ = factor; }
@@ -270,9 +272,12 @@
     void note_store_revision(std::string_view id, std::int64_t revision);
     /// The write failed; `may_be_stored` when it may still take effect.
     void note_not_stored(std::string_view id, bool may_be_stored);
-    /// Ids of the jobs that ended before `limit` and are stored, to be removed.
+    /// Ids of the ended jobs that are stored and have been kept for
+    /// `retention`, to be removed. To be called from time to time; the time
+    /// counts from the first call after the end or the takeover, since the time
+    /// of day may jump and differs between instances.
     [[nodiscard]] std::vector<std::string>
-    expired_jobs(base::wall_time limit) const;
+    expired_jobs(base::time_point now, base::duration retention);
     void remove_job(std::string_view id);
 
     [[nodiscard]] std::size_t job_count() const { return jobs_.size(); }
