Let tests of the worker client wait for what they test

test_provider failed at times beside load: on a third of a processor the checkpoint of a task came after its end, a report meant for the time before the lag came after it, and a call meant to exceed the connection limit came before the first connection. Cause: fixed sleeps of 10 to 200 ms of the test; the product was not involved.

Change: the tests wait until the worker has started the task, and compare with measured times: the rest of a checkpointed task is at most what the first part left, a throttled task takes four times what remained, and usage appears no earlier than the lag. Faults planted one at a time in the test double (no lag, no throttle, a checkpoint that keeps nothing, no limit) fail the four cases.

--- a/tests/provider/platform_fixture.hpp
+++ b/tests/provider/platform_fixture.hpp
@@ -96,6 +96,15 @@
                     std::to_string(sleep_ms) + more + "}"};
     }
 
+    /// Waits until the workers have started this many tasks.
+    void wait_for_starts(std::size_t count) const
+    {
+        const auto deadline = in(5s);
+        while (platform->log().entries().size() < count &&
+               base::steady_now() < deadline)
+            boost::this_fiber::sleep_for(1ms);
+    }
+
     std::uint64_t set_fault(standin::fault_kind kind,
                             base::duration duration = {},
                             base::duration delay = {})
--- a/tests/provider/worker_client_test.cpp
+++ b/tests/provider/worker_client_test.cpp
@@ -206,15 +206,18 @@
     provider::lease_status status;
     net::task_group fibers;
     fibers.spawn(
-        [&] { status = work.start(first, lease, task("t", 300), in(2s)); });
+        [&] { status = work.start(first, lease, task("t", 1000), in(3s)); });
+    wait_for_starts(1);
     boost::this_fiber::sleep_for(200ms);
     CHECK(work.checkpoint(first, lease, in(1s)).state ==
           lease_state::stopped_started);
     fibers.join();
     CHECK(status.reason == "checkpointed");
-    const auto rest = work.run(second, task("t", 300), in(2s));
+    CHECK(status.run_time >= 199ms);
+    const auto rest = work.run(second, task("t", 1000), in(3s));
     CHECK(rest.status.state == lease_state::done);
-    CHECK(rest.status.run_time < 200ms);
+    // Both times are rounded to milliseconds.
+    CHECK(rest.status.run_time <= 1001ms - status.run_time);
     CHECK(platform->log().entries().at(1).resumed);
 }
 
@@ -223,32 +226,45 @@
     const auto lease = reserve();
     provider::lease_status status;
     net::task_group fibers;
-    fibers.spawn([&]
-                 { status = work.start(first, lease, task("t", 60), in(2s)); });
-    boost::this_fiber::sleep_for(10ms);
+    const auto begin = base::steady_now();
+    fibers.spawn(
+        [&] { status = work.start(first, lease, task("t", 300), in(4s)); });
+    wait_for_starts(1);
     work.throttle(first, lease, 0.25, in(1s));
+    // At most this much of the task ran at full speed.
+    const auto unthrottled = base::steady_now() - begin;
     CHECK(code_of([&] { work.throttle(first, lease, 0, in(1s)); }) ==
           error_code::invalid);
     fibers.join();
-    CHECK(status.run_time >= 180ms);
+    CHECK(status.run_time >= 4 * 300ms - 3 * unthrottled - 1ms);
 }
 
 TEST_CASE_FIXTURE(platform_fixture, "the usage report lags")
 {
+    const auto lease = reserve();
     net::task_group fibers;
+    const auto begin = base::steady_now();
     fibers.spawn(
-        [&] {
-            work.run(first, task("t", 200, R"(,"use":{"cores":3.5})"), in(1s));
+        [&]
+        {
+            work.start(first, lease,
+                       task("t", 30'000, R"(,"use":{"cores":3.5})"), in(30s));
         });
-    boost::this_fiber::sleep_for(20ms);
-    CHECK(work.report(first, in(1s)).usage.empty());
-    CHECK(work.report(first, in(1s)).slots_used == 1);
-    boost::this_fiber::sleep_for(100ms);
-    const auto report = work.report(first, in(1s));
+    wait_for_starts(1);
+    auto report = work.report(first, in(1s));
+    CHECK(report.slots_used == 1);
+    while (report.usage.empty() && base::steady_now() - begin < 5s)
+        report = work.report(first, in(1s));
+    // Usage is listed after the lag, not earlier.
+    CHECK(base::steady_now() - begin >= 50ms);
     REQUIRE(report.usage.size() == 1);
     CHECK(report.usage[0].used.cores == 3.5);
     CHECK(report.usage[0].queue == "queue");
+    boost::this_fiber::sleep_for(100ms);
+    report = work.report(first, in(1s));
+    REQUIRE(report.usage.size() == 1);
     CHECK(report.usage[0].run_time >= 20ms);
+    work.stop(first, lease, in(1s));
     fibers.join();
 }
 
@@ -350,10 +366,10 @@
     provider::run_result result;
     fibers.spawn(
         [&] {
-            result =
-                fixture.work.run(fixture.first, fixture.task("t", 100), in(1s));
+            result = fixture.work.run(fixture.first, fixture.task("t", 2000),
+                                      in(5s));
         });
-    boost::this_fiber::sleep_for(30ms);
+    fixture.wait_for_starts(1);
     CHECK(code_of([&] { fixture.work.report(fixture.first, in(1s)); }) ==
           error_code::refused);
     fibers.join();
