Count pending jobs only while the lease is certain

Seen (test): an instance that is cut off from the store answers the number of pending jobs from memory for as long as the cut lasts, although the pool may have another owner that has accepted and started jobs.

Cause: status and cancellation ask whether the lease still holds, the count did not, for callers here or at another instance.

Change: the count is left out then, and callers get 503 as when the owner does not answer.

--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -243,6 +243,14 @@
     return answer;
 }
 
+std::optional<int> pool_gateway::certain_pending(const pools::pool_owner& owner,
+                                                 std::string_view queue) const
+{
+    if (!session_.holds_lease(base::suspend_aware_now()))
+        return std::nullopt;
+    return owner.pending(queue);
+}
+
 pools::job_answer pool_gateway::stored_status(std::string_view pool,
                                               std::string_view id)
 {
@@ -339,7 +347,7 @@
                       base::time_point deadline)
 {
     if (const auto owner = claims_.find(queue.pool))
-        return owner->pending(queue.name);
+        return certain_pending(*owner, queue.name);
     const holder* current = session_.holder_of(pool_role(queue.pool));
     if (current == nullptr)
         return std::nullopt;
@@ -455,8 +463,9 @@
         [this](const peer::call_context&, const peer::count_pending& message)
         {
             const auto owner = claims_.find(message.pool);
-            const auto count =
-                owner == nullptr ? std::nullopt : owner->pending(message.queue);
+            const auto count = owner == nullptr
+                                   ? std::nullopt
+                                   : certain_pending(*owner, message.queue);
             return peer::pending_reply{count.has_value(), count.value_or(0)};
         });
     server.handle<peer::query_load>(
--- a/src/node/pool_gateway.hpp
+++ b/src/node/pool_gateway.hpp
@@ -84,6 +84,11 @@
     /// The answer of an owner here, which denies no job once its lease may have
     /// ended: the next owner may have accepted it.
     [[nodiscard]] pools::job_answer certain(pools::job_answer answer) const;
+    /// Empty once the owner's lease may have ended: the next owner may have
+    /// accepted and started jobs.
+    [[nodiscard]] std::optional<int>
+    certain_pending(const pools::pool_owner& owner,
+                    std::string_view queue) const;
     pools::job_answer stored_status(std::string_view pool, std::string_view id);
 
     session& session_;
--- a/tests/node/cut_off_owner_test.cpp
+++ b/tests/node/cut_off_owner_test.cpp
@@ -36,6 +36,30 @@
         }));
 }
 
+// Guards against a number of pending jobs that an owner gives from memory while
+// the next owner may have accepted and started others.
+TEST_CASE("an owner whose lease is not certain counts no pending jobs")
+{
+    cluster all(0);
+    platform_standin::relay to_store(all.platform.store_address());
+    all.entries.push_back(std::make_unique<entry>(all.platform, "e0", 1.0,
+                                                  to_store.local_endpoint()));
+    REQUIRE(eventually([&] { return all.owner() == 0; }));
+    const entry& only = *all.entries[0];
+    const auto status = [&]
+    {
+        return all.client.call(only, "GET", "/q/").status;
+    };
+    REQUIRE(eventually([&] { return status() == 200; }));
+    to_store.refuses = true;
+    to_store.cut();
+    CHECK(status() == 200);
+    boost::this_fiber::sleep_for(2600ms);
+    CHECK(status() == 503);
+    to_store.refuses = false;
+    CHECK(eventually([&] { return status() == 200; }));
+}
+
 // Guards against an owner that has been replaced without knowing it, and says
 // of a job that the next owner has accepted that it was not accepted.
 TEST_CASE("an owner that was replaced refuses no job that the next one has")
