--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -23,7 +23,8 @@
 constexpr std::chrono::milliseconds steady_poll_wait{900};
 constexpr std::chrono::milliseconds recent_starts_poll_wait{150};
 constexpr int polls_per_lease = 3;
-constexpr int extensions_per_lease = 3;
+// Runs outlive a silence of four fifths of their lease.
+constexpr int extensions_per_lease = 7;
 // Time that a poll may take beyond its wait.
 constexpr std::chrono::milliseconds poll_timeout_slack{700};
 constexpr std::chrono::milliseconds min_poll_timeout{100};
