Withhold the end of a task whose earlier order may arrive

Callers saw a task started again after its end was acknowledged (TWICE). Its first order got no answer, the worker acknowledged a stop of it, and the task ran again there and ended. Then the worker restarted, and its next incarnation, which knows of no stop, began the first order.

An end counts only once it is acknowledged, and a restart forgets it. So such an end, and with it the later ones of its worker, is not acknowledged until the order can no longer arrive. The job is shown as completed at once. All ends are acknowledged once a worker lists more than 300.

Ruled out: holding the task also beside a sound worker (12 s for each order without an answer); holding the completed state, which the rule does not ask for beside late orders.

--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -25,6 +25,8 @@
 constexpr std::chrono::milliseconds stall_limit{2500};
 // A task that has run this long is not the cause of the crashes under it.
 constexpr std::chrono::seconds exoneration_time{10};
+// Ends are withheld only while a worker lists no more than this.
+constexpr std::size_t max_listed_ends = 300;
 // A stop order is sent again when the run has not ended after this time.
 constexpr std::chrono::milliseconds stop_retry_interval{2000};
 
@@ -119,8 +121,14 @@
         if (row.number > worker->applied_end)
         {
             apply_end(*worker, row, now, wall);
+            worker->note_arrived(row.task, row.run);
+            if (row.how == end_kind::done)
+                worker->note_done(row.task, row.number, now);
             worker->applied_end = row.number;
         }
+    // A worker lists a limited number of ends.
+    if (report.is_truncated || report.ended.size() > max_listed_ends)
+        worker->withheld_ends.clear();
     for (const listed_run& row : report.running)
         apply_listed_run(*worker, row, now);
     settle_late_starts(*worker, now);
--- a/src/jobs/pool_roster.cpp
+++ b/src/jobs/pool_roster.cpp
@@ -300,6 +300,15 @@
     return count != recorded_workers_;
 }
 
+std::optional<withheld_end>
+pool_state::first_withheld_end(std::string_view id, base::time_point now) const
+{
+    const auto found = workers_.find(id);
+    if (found == workers_.end())
+        return std::nullopt;
+    return found->second.first_withheld_end(now);
+}
+
 void pool_state::begin_acknowledgement(std::string_view id,
                                        base::time_point now)
 {
--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -187,7 +187,7 @@
            (!found->second.knowledge.has_reported() ||
             !found->second.runs.empty() || found->second.lists_other_runs ||
             !found->second.is_reachable || unstored_ ||
-            acknowledged_end_ != stored_end_);
+            acknowledged_end_ < forgettable_end(base::steady_now()));
 }
 
 base::duration worker_link::poll_wait() const
@@ -222,7 +222,9 @@
 
 base::time_point worker_link::idle_until(base::time_point now) const
 {
-    const base::time_point latest = now + idle_wait;
+    base::time_point latest = now + idle_wait;
+    if (const auto withheld = state_.first_withheld_end(worker_.id, now))
+        latest = std::min<base::time_point>(latest, withheld->until);
     if (clock_ms_ == 0)
         return latest;
     return std::min<base::time_point>(latest, clock_read_at_ + max_clock_age);
@@ -291,8 +293,9 @@
         state_.end_acknowledgement(worker_.id, false);
         if (is_stopping_ || !apply(listing, asked.where, now))
             return;
-        if (request.stored_end == stored_end_)
-            acknowledged_end_ = stored_end_;
+        // After a restart no end of the new incarnation is stored yet.
+        if (request.stored_end <= stored_end_)
+            acknowledged_end_ = std::max(acknowledged_end_, request.stored_end);
         if (!is_extension_due(base::steady_now()))
             wait_for_storage(now);
     }
@@ -395,7 +398,10 @@
 // Ends that are stored are not listed again.
 void worker_link::wait_for_storage(base::time_point sent_at)
 {
-    const base::duration pause = poll_interval.at(state_.workers().size());
+    base::duration pause = poll_interval.at(state_.workers().size());
+    // Ends that stay listed make each poll return at once.
+    if (state_.first_withheld_end(worker_.id, sent_at))
+        pause = std::max<base::duration>(pause, unstored_poll_interval);
     if (!unstored_)
     {
         if (base::steady_now() - sent_at < pause)
@@ -414,11 +420,18 @@
     unstored_.reset();
 }
 
+std::int64_t worker_link::forgettable_end(base::time_point now) const
+{
+    const auto withheld = state_.first_withheld_end(worker_.id, now);
+    return withheld ? std::min(stored_end_, withheld->number - 1) : stored_end_;
+}
+
 std::int64_t worker_link::end_to_acknowledge(base::time_point now) const
 {
-    const bool is_needed = acknowledged_end_ != stored_end_ &&
+    const std::int64_t last = forgettable_end(now);
+    const bool is_needed = acknowledged_end_ < last &&
                            now - clock_read_at_ < max_acknowledge_delay;
-    return is_needed ? stored_end_ : 0;
+    return is_needed ? last : 0;
 }
 
 // The new incarnation may still carry out an order that was sent to the
--- a/src/pools/worker_link.hpp
+++ b/src/pools/worker_link.hpp
@@ -73,6 +73,8 @@
     void apply_report(const platform::worker_listing& listing,
                       base::time_point sent_at, base::time_point now);
     void wait_for_storage(base::time_point sent_at);
+    /// The last stored end that the worker may forget.
+    [[nodiscard]] std::int64_t forgettable_end(base::time_point now) const;
     /// Returns 0 if no end should be acknowledged now.
     [[nodiscard]] std::int64_t end_to_acknowledge(base::time_point now) const;
     void note_restart(std::int64_t born_ms, base::time_point now);
--- a/tests/jobs/restart_test.cpp
+++ b/tests/jobs/restart_test.cpp
@@ -1,6 +1,7 @@
 // What the owner of a pool believes of a worker that has started again under
 // the same id: runs of the new incarnation and orders that are under way stay.
 
+#include "jobs/lease_bound.hpp"
 #include "jobs/pool_fixture.hpp"
 
 #include <doctest/doctest.h>
@@ -225,6 +226,65 @@
     CHECK(pool.state.take_stops().size() == 1);
 }
 
+// Guards against an end that is acknowledged while an earlier order of its task
+// may still begin a run at the worker's next incarnation (TWICE).
+TEST_CASE("an end is withheld while an earlier order of its task may arrive")
+{
+    pool_fixture pool({describe("w1")});
+    pool.report("w1", of_incarnation(1));
+    pool.submit("j", make_job({make_step(2)}));
+    const auto orders = pool.plan();
+    REQUIRE(orders.size() == 2);
+    const base::time_point sent_at = pool.now;
+    pool.state.apply_start_answer(orders[0], start_answer::started, pool.now);
+    pool.state.apply_start_answer(orders[1], start_answer::unknown, pool.now);
+    auto report = running({orders[0]}, 50);
+    report.born_ms = of_incarnation(1).born_ms;
+    pool.report("w1", report);
+    pool.state.apply_stop_answer(pool.state.take_stops().at(0), true, pool.now);
+    pool.report("w1", report);
+    const auto again = pool.plan_and_start();
+    REQUIRE(again.size() == 1);
+    auto ends = of_incarnation(1);
+    ends.ended.push_back(
+        {1, orders[0].task, orders[0].run, end_kind::done, {}});
+    ends.ended.push_back({2, again[0].task, again[0].run, end_kind::done, {}});
+    pool.report("w1", ends);
+    CHECK(pool.state.status_of("j") == reported_status::completed);
+    const auto withheld = pool.state.first_withheld_end("w1", pool.now);
+    REQUIRE(withheld);
+    CHECK(withheld->number == 2);
+    CHECK(withheld->until >= sent_at + late_call_time);
+    CHECK_FALSE(pool.state.first_withheld_end("w1", withheld->until));
+    // The next incarnation numbers its ends anew.
+    pool.report("w1", of_incarnation(2));
+    CHECK_FALSE(pool.state.first_withheld_end("w1", pool.now));
+}
+
+// Guards against ends that a worker never lists, since it lists a limited
+// number and the first ones are withheld.
+TEST_CASE("no end is withheld while a worker lists only some of its ends")
+{
+    pool_fixture pool({describe("w1")});
+    pool.report("w1", of_incarnation(1));
+    pool.submit("j", make_job({make_step(1)}));
+    const auto orders = pool.plan();
+    REQUIRE(orders.size() == 1);
+    pool.state.apply_start_answer(orders[0], start_answer::unknown, pool.now);
+    pool.report("w1", of_incarnation(1));
+    pool.state.apply_stop_answer(pool.state.take_stops().at(0), true, pool.now);
+    pool.report("w1", of_incarnation(1));
+    const auto again = pool.plan_and_start();
+    REQUIRE(again.size() == 1);
+    auto ends = of_incarnation(1);
+    ends.ended.push_back({1, again[0].task, again[0].run, end_kind::done, {}});
+    pool.report("w1", ends);
+    CHECK(pool.state.first_withheld_end("w1", pool.now));
+    ends.is_truncated = true;
+    pool.report("w1", ends);
+    CHECK_FALSE(pool.state.first_withheld_end("w1", pool.now));
+}
+
 // Guards against a long-running task that is away while its worker is silent.
 TEST_CASE("a long-running task does not wait for a silent worker")
 {
