Acknowledge no end while a late order may arrive

Such a poll is not sent any more: no end of a worker is acknowledged while an order may still arrive there. That covers the ends of tasks with an earlier order, too, and replaces the list of withheld ends.

Ruled out: delaying starts after such a poll. The late run needs none.

--- a/src/jobs/pool_losses.cpp
+++ b/src/jobs/pool_losses.cpp
@@ -78,7 +78,6 @@
     if (loss == run_loss::lapsed)
         return;
     worker->applied_end = 0;
-    worker->withheld_ends.clear();
     // Another worker answers there: no order arrives any more.
     release_late_starts(*worker);
     forget_ends(*worker);
@@ -240,7 +239,6 @@
     worker.forgets_ends_until =
         std::max(worker.forgets_ends_until, worker.acknowledges_until());
     worker.applied_end = 0;
-    worker.withheld_ends.clear();
     forget_ends(worker);
     resolve_runs(worker);
 }
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -122,13 +122,11 @@
         {
             apply_end(*worker, row, now, wall);
             worker->note_arrived(row.task, row.run);
-            if (row.how == end_kind::done)
-                worker->note_done(row.task, row.number, now);
             worker->applied_end = row.number;
         }
     // A worker lists a limited number of ends.
-    if (report.is_truncated || report.ended.size() > max_listed_ends)
-        worker->withheld_ends.clear();
+    worker->lists_many_ends =
+        report.is_truncated || report.ended.size() > max_listed_ends;
     for (const listed_run& row : report.running)
         apply_listed_run(*worker, row, now);
     settle_late_starts(*worker, now);
--- a/src/jobs/pool_roster.cpp
+++ b/src/jobs/pool_roster.cpp
@@ -300,13 +300,11 @@
     return count != recorded_workers_;
 }
 
-std::optional<withheld_end>
-pool_state::first_withheld_end(std::string_view id, base::time_point now) const
+base::time_point pool_state::withholds_ends_until(std::string_view id) const
 {
     const auto found = workers_.find(id);
-    if (found == workers_.end())
-        return std::nullopt;
-    return found->second.first_withheld_end(now);
+    return found == workers_.end() ? base::time_point{}
+                                   : found->second.withholds_ends_until();
 }
 
 void pool_state::begin_acknowledgement(std::string_view id,
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -233,9 +233,9 @@
     void note_recorded(std::span<const roster_entry> roster);
     /// Nothing runs on the worker after `at` unless its lease is extended.
     void set_lease_end(std::string_view id, base::time_point at);
-    /// The first end of the worker that must not be acknowledged yet, if any.
-    [[nodiscard]] std::optional<withheld_end>
-    first_withheld_end(std::string_view id, base::time_point now) const;
+    /// Until when the worker's ends must not be acknowledged.
+    [[nodiscard]] base::time_point
+    withholds_ends_until(std::string_view id) const;
     /// A poll that acknowledges ends is sent.
     void begin_acknowledgement(std::string_view id, base::time_point now);
     /// The poll has ended; it may still take effect if `may_arrive`.
--- a/src/jobs/worker_view.cpp
+++ b/src/jobs/worker_view.cpp
@@ -152,26 +152,14 @@
                   { return start.task == task && start.run == run; });
 }
 
-void worker_view::note_done(const task_id& task, std::int64_t number,
-                            base::time_point now)
+base::time_point worker_view::withholds_ends_until() const
 {
     base::time_point until{};
+    if (lists_many_ends)
+        return until;
     for (const unanswered_start& start : unanswered)
-        if (start.task == task)
-            until = std::max(until, start.arrives_by);
-    if (now < until)
-        withheld_ends.push_back({number, until});
-}
-
-std::optional<withheld_end>
-worker_view::first_withheld_end(base::time_point now) const
-{
-    const auto found = std::find_if(withheld_ends.begin(), withheld_ends.end(),
-                                    [now](const withheld_end& entry)
-                                    { return now < entry.until; });
-    if (found == withheld_ends.end())
-        return std::nullopt;
-    return *found;
+        until = std::max(until, start.arrives_by);
+    return until;
 }
 
 bool worker_view::awaits_late_start(const task_id& task) const
--- a/src/jobs/worker_view.hpp
+++ b/src/jobs/worker_view.hpp
@@ -96,14 +96,6 @@
     base::time_point stop_sent_at{};
 };
 
-/// An end that must not be acknowledged yet: an earlier order of its task may
-/// still arrive at the worker's next incarnation, which begins it again.
-struct withheld_end
-{
-    std::int64_t number = 0;
-    base::time_point until{};
-};
-
 /// State of a worker as known to the pool's owner.
 struct worker_view
 {
@@ -148,8 +140,8 @@
     /// Highest number of the ended runs that have been applied.
     std::int64_t applied_end = 0;
     std::vector<unanswered_start> unanswered;
-    /// In the order of their numbers.
-    std::vector<withheld_end> withheld_ends;
+    /// Its last report holds so many ends that it may not list all of them.
+    bool lists_many_ends = false;
     /// Until then a poll that acknowledged ends and got no answer may still be
     /// carried out, also by the next incarnation.
     base::time_point late_acknowledgement_until{};
@@ -189,12 +181,12 @@
     [[nodiscard]] base::time_point acknowledges_until() const;
     /// The order has arrived.
     void note_arrived(const task_id& task, int run);
-    /// A run of the task has ended as done, with this number of its end.
-    void note_done(const task_id& task, std::int64_t number,
-                   base::time_point now);
-    /// The first end that is withheld, if any.
-    [[nodiscard]] std::optional<withheld_end>
-    first_withheld_end(base::time_point now) const;
+    /// Until when its ends must not be acknowledged, the past if they may be:
+    /// an order that may still arrive begins a run at the next incarnation.
+    /// That must not follow an acknowledged end of its task, and its own end
+    /// must not be forgotten by an acknowledgement that was meant for this
+    /// incarnation.
+    [[nodiscard]] base::time_point withholds_ends_until() const;
     /// Whether a start order of the task may still arrive.
     [[nodiscard]] bool awaits_late_start(const task_id& task) const;
     [[nodiscard]] bool awaits_late_starts(base::time_point now) const;
--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -223,8 +223,9 @@
 base::time_point worker_link::idle_until(base::time_point now) const
 {
     base::time_point latest = now + idle_wait;
-    if (const auto withheld = state_.first_withheld_end(worker_.id, now))
-        latest = std::min<base::time_point>(latest, withheld->until);
+    const base::time_point withheld = state_.withholds_ends_until(worker_.id);
+    if (now < withheld)
+        latest = std::min<base::time_point>(latest, withheld);
     if (clock_ms_ == 0)
         return latest;
     return std::min<base::time_point>(latest, clock_read_at_ + max_clock_age);
@@ -400,7 +401,8 @@
 {
     base::duration pause = poll_interval.at(state_.workers().size());
     // Ends that stay listed make each poll return at once.
-    if (state_.first_withheld_end(worker_.id, sent_at))
+    if (sent_at < state_.withholds_ends_until(worker_.id) &&
+        acknowledged_end_ < stored_end_)
         pause = std::max<base::duration>(pause, unstored_poll_interval);
     if (!unstored_)
     {
@@ -422,8 +424,8 @@
 
 std::int64_t worker_link::forgettable_end(base::time_point now) const
 {
-    const auto withheld = state_.first_withheld_end(worker_.id, now);
-    return withheld ? std::min(stored_end_, withheld->number - 1) : stored_end_;
+    return now < state_.withholds_ends_until(worker_.id) ? acknowledged_end_
+                                                         : stored_end_;
 }
 
 std::int64_t worker_link::end_to_acknowledge(base::time_point now) const
--- a/tests/jobs/pool_world_polls.cpp
+++ b/tests/jobs/pool_world_polls.cpp
@@ -3,7 +3,6 @@
 
 #include "jobs/pool_world.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace pimentograde::tests
@@ -130,9 +129,9 @@
 
 std::int64_t pool_world::forgettable_end(const std::string& worker)
 {
-    const auto withheld = owner_.state->first_withheld_end(worker, now_);
-    return withheld ? std::min(owner_.stored_end[worker], withheld->number - 1)
-                    : owner_.stored_end[worker];
+    return now_ < owner_.state->withholds_ends_until(worker)
+               ? owner_.forgotten_end[worker]
+               : owner_.stored_end[worker];
 }
 
 void pool_world::forget_ends(simulated_worker& worker, std::int64_t last)
--- a/tests/jobs/restart_test.cpp
+++ b/tests/jobs/restart_test.cpp
@@ -251,14 +251,36 @@
     ends.ended.push_back({2, again[0].task, again[0].run, end_kind::done, {}});
     pool.report("w1", ends);
     CHECK(pool.state.status_of("j") == reported_status::completed);
-    const auto withheld = pool.state.first_withheld_end("w1", pool.now);
-    REQUIRE(withheld);
-    CHECK(withheld->number == 2);
-    CHECK(withheld->until >= sent_at + late_call_time);
-    CHECK_FALSE(pool.state.first_withheld_end("w1", withheld->until));
-    // The next incarnation numbers its ends anew.
+    const auto until = pool.state.withholds_ends_until("w1");
+    CHECK(until >= sent_at + late_call_time);
+    // The next incarnation may begin the run, and its end must be read.
     pool.report("w1", of_incarnation(2));
-    CHECK_FALSE(pool.state.first_withheld_end("w1", pool.now));
+    CHECK(pool.state.withholds_ends_until("w1") == until);
+    auto late = of_incarnation(2);
+    late.ended.push_back(
+        {1, orders[1].task, orders[1].run, end_kind::done, {}});
+    pool.report("w1", late);
+    CHECK(pool.state.withholds_ends_until("w1") < pool.now);
+}
+
+// Guards against an end of the next incarnation that nobody has read: a poll to
+// this one that is under way when the worker restarts would acknowledge it by
+// its number, and the task of the late order would start again (TWICE).
+TEST_CASE("no end is acknowledged while an order may begin a run after a "
+          "restart")
+{
+    pool_fixture pool({describe("w1")});
+    pool.report("w1", of_incarnation(1));
+    pool.submit("j", make_job({make_step(2)}));
+    const auto orders = pool.plan();
+    REQUIRE(orders.size() == 2);
+    pool.state.apply_start_answer(orders[0], start_answer::started, pool.now);
+    pool.state.apply_start_answer(orders[1], start_answer::unknown, pool.now);
+    auto ends = of_incarnation(1);
+    ends.ended.push_back(
+        {1, orders[0].task, orders[0].run, end_kind::done, {}});
+    pool.report("w1", ends);
+    CHECK(pool.now < pool.state.withholds_ends_until("w1"));
 }
 
 // Guards against ends that a worker never lists, since it lists a limited
@@ -279,10 +301,10 @@
     auto ends = of_incarnation(1);
     ends.ended.push_back({1, again[0].task, again[0].run, end_kind::done, {}});
     pool.report("w1", ends);
-    CHECK(pool.state.first_withheld_end("w1", pool.now));
+    CHECK(pool.now < pool.state.withholds_ends_until("w1"));
     ends.is_truncated = true;
     pool.report("w1", ends);
-    CHECK_FALSE(pool.state.first_withheld_end("w1", pool.now));
+    CHECK(pool.state.withholds_ends_until("w1") < pool.now);
 }
 
 // Guards against a long-running task that is away while its worker is silent.
