--- a/src/jobs/pool_roster.cpp
+++ b/src/jobs/pool_roster.cpp
@@ -301,6 +301,13 @@
     return count != recorded_workers_;
 }
 
+base::time_point pool_state::withholds_ends_until(std::string_view id) const
+{
+    const auto found = workers_.find(id);
+    return found == workers_.end() ? base::time_point{}
+                                   : found->second.withholds_ends_until();
+}
+
 void pool_state::begin_acknowledgement(std::string_view id,
                                        base::time_point now)
 {
--- a/src/jobs/worker_view.cpp
+++ b/src/jobs/worker_view.cpp
@@ -152,6 +152,16 @@
                   { return start.task == task && start.run == run; });
 }
 
+base::time_point worker_view::withholds_ends_until() const
+{
+    base::time_point until{};
+    if (lists_many_ends)
+        return until;
+    for (const unanswered_start& start : unanswered)
+        until = std::max(until, start.arrives_by);
+    return until;
+}
+
 bool worker_view::awaits_late_start(const task_id& task) const
 {
     return std::any_of(unanswered.begin(), unanswered.end(),
--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -188,7 +188,7 @@
            (!found->second.knowledge.has_reported() ||
             !found->second.runs.empty() || found->second.lists_other_runs ||
             !found->second.is_reachable || unstored_ ||
-            acknowledged_end_ != stored_end_);
+            acknowledged_end_ < forgettable_end(base::steady_now()));
 }
 
 base::duration worker_link::poll_wait() const
@@ -223,7 +223,10 @@
 
 base::time_point worker_link::idle_until(base::time_point now) const
 {
-    const base::time_point latest = now + idle_wait;
+    base::time_point latest = now + idle_wait;
+    const base::time_point withheld = state_.withholds_ends_until(worker_.id);
+    if (now < withheld)
+        latest = std::min<base::time_point>(latest, withheld);
     if (clock_ms_ == 0)
         return latest;
     return std::min<base::time_point>(latest, clock_read_at_ + max_clock_age);
@@ -292,8 +295,9 @@
         state_.end_acknowledgement(worker_.id, false);
         if (is_stopping_ || !apply(listing, asked.where, now))
             return;
-        if (request.stored_end == stored_end_)
-            acknowledged_end_ = stored_end_;
+        // After a restart no end of the new incarnation is stored yet.
+        if (request.stored_end <= stored_end_)
+            acknowledged_end_ = std::max(acknowledged_end_, request.stored_end);
         if (!is_extension_due(base::steady_now()))
             wait_for_storage(now);
     }
@@ -405,7 +409,11 @@
 // Ends that are stored are not listed again.
 void worker_link::wait_for_storage(base::time_point sent_at)
 {
-    const base::duration pause = poll_interval.at(state_.workers().size());
+    base::duration pause = poll_interval.at(state_.workers().size());
+    // Ends that stay listed make each poll return at once.
+    if (sent_at < state_.withholds_ends_until(worker_.id) &&
+        acknowledged_end_ < stored_end_)
+        pause = std::max<base::duration>(pause, unstored_poll_interval);
     if (!unstored_)
     {
         if (base::steady_now() - sent_at < pause)
@@ -424,11 +432,18 @@
     unstored_.reset();
 }
 
+std::int64_t worker_link::forgettable_end(base::time_point now) const
+{
+    return now < state_.withholds_ends_until(worker_.id) ? acknowledged_end_
+                                                         : stored_end_;
+}
+
 std::int64_t worker_link::end_to_acknowledge(base::time_point now) const
 {
-    const bool is_needed = acknowledged_end_ != stored_end_ &&
+    const std::int64_t last = forgettable_end(now);
+    const bool is_needed = acknowledged_end_ < last &&
                            now - clock_read_at_ < max_acknowledge_delay;
-    return is_needed ? stored_end_ : 0;
+    return is_needed ? last : 0;
 }
 
 // The new incarnation may still carry out an order that was sent to the
--- a/tests/jobs/pool_world_polls.cpp
+++ b/tests/jobs/pool_world_polls.cpp
@@ -36,7 +36,7 @@
         return false;
     const auto extra = std::chrono::milliseconds(random_() % max_extra_delay);
     // As in the product, an acknowledged number is not sent again.
-    const std::int64_t last = owner_.stored_end[worker.id];
+    const std::int64_t last = forgettable_end(worker.id);
     const std::int64_t sent =
         owner_.forgotten_end[worker.id] == last ? 0 : last;
     if (!chance(never_carried_out))
@@ -127,6 +127,13 @@
     }
 }
 
+std::int64_t pool_world::forgettable_end(const std::string& worker)
+{
+    return now_ < owner_.state->withholds_ends_until(worker)
+               ? owner_.forgotten_end[worker]
+               : owner_.stored_end[worker];
+}
+
 void pool_world::forget_ends(simulated_worker& worker, std::int64_t last)
 {
     std::erase_if(worker.ended,
