Repeat two more tests when the machine stands still

Seen once each with four runs on one processor beside 2 busy processes and load 31: "a broken connection fails the pending calls" took 2.70 s instead of 1 s in four of four processes of test_peer at the same time, and "a retry through another instance" of test_dispatch came out unknown in one of four, its time limit of 0.3 s used up. Cause: stalls; equal times in four processes are the machine's. Shown by pauses of the process: one of 1.3 s failed the first in 24 of 120 runs, pauses of 0.5 s failed the second in 1 of 48.

Change: both run by play_without_stalls, which now installs the scheduler itself; their checks and limits are the same.

No fault was planted in the product for these two.

--- a/tests/node/stall_watch.hpp
+++ b/tests/node/stall_watch.hpp
@@ -2,6 +2,7 @@
 #define PIMENTOGRADE_TESTS_NODE_STALL_WATCH_HPP
 
 #include "base/time.hpp"
+#include "net/io_scheduler.hpp"
 #include "net/task_group.hpp"
 
 #include <boost/fiber/operations.hpp>
@@ -22,6 +23,7 @@
 public:
     stall_watch()
     {
+        net::this_thread_io();
         fibers_.spawn([this] { run(); });
     }
     ~stall_watch()
