Send an order without an answer again, beside other orders

Cause: a worker's orders went one after the other, each lost one held all others for 450 ms; its run was then stopped, by an order that may be lost too, and started again under the next number.

Change: a start or stop without an answer is sent again under its number after 100 ms, up to five times, in a fiber of its own. Orders for the same task wait for it. Nothing is sent again to a worker that has restarted since.

Ruled out: a start on another worker at once, since the first may still run.

--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -35,6 +35,15 @@
 // How long an idle link waits unless it is notified.
 constexpr std::chrono::seconds idle_wait{5};
 constexpr std::chrono::milliseconds order_timeout{450};
+// An order without an answer is sent again, since the worker carries it out
+// once. The last try has the time of `order_timeout`.
+constexpr std::chrono::milliseconds early_order_timeout{100};
+constexpr int max_order_tries = 5;
+// Orders that are sent again beside others.
+constexpr std::size_t max_repeated_orders = 16;
+// For this long after a call without an answer calls wait for each other as
+// little as they can.
+constexpr std::chrono::seconds loss_memory{2};
 constexpr std::chrono::milliseconds order_storage_timeout{1000};
 // While the store is unavailable or slow, ended runs stay listed and each poll
 // returns at once, so polls are spaced by this interval.
@@ -43,6 +52,19 @@
 // the worker, whose numbers begin anew, would forget ends that nobody has read.
 constexpr std::chrono::milliseconds max_acknowledge_delay{500};
 
+/// Calls a function when the scope ends, also by an exception.
+class at_exit
+{
+public:
+    explicit at_exit(std::function<void()> body) : body_(std::move(body)) {}
+    ~at_exit() { body_(); }
+    at_exit(const at_exit&) = delete;
+    at_exit& operator=(const at_exit&) = delete;
+
+private:
+    std::function<void()> body_;
+};
+
 } // namespace
 
 worker_link::worker_link(jobs::worker_description worker, std::int64_t fence,
@@ -282,6 +304,7 @@
     catch (const base::error& failure)
     {
         note_failed(sent, failure.effect_unknown());
+        note_timeout(failure);
         state_.end_acknowledgement(worker_.id,
                                    failure.code() == base::error_code::timeout);
         handle_poll_failure(failure.what());
@@ -468,23 +491,67 @@
 {
     while (!is_stopping_)
     {
-        if (orders_.empty())
+        if (orders_.empty() || repeated_orders_ >= max_repeated_orders)
         {
             order_wakeup_.wait_until(base::steady_now() + idle_wait);
             continue;
         }
-        const any_order next = std::move(orders_.front());
+        any_order next = std::move(orders_.front());
         orders_.pop_front();
-        if (const auto* begin = std::get_if<jobs::start_order>(&next))
-            send_start(*begin);
-        else if (const auto* stop = std::get_if<jobs::stop_order>(&next))
-            send_stop(*stop);
+        if (auto* begin = std::get_if<jobs::start_order>(&next))
+            send_start(std::move(*begin));
+        else if (auto* stop = std::get_if<jobs::stop_order>(&next))
+            send_stop(std::move(*stop));
         else
             check_restart(base::steady_now());
         poll_wakeup_.notify();
     }
 }
 
+void worker_link::repeat_beside(std::function<void()> repeat)
+{
+    ++repeated_orders_;
+    fibers_.spawn(
+        [this, body = std::move(repeat)]
+        {
+            const at_exit end([this] { handle_repeated_order(); });
+            body();
+        });
+}
+
+void worker_link::handle_repeated_order()
+{
+    --repeated_orders_;
+    order_wakeup_.notify();
+    poll_wakeup_.notify();
+}
+
+// A start that is sent again may overtake orders for the same task.
+bool worker_link::hold_behind_start(const jobs::task_id& task, any_order next)
+{
+    const auto found = open_starts_.find(task);
+    if (found == open_starts_.end())
+        return false;
+    found->second.push_back(std::move(next));
+    return true;
+}
+
+void worker_link::note_timeout(const base::error& failure)
+{
+    if (failure.code() == base::error_code::timeout)
+        unanswered_at_ = base::steady_now();
+}
+
+bool worker_link::loses_answers(base::time_point now) const
+{
+    return unanswered_at_ && now < *unanswered_at_ + loss_memory;
+}
+
+base::duration worker_link::timeout_of_try(int number)
+{
+    return number < max_order_tries ? early_order_timeout : order_timeout;
+}
+
 std::optional<jobs::start_answer>
 worker_link::refuse_start(const jobs::start_order& order)
 {
@@ -515,48 +582,111 @@
     return std::nullopt;
 }
 
-void worker_link::send_start(const jobs::start_order& order)
+void worker_link::send_start(jobs::start_order order)
 {
+    if (hold_behind_start(order.task, order))
+        return;
     const auto refusal = refuse_start(order);
-    const base::time_point now = base::steady_now();
     platform::start_result result;
-    extension sent;
+    const bool tries_here = refusal || !loses_answers(base::steady_now());
     if (refusal)
         result.answer = *refusal;
-    else
+    else if (tries_here)
+        result = try_start(order, timeout_of_try(1));
+    if (tries_here && result.answer != jobs::start_answer::unknown)
     {
-        try
+        finish_start(order, result);
+        return;
+    }
+    open_starts_.try_emplace(order.task);
+    repeat_beside([this, order, sent = tries_here ? 1 : 0]
+                  { repeat_start(order, sent); });
+}
+
+platform::start_result worker_link::try_start(const jobs::start_order& order,
+                                              base::duration limit)
+{
+    const base::time_point now = base::steady_now();
+    platform::start_result result;
+    const extension sent = extend_lease(now, start_length(lease_));
+    try
+    {
+        platform::order_target where = target();
+        where.may_order = [&]
         {
-            sent = extend_lease(now, start_length(lease_));
-            platform::order_target where = target();
-            where.may_order = [&]
-            {
-                return may_send(order);
-            };
-            result =
-                client_.start(where, order, sent.until_ms, now + order_timeout);
-            note_answered(sent);
-        }
-        catch (const base::error& failure)
+            return may_send(order);
+        };
+        result = client_.start(where, order, sent.until_ms, now + limit);
+        note_answered(sent);
+    }
+    catch (const base::error& failure)
+    {
+        note_failed(sent, failure.effect_unknown());
+        note_timeout(failure);
+        if (!failure.effect_unknown())
+            result.answer = may_send(order) ? jobs::start_answer::unreachable
+                                            : jobs::start_answer::not_sent;
+        else
+            result.answer = failure.code() == base::error_code::timeout
+                                ? jobs::start_answer::unknown
+                                : jobs::start_answer::cut_off;
+    }
+    catch (const std::exception& failure)
+    {
+        log::write(event_worker_unreachable,
+                   {{"worker", worker_.id}, {"reason", failure.what()}});
+        note_failed(sent, true);
+        result.answer = jobs::start_answer::cut_off;
+    }
+    return result;
+}
+
+// The worker knows the run if an earlier try has arrived, unless it has started
+// again since.
+void worker_link::repeat_start(const jobs::start_order& order, int sent)
+{
+    using jobs::start_answer;
+    const at_exit end([&] { release_behind_start(order.task); });
+    const std::int64_t born_ms = born_ms_;
+    platform::start_result result;
+    int unanswered = sent;
+    for (int number = sent + 1; number <= max_order_tries && !is_stopping_;
+         ++number)
+    {
+        const auto refusal = refuse_start(order);
+        if (refusal || born_ms_ != born_ms || is_stopping_)
         {
-            note_failed(sent, failure.effect_unknown());
-            if (!failure.effect_unknown())
-                result.answer = may_send(order)
-                                    ? jobs::start_answer::unreachable
-                                    : jobs::start_answer::not_sent;
-            else
-                result.answer = failure.code() == base::error_code::timeout
-                                    ? jobs::start_answer::unknown
-                                    : jobs::start_answer::cut_off;
+            result.answer = refusal.value_or(start_answer::not_sent);
+            break;
         }
-        catch (const std::exception& failure)
+        if (unanswered > 0)
         {
-            log::write(event_worker_unreachable,
-                       {{"worker", worker_.id}, {"reason", failure.what()}});
-            note_failed(sent, true);
-            result.answer = jobs::start_answer::unknown;
+            state_.note_sent_again(order, base::steady_now());
+            // The roster has to name it.
+            hooks_.changed();
         }
+        result = try_start(order, timeout_of_try(number));
+        if (result.answer != start_answer::unknown)
+            break;
+        ++unanswered;
     }
+    // A refusal says nothing of the earlier tries.
+    if (unanswered > 0 && result.answer != start_answer::started &&
+        result.answer != start_answer::cut_off)
+        result.answer = start_answer::unknown;
+    finish_start(order, result);
+}
+
+void worker_link::release_behind_start(const jobs::task_id& task)
+{
+    auto held = open_starts_.extract(task);
+    for (any_order& next : held.mapped())
+        orders_.push_back(std::move(next));
+}
+
+void worker_link::finish_start(const jobs::start_order& order,
+                               const platform::start_result& result)
+{
     if (is_stopping_)
         return;
     state_.apply_start_answer(order, result.answer, base::steady_now());
@@ -566,24 +696,70 @@
         hooks_.changed();
 }
 
-void worker_link::send_stop(const jobs::stop_order& order)
+void worker_link::send_stop(jobs::stop_order order)
+{
+    if (hold_behind_start(order.task, order))
+        return;
+    const bool tries_here = !loses_answers(base::steady_now());
+    const stop_result result = tries_here ? try_stop(order, timeout_of_try(1))
+                                          : stop_result::timed_out;
+    if (result != stop_result::timed_out)
+        finish_stop(order, result);
+    else
+        repeat_beside([this, order, sent = tries_here ? 1 : 0]
+                      { repeat_stop(order, sent); });
+}
+
+worker_link::stop_result worker_link::try_stop(const jobs::stop_order& order,
+                                               base::duration limit)
 {
-    bool is_acknowledged = false;
-    if (hooks_.may_order())
+    if (!hooks_.may_order())
+        return stop_result::failed;
+    try
     {
-        try
-        {
-            is_acknowledged = client_.stop(target(), order,
-                                           base::steady_now() + order_timeout);
-        }
-        catch (const std::exception& failure)
-        {
-            log::write(event_worker_unreachable,
-                       {{"worker", worker_.id}, {"reason", failure.what()}});
-        }
+        return client_.stop(target(), order, base::steady_now() + limit)
+                   ? stop_result::acknowledged
+                   : stop_result::failed;
+    }
+    catch (const base::error& failure)
+    {
+        note_timeout(failure);
+        if (failure.code() == base::error_code::timeout)
+            return stop_result::timed_out;
+        log::write(event_worker_unreachable,
+                   {{"worker", worker_.id}, {"reason", failure.what()}});
     }
+    catch (const std::exception& failure)
+    {
+        log::write(event_worker_unreachable,
+                   {{"worker", worker_.id}, {"reason", failure.what()}});
+    }
+    return stop_result::failed;
+}
+
+void worker_link::repeat_stop(const jobs::stop_order& order, int sent)
+{
+    const std::int64_t born_ms = born_ms_;
+    stop_result result = stop_result::timed_out;
+    for (int number = sent + 1;
+         number <= max_order_tries && !is_stopping_ && born_ms_ == born_ms &&
+         result == stop_result::timed_out;
+         ++number)
+        result = try_stop(order, timeout_of_try(number));
+    if (result == stop_result::timed_out)
+        log::write(event_worker_unreachable,
+                   {{"worker", worker_.id},
+                    {"reason",
+                     "a stop got no answer: " + jobs::to_string(order.task)}});
+    // The next incarnation knows nothing of the stop.
+    finish_stop(order, born_ms_ == born_ms ? result : stop_result::failed);
+}
+
+void worker_link::finish_stop(const jobs::stop_order& order, stop_result result)
+{
     if (!is_stopping_)
-        state_.apply_stop_answer(order, is_acknowledged, base::steady_now());
+        state_.apply_stop_answer(order, result == stop_result::acknowledged,
+                                 base::steady_now());
 }
 
 } // namespace pimentograde::pools
