Record machine orders although the store loses answers

Cause: machines did not come. Each batch of machine orders needs a lease and a record, each a single call with the full time-out; both were answered in about a third of the cases, and the orders of the others were not sent.

Change: both calls are repeated beside the first. The record's key must not exist yet, so a call that takes effect after another one cannot undo a list of a wave's machines that was written since; a conflict with the own record counts as stored. An unused lease ends by itself.

Ruled out: the store's job writes.

--- a/src/node/fleet_records.cpp
+++ b/src/node/fleet_records.cpp
@@ -9,6 +9,8 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 namespace pimentograde::node
 {
 
@@ -96,13 +98,22 @@
     const std::int64_t lease = store_.grant_lease(lifetime);
     const std::string key = std::string(orders_prefix) + std::to_string(fence) +
                             '/' + std::to_string(lease);
-    std::vector<platform::store_transaction::write> writes{
-        {key, json::serialize(rows), lease}};
+    const std::string value = json::serialize(rows);
+    std::vector<platform::store_transaction::write> writes{{key, value, lease}};
     for (const unavailable_machines& entry : waves)
         writes.push_back({wave_ordered_key(entry.wave),
                           json::serialize(json::value_from(entry.machines)),
                           0});
-    return commit(store_, fence, std::move(writes));
+    // Each key is written once, so a call that takes effect late cannot undo
+    // what was written after this one.
+    const auto result = store_.commit_repeatedly(
+        {{{session::role_key(fleet_role), fence}, {key, 0}},
+         std::move(writes),
+         {}});
+    return result.outcome == platform::commit_result::kind::committed ||
+           std::any_of(result.actual.begin(), result.actual.end(),
+                       [&](const platform::store_item& item)
+                       { return item.key == key && item.value == value; });
 }
 
 std::vector<std::string> fleet_records::read_done(std::int64_t wave)
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -367,12 +367,12 @@
 
 std::int64_t store_client::grant_lease(base::duration time_to_live)
 {
-    const json_response response =
-        impl_->call({"POST",
-                     "/-/kv-lease",
-                     json::object{{"TtlMs", base::count_millis(time_to_live)}},
-                     {}},
-                    impl_->answers.timeout(), "grant lease");
+    const json_response response = impl_->call_repeatedly(
+        {"POST",
+         "/-/kv-lease",
+         json::object{{"TtlMs", base::count_millis(time_to_live)}},
+         {}},
+        max_commit_tries, "grant lease");
     if (response.status != ok)
         throw impl_->unexpected(response, "grant lease");
     const std::int64_t lease = read_integer(response.body, "Lease");
