--- a/src/jobs/pool_losses.cpp
+++ b/src/jobs/pool_losses.cpp
@@ -276,11 +276,9 @@
 }
 
 void pool_state::note_late_start(worker_view& worker, const task_id& name,
-                                 int run, task& entry, base::time_point now,
-                                 bool is_repeated)
+                                 int run, task& entry, base::time_point now)
 {
-    entry.late_start_until =
-        worker.note_unanswered(name, run, now, is_repeated);
+    entry.late_start_until = worker.note_unanswered(name, run, now);
     entry.late_start_on = worker.description.id;
 }
 
@@ -296,8 +294,7 @@
     worker.unanswered.clear();
 }
 
-// An order is carried out once, one that was sent again perhaps also by the
-// next incarnation.
+// An order is carried out once.
 void pool_state::note_arrived(worker_view& worker, const task_id& name, int run,
                               task& entry)
 {
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -448,15 +448,6 @@
            entry->active->state == run_state::ordered;
 }
 
-void pool_state::note_sent_again(const start_order& order, base::time_point now)
-{
-    worker_view* worker = find_worker(order.worker);
-    job* subject = find(order.task.job);
-    task* entry = subject == nullptr ? nullptr : subject->find(order.task);
-    if (worker != nullptr && entry != nullptr)
-        note_late_start(*worker, order.task, order.run, *entry, now, true);
-}
-
 void pool_state::apply_start_answer(const start_order& order,
                                     start_answer answer, base::time_point now)
 {
@@ -475,16 +466,13 @@
     // An order that was cut off may be carried out later, too.
     const bool may_arrive =
         answer == start_answer::unknown || answer == start_answer::cut_off;
-    if (may_arrive && worker != nullptr &&
-        (!has_arrived || worker->awaits_late_start(order.task)))
+    if (may_arrive && worker != nullptr && !has_arrived)
     {
         if (entry == nullptr)
-            worker->note_unanswered(order.task, order.run, now, false);
+            worker->note_unanswered(order.task, order.run, now);
         else
-            note_late_start(*worker, order.task, order.run, *entry, now, false);
+            note_late_start(*worker, order.task, order.run, *entry, now);
     }
-    if (worker != nullptr && (has_arrived || answer == start_answer::started))
-        worker->note_arrived(order.task, order.run);
     if (!is_current)
         return;
     active_run& run = *entry->active;
--- a/src/jobs/pool_roster.cpp
+++ b/src/jobs/pool_roster.cpp
@@ -29,10 +29,9 @@
                                       start.run == run.run;
                            });
     };
-    return static_cast<std::size_t>(
-        std::count_if(entry.runs->begin(), entry.runs->end(),
-                      [&](const roster_run& run)
-                      { return run.is_confirmed || !is_late_start(run); }));
+    return static_cast<std::size_t>(std::count_if(
+        entry.runs->begin(), entry.runs->end(),
+        [&](const roster_run& run) { return !is_late_start(run); }));
 }
 
 } // namespace
@@ -89,8 +88,7 @@
               now);
     entry->active->is_unconfirmed = !inherited.is_confirmed;
     if (!inherited.is_confirmed && !worker.awaits_late_start(inherited.task))
-        note_late_start(worker, inherited.task, inherited.run, *entry, now,
-                        true);
+        note_late_start(worker, inherited.task, inherited.run, *entry, now);
     entry->active->is_from_roster = true;
     if (!inherited.is_starting)
         worker.forget_start(inherited.task);
@@ -103,18 +101,8 @@
                                     base::time_point now)
 {
     const base::time_point arrives_by = now + inherited.time_left;
-    const auto known = std::find_if(
-        worker.unanswered.begin(), worker.unanswered.end(),
-        [&](const unanswered_start& start)
-        { return start.task == inherited.task && start.run == inherited.run; });
-    if (known == worker.unanswered.end())
-        worker.unanswered.push_back(
-            {inherited.task, inherited.run, arrives_by, true});
-    else
-    {
-        known->is_repeated = true;
-        known->arrives_by = std::max(known->arrives_by, arrives_by);
-    }
+    worker.unanswered.push_back(
+        {inherited.task, inherited.run, arrives_by, true});
     job* subject = find(inherited.task.job);
     task* entry = subject == nullptr ? nullptr : subject->find(inherited.task);
     if (entry == nullptr)
@@ -132,16 +120,8 @@
 {
     std::vector<roster_late_start> starts;
     for (const unanswered_start& start : worker.unanswered)
-    {
-        if (now >= start.arrives_by)
-            continue;
-        const roster_late_start late{start.task, start.run,
-                                     start.arrives_by - now};
-        starts.push_back(late);
-        // Named twice if it was sent more than once.
-        if (start.is_repeated)
-            starts.push_back(late);
-    }
+        if (now < start.arrives_by)
+            starts.push_back({start.task, start.run, start.arrives_by - now});
     return starts;
 }
 
@@ -248,7 +228,7 @@
         task* entry = subject == nullptr ? nullptr : subject->find(name);
         if (entry != nullptr && entry->active &&
             entry->active->state == run_state::ordered)
-            note_late_start(worker, name, number, *entry, now, false);
+            note_late_start(worker, name, number, *entry, now);
     }
 }
 
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -205,10 +205,6 @@
     /// Whether the run is still to be started: it has not been given up or
     /// stopped since it was planned.
     [[nodiscard]] bool awaits_start(const start_order& order) const;
-    /// The order has got no answer and is sent again: a call of it may still
-    /// arrive after another one has begun the run.
-    void note_sent_again(const start_order& order, base::time_point now);
-    /// The answer to the last call of the order.
     void apply_start_answer(const start_order& order, start_answer answer,
                             base::time_point now);
     void apply_stop_answer(const stop_order& order, bool is_acknowledged,
@@ -396,7 +392,7 @@
     void settle_late_starts(worker_view& worker, base::time_point now);
     void note_orders_under_way(worker_view& worker, base::time_point now);
     void note_late_start(worker_view& worker, const task_id& name, int run,
-                         task& entry, base::time_point now, bool is_repeated);
+                         task& entry, base::time_point now);
     void release_late_starts(worker_view& worker);
     void note_arrived(worker_view& worker, const task_id& name, int run,
                       task& entry);
--- a/src/jobs/worker_view.cpp
+++ b/src/jobs/worker_view.cpp
@@ -123,26 +123,12 @@
 }
 
 base::time_point worker_view::note_unanswered(const task_id& task, int run,
-                                              base::time_point now,
-                                              bool is_repeated)
+                                              base::time_point now)
 {
     std::erase_if(unanswered, [now](const unanswered_start& start)
                   { return start.arrives_by <= now; });
-    const base::time_point arrives_by = now + late_call_time + late_order_lease;
-    const auto known =
-        std::find_if(unanswered.begin(), unanswered.end(),
-                     [&](const unanswered_start& start)
-                     { return start.task == task && start.run == run; });
-    if (known == unanswered.end())
-    {
-        unanswered.push_back({task, run, arrives_by});
-        unanswered.back().is_repeated = is_repeated;
-        return arrives_by;
-    }
-    known->arrives_by = arrives_by;
-    known->is_recorded = false;
-    known->is_repeated = known->is_repeated || is_repeated;
-    return arrives_by;
+    unanswered.push_back({task, run, now + late_call_time + late_order_lease});
+    return unanswered.back().arrives_by;
 }
 
 void worker_view::end_acknowledgement(bool may_arrive)
@@ -162,14 +148,8 @@
 
 void worker_view::note_arrived(const task_id& task, int run)
 {
-    std::erase_if(unanswered,
-                  [&](unanswered_start& start)
-                  {
-                      if (start.task != task || start.run != run)
-                          return false;
-                      start.is_stopped = true;
-                      return !start.is_repeated;
-                  });
+    std::erase_if(unanswered, [&](const unanswered_start& start)
+                  { return start.task == task && start.run == run; });
 }
 
 bool worker_view::awaits_late_start(const task_id& task) const
--- a/src/jobs/worker_view.hpp
+++ b/src/jobs/worker_view.hpp
@@ -89,14 +89,11 @@
     base::time_point arrives_by{};
     /// The stored roster names it.
     bool is_recorded = false;
-    /// The incarnation that has reported last has acknowledged a stop or knows
-    /// the run: it will not carry out the order.
+    /// The incarnation that has reported last has acknowledged a stop: it will
+    /// not carry out the order.
     bool is_stopped = false;
     /// When it was last asked for that.
     base::time_point stop_sent_at{};
-    /// The order was sent more than once: after it has arrived, another of its
-    /// calls may still reach the next incarnation.
-    bool is_repeated = false;
 };
 
 /// State of a worker as known to the pool's owner.
@@ -173,7 +170,7 @@
     /// Returns the time after which the order no longer arrives, and no run
     /// that it began goes on without further orders.
     base::time_point note_unanswered(const task_id& task, int run,
-                                     base::time_point now, bool is_repeated);
+                                     base::time_point now);
     /// The poll that acknowledged ends has ended; it may still take effect if
     /// `may_arrive`.
     void end_acknowledgement(bool may_arrive);
--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -24,12 +24,7 @@
 constexpr std::chrono::milliseconds recent_starts_poll_wait{150};
 constexpr int polls_per_lease = 3;
 // Time that a poll may take beyond its wait.
-constexpr std::chrono::milliseconds poll_timeout_slack{300};
-constexpr std::chrono::milliseconds silent_poll_timeout{700};
-// A worker is silent after this many polls without an answer in a row, and this
-// time without any answer: a lost answer says nothing of the worker.
-constexpr int unanswered_polls_of_silence = 3;
-constexpr std::chrono::milliseconds silence_limit{700};
+constexpr std::chrono::milliseconds poll_timeout_slack{700};
 constexpr std::chrono::milliseconds min_poll_timeout{100};
 // Batches ends of runs that arrive together into one poll, since each poll has
 // a cost.
@@ -40,19 +35,6 @@
 // How long an idle link waits unless it is notified.
 constexpr std::chrono::seconds idle_wait{5};
 constexpr std::chrono::milliseconds order_timeout{450};
-// An order without an answer is sent again, since the worker carries it out
-// once. The last try has the time of `order_timeout`.
-constexpr std::chrono::milliseconds early_order_timeout{100};
-constexpr int max_order_tries = 5;
-// Orders that are sent again beside others.
-constexpr std::size_t max_repeated_orders = 16;
-// For this long after a call without an answer calls wait for each other as
-// little as they can.
-constexpr std::chrono::seconds loss_memory{2};
-constexpr std::chrono::milliseconds lossy_poll_timeout{100};
-// Each extension without an answer may prolong the lease of a worker that is
-// gone.
-constexpr std::chrono::milliseconds lossy_extension_interval{600};
 constexpr std::chrono::milliseconds order_storage_timeout{1000};
 // While the store is unavailable or slow, ended runs stay listed and each poll
 // returns at once, so polls are spaced by this interval.
@@ -61,19 +43,6 @@
 // the worker, whose numbers begin anew, would forget ends that nobody has read.
 constexpr std::chrono::milliseconds max_acknowledge_delay{500};
 
-/// Calls a function when the scope ends, also by an exception.
-class at_exit
-{
-public:
-    explicit at_exit(std::function<void()> body) : body_(std::move(body)) {}
-    ~at_exit() { body_(); }
-    at_exit(const at_exit&) = delete;
-    at_exit& operator=(const at_exit&) = delete;
-
-private:
-    std::function<void()> body_;
-};
-
 } // namespace
 
 worker_link::worker_link(jobs::worker_description worker, std::int64_t fence,
@@ -267,10 +236,7 @@
 base::time_point worker_link::poll_deadline(base::time_point now,
                                             base::duration wait) const
 {
-    const base::time_point latest =
-        now + (has_failed_          ? base::duration(silent_poll_timeout)
-               : loses_answers(now) ? wait + lossy_poll_timeout
-                                    : wait + poll_timeout_slack);
+    const base::time_point latest = now + wait + poll_timeout_slack;
     const auto found = state_.workers().find(worker_.id);
     if (!has_failed_ || found == state_.workers().end())
         return latest;
@@ -290,19 +256,13 @@
     const bool is_idle = !needs_poll();
     // After a failure the worker should answer at once, so that the next poll
     // can renew the lease.
-    const bool was_answered = !has_failed_ && failed_polls_ == 0;
-    request.wait = !was_answered || is_idle || loses_answers(now)
-                       ? base::duration::zero()
-                       : poll_wait();
+    request.wait =
+        has_failed_ || is_idle ? base::duration::zero() : poll_wait();
     // The lease of a worker that does not answer must be able to lapse: each
     // extension would postpone the time from which its runs count as lost.
     extension sent;
-    if (clock_ms_ > 0 && was_answered && !is_idle &&
-        (!loses_answers(now) || now >= extended_at_ + lossy_extension_interval))
-    {
+    if (clock_ms_ > 0 && !has_failed_ && !is_idle)
         sent = extend_lease(now, extension_length(lease_));
-        extended_at_ = now;
-    }
     request.lease_until_ms = sent.until_ms;
     if (request.stored_end > 0)
         state_.begin_acknowledgement(worker_.id, now);
@@ -312,7 +272,6 @@
         const auto listing =
             client_.list(asked, request, poll_deadline(now, request.wait));
         note_answered(sent);
-        answered_at_ = base::steady_now();
         state_.end_acknowledgement(worker_.id, false);
         if (is_stopping_ || !apply(listing, asked.where, now))
             return;
@@ -323,29 +282,23 @@
     catch (const base::error& failure)
     {
         note_failed(sent, failure.effect_unknown());
-        note_timeout(failure);
-        const bool has_timed_out = failure.code() == base::error_code::timeout;
-        state_.end_acknowledgement(worker_.id, has_timed_out);
-        handle_poll_failure(failure.what(), has_timed_out);
+        state_.end_acknowledgement(worker_.id,
+                                   failure.code() == base::error_code::timeout);
+        handle_poll_failure(failure.what());
     }
     catch (const std::exception& failure)
     {
         note_failed(sent, true);
         state_.end_acknowledgement(worker_.id, true);
-        handle_poll_failure(failure.what(), false);
+        handle_poll_failure(failure.what());
     }
 }
 
-void worker_link::handle_poll_failure(std::string_view reason,
-                                      bool has_timed_out)
+void worker_link::handle_poll_failure(std::string_view reason)
 {
     if (is_stopping_)
         return;
     ++failed_polls_;
-    const bool may_be_lost = failed_polls_ < unanswered_polls_of_silence ||
-                             base::steady_now() < answered_at_ + silence_limit;
-    if (has_timed_out && !has_failed_ && may_be_lost)
-        return;
     note_unreachable(reason, base::steady_now());
     poll_wakeup_.wait_until(base::steady_now() + poll_retry_delay);
 }
@@ -515,67 +468,23 @@
 {
     while (!is_stopping_)
     {
-        if (orders_.empty() || repeated_orders_ >= max_repeated_orders)
+        if (orders_.empty())
         {
             order_wakeup_.wait_until(base::steady_now() + idle_wait);
             continue;
         }
-        any_order next = std::move(orders_.front());
+        const any_order next = std::move(orders_.front());
         orders_.pop_front();
-        if (auto* begin = std::get_if<jobs::start_order>(&next))
-            send_start(std::move(*begin));
-        else if (auto* stop = std::get_if<jobs::stop_order>(&next))
-            send_stop(std::move(*stop));
+        if (const auto* begin = std::get_if<jobs::start_order>(&next))
+            send_start(*begin);
+        else if (const auto* stop = std::get_if<jobs::stop_order>(&next))
+            send_stop(*stop);
         else
             check_restart(base::steady_now());
         poll_wakeup_.notify();
     }
 }
 
-void worker_link::repeat_beside(std::function<void()> repeat)
-{
-    ++repeated_orders_;
-    fibers_.spawn(
-        [this, body = std::move(repeat)]
-        {
-            const at_exit end([this] { handle_repeated_order(); });
-            body();
-        });
-}
-
-void worker_link::handle_repeated_order()
-{
-    --repeated_orders_;
-    order_wakeup_.notify();
-    poll_wakeup_.notify();
-}
-
-// A start that is sent again may overtake orders for the same task.
-bool worker_link::hold_behind_start(const jobs::task_id& task, any_order next)
-{
-    const auto found = open_starts_.find(task);
-    if (found == open_starts_.end())
-        return false;
-    found->second.push_back(std::move(next));
-    return true;
-}
-
-void worker_link::note_timeout(const base::error& failure)
-{
-    if (failure.code() == base::error_code::timeout)
-        unanswered_at_ = base::steady_now();
-}
-
-bool worker_link::loses_answers(base::time_point now) const
-{
-    return unanswered_at_ && now < *unanswered_at_ + loss_memory;
-}
-
-base::duration worker_link::timeout_of_try(int number)
-{
-    return number < max_order_tries ? early_order_timeout : order_timeout;
-}
-
 std::optional<jobs::start_answer>
 worker_link::refuse_start(const jobs::start_order& order)
 {
@@ -606,112 +515,48 @@
     return std::nullopt;
 }
 
-void worker_link::send_start(jobs::start_order order)
+void worker_link::send_start(const jobs::start_order& order)
 {
-    if (hold_behind_start(order.task, order))
-        return;
     const auto refusal = refuse_start(order);
+    const base::time_point now = base::steady_now();
     platform::start_result result;
-    const bool tries_here = refusal || !loses_answers(base::steady_now());
+    extension sent;
     if (refusal)
         result.answer = *refusal;
-    else if (tries_here)
-        result = try_start(order, timeout_of_try(1));
-    if (tries_here && result.answer != jobs::start_answer::unknown)
-    {
-        finish_start(order, result);
-        return;
-    }
-    open_starts_.try_emplace(order.task);
-    repeat_beside([this, order, sent = tries_here ? 1 : 0]
-                  { repeat_start(order, sent); });
-}
-
-platform::start_result worker_link::try_start(const jobs::start_order& order,
-                                              base::duration limit)
-{
-    const base::time_point now = base::steady_now();
-    platform::start_result result;
-    const extension sent = extend_lease(now, start_length(lease_));
-    try
+    else
     {
-        platform::order_target where = target();
-        where.may_order = [&]
+        try
         {
-            return may_send(order);
-        };
-        result = client_.start(where, order, sent.until_ms, now + limit);
-        answered_at_ = base::steady_now();
-        note_answered(sent);
-    }
-    catch (const base::error& failure)
-    {
-        note_failed(sent, failure.effect_unknown());
-        note_timeout(failure);
-        if (!failure.effect_unknown())
-            result.answer = may_send(order) ? jobs::start_answer::unreachable
-                                            : jobs::start_answer::not_sent;
-        else
-            result.answer = failure.code() == base::error_code::timeout
-                                ? jobs::start_answer::unknown
-                                : jobs::start_answer::cut_off;
-    }
-    catch (const std::exception& failure)
-    {
-        log::write(event_worker_unreachable,
-                   {{"worker", worker_.id}, {"reason", failure.what()}});
-        note_failed(sent, true);
-        result.answer = jobs::start_answer::cut_off;
-    }
-    return result;
-}
-
-// The worker knows the run if an earlier try has arrived, unless it has started
-// again since.
-void worker_link::repeat_start(const jobs::start_order& order, int sent)
-{
-    using jobs::start_answer;
-    const at_exit end([&] { release_behind_start(order.task); });
-    const std::int64_t born_ms = born_ms_;
-    platform::start_result result;
-    int unanswered = sent;
-    for (int number = sent + 1; number <= max_order_tries && !is_stopping_;
-         ++number)
-    {
-        const auto refusal = refuse_start(order);
-        if (refusal || born_ms_ != born_ms || is_stopping_)
+            sent = extend_lease(now, start_length(lease_));
+            platform::order_target where = target();
+            where.may_order = [&]
+            {
+                return may_send(order);
+            };
+            result =
+                client_.start(where, order, sent.until_ms, now + order_timeout);
+            note_answered(sent);
+        }
+        catch (const base::error& failure)
         {
-            result.answer = refusal.value_or(start_answer::not_sent);
-            break;
+            note_failed(sent, failure.effect_unknown());
+            if (!failure.effect_unknown())
+                result.answer = may_send(order)
+                                    ? jobs::start_answer::unreachable
+                                    : jobs::start_answer::not_sent;
+            else
+                result.answer = failure.code() == base::error_code::timeout
+                                    ? jobs::start_answer::unknown
+                                    : jobs::start_answer::cut_off;
         }
-        if (unanswered > 0)
+        catch (const std::exception& failure)
         {
-            state_.note_sent_again(order, base::steady_now());
-            // The roster has to name it.
-            hooks_.changed();
+            log::write(event_worker_unreachable,
+                       {{"worker", worker_.id}, {"reason", failure.what()}});
+            note_failed(sent, true);
+            result.answer = jobs::start_answer::unknown;
         }
-        result = try_start(order, timeout_of_try(number));
-        if (result.answer != start_answer::unknown)
-            break;
-        ++unanswered;
     }
-    // A refusal says nothing of the earlier tries.
-    if (unanswered > 0 && result.answer != start_answer::started &&
-        result.answer != start_answer::cut_off)
-        result.answer = start_answer::unknown;
-    finish_start(order, result);
-}
-
-void worker_link::release_behind_start(const jobs::task_id& task)
-{
-    auto held = open_starts_.extract(task);
-    for (any_order& next : held.mapped())
-        orders_.push_back(std::move(next));
-}
-
-void worker_link::finish_start(const jobs::start_order& order,
-                               const platform::start_result& result)
-{
     if (is_stopping_)
         return;
     state_.apply_start_answer(order, result.answer, base::steady_now());
@@ -721,72 +566,24 @@
         hooks_.changed();
 }
 
-void worker_link::send_stop(jobs::stop_order order)
+void worker_link::send_stop(const jobs::stop_order& order)
 {
-    if (hold_behind_start(order.task, order))
-        return;
-    const bool tries_here = !loses_answers(base::steady_now());
-    const stop_result result = tries_here ? try_stop(order, timeout_of_try(1))
-                                          : stop_result::timed_out;
-    if (result != stop_result::timed_out)
-        finish_stop(order, result);
-    else
-        repeat_beside([this, order, sent = tries_here ? 1 : 0]
-                      { repeat_stop(order, sent); });
-}
-
-worker_link::stop_result worker_link::try_stop(const jobs::stop_order& order,
-                                               base::duration limit)
-{
-    if (!hooks_.may_order())
-        return stop_result::failed;
-    try
-    {
-        const bool is_acknowledged =
-            client_.stop(target(), order, base::steady_now() + limit);
-        answered_at_ = base::steady_now();
-        return is_acknowledged ? stop_result::acknowledged
-                               : stop_result::failed;
-    }
-    catch (const base::error& failure)
-    {
-        note_timeout(failure);
-        if (failure.code() == base::error_code::timeout)
-            return stop_result::timed_out;
-        log::write(event_worker_unreachable,
-                   {{"worker", worker_.id}, {"reason", failure.what()}});
-    }
-    catch (const std::exception& failure)
+    bool is_acknowledged = false;
+    if (hooks_.may_order())
     {
-        log::write(event_worker_unreachable,
-                   {{"worker", worker_.id}, {"reason", failure.what()}});
+        try
+        {
+            is_acknowledged = client_.stop(target(), order,
+                                           base::steady_now() + order_timeout);
+        }
+        catch (const std::exception& failure)
+        {
+            log::write(event_worker_unreachable,
+                       {{"worker", worker_.id}, {"reason", failure.what()}});
+        }
     }
-    return stop_result::failed;
-}
-
-void worker_link::repeat_stop(const jobs::stop_order& order, int sent)
-{
-    const std::int64_t born_ms = born_ms_;
-    stop_result result = stop_result::timed_out;
-    for (int number = sent + 1;
-         number <= max_order_tries && !is_stopping_ && born_ms_ == born_ms &&
-         result == stop_result::timed_out;
-         ++number)
-        result = try_stop(order, timeout_of_try(number));
-    if (result == stop_result::timed_out)
-        log::write(event_worker_unreachable,
-                   {{"worker", worker_.id},
-                    {"reason",
-                     "a stop got no answer: " + jobs::to_string(order.task)}});
-    // The next incarnation knows nothing of the stop.
-    finish_stop(order, born_ms_ == born_ms ? result : stop_result::failed);
-}
-
-void worker_link::finish_stop(const jobs::stop_order& order, stop_result result)
-{
     if (!is_stopping_)
-        state_.apply_stop_answer(order, result == stop_result::acknowledged,
-                                 base::steady_now());
+        state_.apply_stop_answer(order, is_acknowledged, base::steady_now());
 }
 
 } // namespace pimentograde::pools
--- a/src/pools/worker_link.hpp
+++ b/src/pools/worker_link.hpp
@@ -1,7 +1,6 @@
 #ifndef PIMENTOGRADE_POOLS_WORKER_LINK_HPP
 #define PIMENTOGRADE_POOLS_WORKER_LINK_HPP
 
-#include "base/error.hpp"
 #include "base/time.hpp"
 #include "jobs/lease_bound.hpp"
 #include "jobs/pool_state.hpp"
@@ -12,18 +11,15 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <map>
 #include <optional>
 #include <string>
 #include <variant>
-#include <vector>
 
 namespace pimentograde::pools
 {
 
 /// Connects the pool owner to one worker: one fiber polls its runs and extends
-/// its lease, another sends it orders. Orders without an answer are sent again
-/// in fibers of their own.
+/// its lease, another sends it orders.
 class worker_link
 {
 public:
@@ -56,7 +52,7 @@
     void update(const jobs::worker_description& worker);
     void send(jobs::start_order order);
     void send(jobs::stop_order order);
-    /// Whether all fibers have returned.
+    /// Whether both fibers have returned.
     [[nodiscard]] bool is_idle() const { return fibers_.size() == 0; }
 
 private:
@@ -69,7 +65,7 @@
 
     void poll_loop();
     void poll(base::time_point now);
-    void handle_poll_failure(std::string_view reason, bool has_timed_out);
+    void handle_poll_failure(std::string_view reason);
     /// Applies an answer from the address `from`. Returns whether the worker's
     /// report has been applied.
     bool apply(const platform::worker_listing& listing,
@@ -83,42 +79,12 @@
     void check_restart(base::time_point now);
     void note_unreachable(std::string_view reason, base::time_point now);
     void order_loop();
-    void send_start(jobs::start_order order);
-    [[nodiscard]] platform::start_result
-    try_start(const jobs::start_order& order, base::duration limit);
-    /// Sends a start until it is answered; `sent` of its calls have got no
-    /// answer.
-    void repeat_start(const jobs::start_order& order, int sent);
-    void finish_start(const jobs::start_order& order,
-                      const platform::start_result& result);
-    /// Sends an order again in a fiber of its own, so that orders for other
-    /// tasks do not wait.
-    void repeat_beside(std::function<void()> repeat);
-    void handle_repeated_order();
-    /// Returns whether the order waits for a start of the task that is sent
-    /// again.
-    [[nodiscard]] bool hold_behind_start(const jobs::task_id& task,
-                                         any_order next);
-    void release_behind_start(const jobs::task_id& task);
-    [[nodiscard]] static base::duration timeout_of_try(int number);
-    void note_timeout(const base::error& failure);
-    /// Whether the worker has left a call without an answer a moment ago.
-    [[nodiscard]] bool loses_answers(base::time_point now) const;
+    void send_start(const jobs::start_order& order);
     [[nodiscard]] bool may_send(const jobs::start_order& order) const;
     /// The answer to a start that must not be sent.
     [[nodiscard]] std::optional<jobs::start_answer>
     refuse_start(const jobs::start_order& order);
-    enum class stop_result
-    {
-        acknowledged,
-        timed_out,
-        failed
-    };
-    void send_stop(jobs::stop_order order);
-    [[nodiscard]] stop_result try_stop(const jobs::stop_order& order,
-                                       base::duration limit);
-    void repeat_stop(const jobs::stop_order& order, int sent);
-    void finish_stop(const jobs::stop_order& order, stop_result result);
+    void send_stop(const jobs::stop_order& order);
     [[nodiscard]] bool needs_poll() const;
     [[nodiscard]] base::time_point idle_until(base::time_point now) const;
     [[nodiscard]] base::duration poll_wait() const;
@@ -152,12 +118,6 @@
     net::wakeup poll_wakeup_;
     net::wakeup order_wakeup_;
     std::deque<any_order> orders_;
-    std::size_t repeated_orders_ = 0;
-    std::optional<base::time_point> unanswered_at_;
-    base::time_point answered_at_{};
-    base::time_point extended_at_{};
-    /// Starts that are sent again, with the orders that wait for each.
-    std::map<jobs::task_id, std::vector<any_order>> open_starts_;
     bool is_stopping_ = false;
     bool has_failed_ = false;
     /// Start of the incarnation that has answered last; 0 if none has.
