--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -167,8 +167,8 @@
 {
     if (const auto owner = claims_.find(queue.pool))
     {
-        const auto answer = owner->submit(id, std::move(spec), queue.name,
-                                          deadline - reply_reserve);
+        auto answer = owner->submit(id, std::move(spec), queue.name,
+                                    deadline - reply_reserve);
         if (is_decided(*owner, id, answer))
             return answer;
         const bool may_be_replaced =
