Keep a released worker free until its hold is over

Seen by reading the change on workers that cannot leave: a worker that was released for an order to its machine took tasks again when it was asked once more (the order had no answer) and had the only place for a long-running task. The order may still arrive, and would end these tasks.

Change: the hold of a worker that was released stays as it was; only one that was not released is given up. The new case of leave_test fails before (1 of 5 checks), the 16 cases about leaving workers pass after.

--- a/src/jobs/pool_leave.cpp
+++ b/src/jobs/pool_leave.cpp
@@ -163,17 +163,23 @@
         (!worker->description.is_draining && !can_leave(*worker, now));
     if (has_to_stay)
     {
-        // It takes other tasks again: places may not come for long.
-        worker->leaving_until = {};
+        // It takes other tasks again: places may not come for long. An order
+        // to its instance may be under way once it has been released.
+        if (now >= worker->released_until)
+            worker->leaving_until = {};
         return false;
     }
     worker->leaving_until = std::max(worker->leaving_until, until);
     evacuate(*worker, now);
     // Ends that are not stored would be lost with the worker.
-    return worker->runs.empty() &&
-           (worker->knowledge.has_reported() ||
-            (!worker->is_listed && worker->knowledge.is_certain())) &&
-           !has_unstored_ends(*worker);
+    const bool is_free =
+        worker->runs.empty() &&
+        (worker->knowledge.has_reported() ||
+         (!worker->is_listed && worker->knowledge.is_certain())) &&
+        !has_unstored_ends(*worker);
+    if (is_free)
+        worker->released_until = worker->leaving_until;
+    return is_free;
 }
 
 } // namespace pimentograde::jobs
--- a/src/jobs/worker_view.hpp
+++ b/src/jobs/worker_view.hpp
@@ -154,6 +154,8 @@
     /// It gets no new runs until then, since its instance is to be maintained
     /// or moved.
     base::time_point leaving_until{};
+    /// Until then an order to its instance may end it, since it was released.
+    base::time_point released_until{};
     /// Its instance is to be maintained soon: a long-running task placed here
     /// would have to be moved again.
     bool is_leaving_soon = false;
--- a/tests/jobs/leave_test.cpp
+++ b/tests/jobs/leave_test.cpp
@@ -139,3 +139,19 @@
     CHECK_FALSE(pool.state.prepare_leave("w1", until, pool.now));
     CHECK(pool.state.workers().at("w1").accepts_starts(pool.now));
 }
+
+// Guards against tasks that are started on a worker and end with it: the order
+// to its instance got no answer, and the worker was asked to leave again when
+// it had the only place for a task.
+TEST_CASE("a released worker takes no tasks until its hold is over")
+{
+    lasting_fixture pool(2);
+    REQUIRE(pool.orders[0].worker == "w1");
+    const base::time_point until = pool.now + 3s;
+    REQUIRE(pool.state.prepare_leave("w2", until, pool.now));
+    pool.state.unlist_worker("w1");
+    pool.state.unlist_worker("w3");
+    CHECK_FALSE(pool.state.prepare_leave("w2", until, pool.now));
+    CHECK_FALSE(pool.state.workers().at("w2").accepts_starts(pool.now));
+    CHECK(pool.state.workers().at("w2").accepts_starts(until));
+}
