Keep the port of a test server that listens again

Cause: the test releases an ephemeral port when its server ends, and listens on it again up to 4 s later. Meanwhile the system may give the port to any other socket. One case of test_peer does the same, and each server of the stand-ins that closes and opens again, as restarted workers do.

Change: a port_reservation binds the port for the whole time without listening, so that servers can bind it beside it and the system hands it to nobody else. lossy_server holds one; both tests do.

--- a/tests/membership/member_service_test.cpp
+++ b/tests/membership/member_service_test.cpp
@@ -2,6 +2,7 @@
 #include "membership/member_service.hpp"
 #include "net/io_scheduler.hpp"
 #include "peer/peer_server.hpp"
+#include "standin/port_reservation.hpp"
 
 #include <boost/fiber/operations.hpp>
 
@@ -164,16 +165,18 @@
     fake_store store;
     store.up = false;
     test_member first("a", store, {}, 1);
+    const standin::port_reservation port;
     auto second = std::make_unique<test_member>(
-        "b", store, std::vector{first.server->local_endpoint()}, 1);
+        "b", store, std::vector{first.server->local_endpoint()}, 1,
+        port.where());
     REQUIRE(wait_for([&] { return first.live() == 2; }, 2s));
-    const auto where = second->server->local_endpoint();
     const auto killed = base::steady_now();
     second = nullptr;
     CHECK(wait_for([&] { return first.live() == 1; }, 4s));
     CHECK(base::steady_now() - killed > 2500ms);
     second = std::make_unique<test_member>(
-        "b", store, std::vector{first.server->local_endpoint()}, 2, where);
+        "b", store, std::vector{first.server->local_endpoint()}, 2,
+        port.where());
     CHECK(
         wait_for([&] { return first.live() == 2 && second->live() == 2; }, 2s));
     CHECK(first.service->table().find(base::member_id("b"))->incarnation == 2);
--- a/tests/peer/connection_test.cpp
+++ b/tests/peer/connection_test.cpp
@@ -11,6 +11,7 @@
 #include "peer/peer_client.hpp"
 #include "peer/peer_server.hpp"
 #include "peer/pool_messages.hpp"
+#include "standin/port_reservation.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/fiber/operations.hpp>
@@ -295,8 +296,8 @@
 TEST_CASE("an unreachable peer is unavailable, and found after its restart")
 {
     net::this_thread_io();
-    auto server = test_server().build();
-    const net::endpoint where = server->local_endpoint();
+    const standin::port_reservation port;
+    auto server = test_server(port.where()).build();
     auto client = client_of(*server);
     client->call("sleep", object("ms", 0), in(1s));
     server = nullptr;
@@ -305,7 +306,7 @@
         CHECK(failure_of([&]
                          { client->call("sleep", object("ms", 0), in(200ms)); })
                   .code() == base::error_code::unavailable);
-    server = test_server(where).build();
+    server = test_server(port.where()).build();
     boost::this_fiber::sleep_for(600ms); // beyond the longest backoff
     CHECK(client->call("sleep", object("ms", 0), in(1s)).isObject());
 }
--- a/tools/standin/lossy_server.cpp
+++ b/tools/standin/lossy_server.cpp
@@ -5,6 +5,7 @@
 #include "net/http_status.hpp"
 #include "net/io_scheduler.hpp"
 #include "net/task_group.hpp"
+#include "standin/port_reservation.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -70,6 +71,11 @@
 
 struct lossy_server::impl
 {
+    explicit impl(const net::endpoint& where) : port(where), local(port.where())
+    {
+    }
+
+    port_reservation port;
     net::endpoint local;
     handler handle;
     std::size_t max_connections = 0;
@@ -98,7 +104,6 @@
         opened->set_option(tcp::acceptor::reuse_address(true));
         opened->bind(where);
         opened->listen();
-        local.port = opened->local_endpoint().port();
     }
     catch (const boost::system::system_error& failure)
     {
@@ -217,8 +222,7 @@
 
 std::unique_ptr<lossy_server> lossy_server::builder::build()
 {
-    auto state = std::make_unique<impl>();
-    state->local = where_;
+    auto state = std::make_unique<impl>(where_);
     state->handle = handler_;
     state->max_connections = max_connections_;
     state->listen();
