Print the timeline of a job, worker, machine, pool or wave from collected logs

Lines on changes of owner and on workers name no job, so a search for its id leaves them out.

Change: `pimentograde explain ID FILE` reads logs of all instances in any order and prints one timeline: the lines that name the id, those about the owners of its pools (found by their fences), its workers and the instances concerned, each run that was ordered with the decision that ended it, and warnings of dropped or unreadable lines and of starts beside a run without a logged end or after one that ended done. Only lines that name the id and lines about owners, workers and instances are kept in memory.

Ways weighed: a search in each log (shows no owner in between); asking the instances (they are gone or have forgotten); a log line with the pool in each decision (more bytes for each start).

--- a/src/cli/client_commands.cpp
+++ b/src/cli/client_commands.cpp
@@ -1,6 +1,7 @@
 #include "base/error.hpp"
 #include "base/random_source.hpp"
 #include "cli/command.hpp"
+#include "cli/explain_command.hpp"
 #include "cli/plain_printer.hpp"
 #include "cli/remote_call.hpp"
 #include "config/bundle_checker.hpp"
@@ -364,6 +365,7 @@
     add_bundle_commands(all);
     add_fleet_commands(all);
     add_work_commands(all);
+    all.push_back(explain_command());
     all.push_back({"settings",
                    {},
                    "Print the table of all settings in Markdown",
