Keep a released worker free that its owner does not know yet

Callers see (by reading): tasks that end with their worker, whose instance is moved or maintained just after they have started.

Cause: an owner releases a worker that it does not know at once, since nobody has used it, and remembers nothing. The list of workers may name it a moment later, or again after its entry was away, and tasks start there before the order to its instance arrives (up to 2.5 s).

Change: the hold of a worker that is not known, or is forgotten, is kept and holds once the worker is listed.

Evidence: two cases of test_jobs ("... until the hold is over") fail before, the worker takes tasks at once; they pass after.

--- a/src/jobs/pool_leave.cpp
+++ b/src/jobs/pool_leave.cpp
@@ -142,12 +142,26 @@
                        { return same_step_count(worker, subject, position); });
 }
 
+// Nobody has used it. The list of workers may name it before the order to its
+// instance arrives.
+void pool_state::hold_unknown_worker(std::string_view id,
+                                     base::time_point until)
+{
+    base::time_point& held_until = held_unknown_[std::string(id)];
+    held_until = std::max(held_until, until);
+}
+
 bool pool_state::prepare_leave(std::string_view id, base::time_point until,
                                base::time_point now)
 {
+    std::erase_if(held_unknown_,
+                  [now](const auto& entry) { return entry.second <= now; });
     worker_view* worker = find_worker(id);
     if (worker == nullptr)
+    {
+        hold_unknown_worker(id, until);
         return true;
+    }
     // Long-running tasks would have no place to go to, for example while all
     // workers of a small pool are to leave.
     const bool is_last = std::none_of(
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -61,7 +61,11 @@
     const auto [found, is_new] = workers_.try_emplace(description.id);
     worker_view& worker = found->second;
     if (is_new)
+    {
         worker.knowledge = run_knowledge::never_used();
+        if (const auto held = held_unknown_.extract(description.id))
+            worker.leaving_until = worker.released_until = held.mapped();
+    }
     const bool begins_draining =
         description.is_draining && !worker.description.is_draining;
     worker.is_listed = true;
@@ -88,6 +92,9 @@
     if (found == workers_.end() || !found->second.runs.empty())
         return;
     resolve_runs(found->second);
+    if (found->second.released_until != base::time_point{})
+        held_unknown_.insert_or_assign(found->first,
+                                       found->second.released_until);
     has_given_up_worker_ =
         has_given_up_worker_ || !found->second.knowledge.is_certain();
     workers_.erase(found);
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -451,6 +451,7 @@
                      std::span<worker_view* const> workers,
                      base::time_point now);
     void evacuate(worker_view& worker, base::time_point now);
+    void hold_unknown_worker(std::string_view id, base::time_point until);
     /// Whether the long-running tasks that run on the worker, or wait for a
     /// place, have places without it.
     [[nodiscard]] bool can_leave(const worker_view& leaving,
@@ -483,6 +484,9 @@
     /// Jobs with a write of their record under way.
     std::set<job*, by_id> writing_;
     std::map<std::string, worker_view, std::less<>> workers_;
+    /// Until when workers that are not known get no runs once they are, since
+    /// they were released.
+    std::map<std::string, base::time_point, std::less<>> held_unknown_;
     std::map<std::string, queue_policy, std::less<>> policies_;
     statistics_table statistics_;
     /// Time of the first submission of each refused job. Its objective counts
--- a/tests/jobs/leave_test.cpp
+++ b/tests/jobs/leave_test.cpp
@@ -1,6 +1,6 @@
 // When the instance of a worker may be moved or maintained.
 
-#include "jobs/pool_fixture.hpp"
+#include "jobs/successor.hpp"
 
 #include <doctest/doctest.h>
 
@@ -155,3 +155,36 @@
     CHECK_FALSE(pool.state.workers().at("w2").accepts_starts(pool.now));
     CHECK(pool.state.workers().at("w2").accepts_starts(until));
 }
+
+// Guards against tasks that are started on a worker and end with it: its
+// instance was released before the owner knew the worker.
+TEST_CASE("a worker that is listed after its release takes no tasks until the "
+          "hold is over")
+{
+    pool_fixture pool({describe("w1")});
+    const base::time_point until = pool.now + 3s;
+    REQUIRE(pool.state.prepare_leave("w2", until, pool.now));
+    pool.state.update_worker(describe("w2"));
+    pool.state.note_recorded(pool.state.roster(pool.now));
+    pool.report("w2", {});
+    REQUIRE(pool.state.workers().at("w1").accepts_starts(pool.now));
+    CHECK_FALSE(pool.state.workers().at("w2").accepts_starts(pool.now));
+    CHECK(pool.state.workers().at("w2").accepts_starts(until));
+}
+
+// Guards against the same on a worker whose entry was away for a moment.
+TEST_CASE("a released worker that is listed again takes no tasks until the "
+          "hold is over")
+{
+    pool_fixture pool({describe("w1"), describe("w2")});
+    const base::time_point until = pool.now + 3s;
+    REQUIRE(pool.state.prepare_leave("w2", until, pool.now));
+    pool.state.unlist_worker("w2");
+    REQUIRE(pool.state.can_forget("w2", pool.now));
+    pool.state.forget_worker("w2");
+    pool.state.update_worker(describe("w2"));
+    pool.state.note_recorded(pool.state.roster(pool.now));
+    pool.report("w2", {});
+    CHECK_FALSE(pool.state.workers().at("w2").accepts_starts(pool.now));
+    CHECK(pool.state.workers().at("w2").accepts_starts(until));
+}
