Hand the hold of a released worker over with its pool

Callers see (by reading): the same where the pool changes hands in order between the release of a worker and the order to its instance: the next owner knew nothing of the release and started tasks there.

Change: the last roster of an owner says how long the hold goes on.

--- a/src/jobs/pool_roster.cpp
+++ b/src/jobs/pool_roster.cpp
@@ -48,6 +48,8 @@
     worker.recorded =
         entry.runs ? roster_mark::without_starts : roster_mark::with_starts;
     worker.lease_ends_by = deadline;
+    if (entry.hold_left)
+        worker.leaving_until = worker.released_until = now + *entry.hold_left;
     worker.knowledge = entry.runs ? run_knowledge::stated_by_roster()
                                   : run_knowledge::unknown_until(deadline);
     if (is_new)
@@ -252,6 +254,8 @@
             entry.runs = runs_for_roster(worker, now);
         entry.lease_left = std::max<base::duration>(worker.lease_ends_by - now,
                                                     base::duration::zero());
+        if (now < worker.released_until)
+            entry.hold_left = worker.released_until - now;
         result.push_back(std::move(entry));
     }
     return result;
--- a/src/jobs/roster.cpp
+++ b/src/jobs/roster.cpp
@@ -42,6 +42,10 @@
     }
     if (entry.lease_left)
         row["lease_left_ms"] = base::count_millis(*entry.lease_left);
+    if (entry.hold_left)
+        row["hold_left_ms"] =
+            std::chrono::ceil<std::chrono::milliseconds>(*entry.hold_left)
+                .count();
     if (!entry.late_starts.empty())
     {
         json::array starts;
@@ -108,6 +112,9 @@
     if (const json::value* left = source.if_contains("lease_left_ms"))
         entry.lease_left =
             std::chrono::milliseconds(left->to_number<std::int64_t>());
+    if (const json::value* left = source.if_contains("hold_left_ms"))
+        entry.hold_left =
+            std::chrono::milliseconds(left->to_number<std::int64_t>());
     if (const json::value* starts = source.if_contains("late_starts"))
         for (const json::value& start : starts->as_array())
             entry.late_starts.push_back(decode_late_start(start.as_array()));
--- a/src/jobs/roster.hpp
+++ b/src/jobs/roster.hpp
@@ -56,6 +56,9 @@
     /// the next owner extends its lease. Set when the ownership ends.
     std::optional<base::duration> lease_left{};
     std::vector<roster_late_start> late_starts{};
+    /// Upper bound of the time in which an order to its instance may end it,
+    /// since it was released. Set when the ownership ends.
+    std::optional<base::duration> hold_left{};
 
     bool operator==(const roster_entry&) const = default;
 };
--- a/tests/jobs/leave_test.cpp
+++ b/tests/jobs/leave_test.cpp
@@ -188,3 +188,19 @@
     CHECK_FALSE(pool.state.workers().at("w2").accepts_starts(pool.now));
     CHECK(pool.state.workers().at("w2").accepts_starts(until));
 }
+
+// Guards against the same where the pool has been handed over meanwhile.
+TEST_CASE("a released worker takes no tasks of the next owner until the hold "
+          "is over")
+{
+    pool_fixture pool({describe("w1"), describe("w2")});
+    const base::time_point until = pool.now + 3s;
+    REQUIRE(pool.state.prepare_leave("w2", until, pool.now));
+    successor next(pool.state, pool.state.final_roster(pool.now), pool.now);
+    for (const std::string worker : {"w1", "w2"})
+        next.report(worker);
+    const base::time_point now = next.now + 10ms;
+    CHECK(next.state.workers().at("w1").accepts_starts(now));
+    CHECK_FALSE(next.state.workers().at("w2").accepts_starts(now));
+    CHECK(next.state.workers().at("w2").accepts_starts(until));
+}
--- a/tests/jobs/roster_test.cpp
+++ b/tests/jobs/roster_test.cpp
@@ -218,6 +218,7 @@
     entry.is_silent = true;
     entry.runs = {{{"00000000000000aa", 0, 1, 2}, 3, true}};
     entry.lease_left = 1500ms;
+    entry.hold_left = 700ms;
     const std::vector<roster_entry> roster{entry, {describe("w2")}};
     auto read = decode_roster(encode_roster(roster));
     REQUIRE(read.size() == 2);
