Release no worker while another instance may own its pool

Callers see (real owners): tasks that end with their worker. An owner that was cut off from the store, and replaced, released a worker on which the next owner ran a task: the holder of the machine role may still ask the earlier owner.

Cause: the owner judges by the worker's last report, which may be older than the next ownership. Answers about jobs are withheld then, releases were not.

Change: it releases nothing once its lease is not certain. Orders to machines need the store, so none waits longer for this while the store is away.

Evidence: the new case of test_pools fails before, the replaced owner releases the worker of a running task; it passes after.

--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -485,7 +485,8 @@
 
 bool pool_owner::release_worker(std::string_view worker, base::duration hold)
 {
-    if (!impl_->is_loaded || impl_->is_stopping)
+    // The next owner may have started tasks there.
+    if (!impl_->is_loaded || impl_->is_stopping || !impl_->holds_lease())
         return false;
     const base::time_point now = base::steady_now();
     const bool is_released =
--- a/src/pools/pool_owner.hpp
+++ b/src/pools/pool_owner.hpp
@@ -120,7 +120,7 @@
 
     /// Frees a worker for maintenance or a move; see
     /// `jobs::pool_state::prepare_leave`. Returns false while the pool is not
-    /// loaded.
+    /// loaded, or another instance can own it.
     bool release_worker(std::string_view worker, base::duration hold);
     /// See `jobs::pool_state::set_leaving_soon`.
     void set_leaving_soon(std::span<const std::string> workers);
