Keep a cancelled job that is not stored yet

Callers see (a real owner): the cancelling of a job is acknowledged, and the job runs when its request comes again.

Cause: while the store refused writes, the job was withdrawn at the end of its submission's time. That leaves nothing to store, so the cancelling, which waited for the store, counted as stored; no record said that the job was cancelled.

Change: pool_state::withdraw removes open jobs only.

Evidence: the new case of test_pools fails before with one start; it passes after.

--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -250,8 +250,9 @@
 bool pool_state::withdraw(std::string_view id)
 {
     const job* subject = find_job(id);
+    // A cancelled job would be taken anew if it were forgotten.
     if (subject == nullptr || subject->is_stored || subject->may_be_stored ||
-        is_being_written(*subject))
+        is_being_written(*subject) || subject->status != job_status::open)
         return false;
     erase_job(id);
     return true;
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -136,8 +136,9 @@
     void restore(job subject, base::time_point now, base::wall_time wall);
     /// Returns whether the job is known. Does not change an ended job.
     bool cancel(std::string_view id, base::wall_time wall);
-    /// Removes a job of whose record no write has been sent, so that the store
-    /// cannot hold it. Returns false, and removes nothing, for any other job.
+    /// Removes an open job of whose record no write has been sent, so that the
+    /// store cannot hold it. Returns false, and removes nothing, for any other
+    /// job.
     bool withdraw(std::string_view id);
     [[nodiscard]] std::optional<reported_status>
     status_of(std::string_view id) const;
--- a/tests/pools/resubmission_test.cpp
+++ b/tests/pools/resubmission_test.cpp
@@ -63,3 +63,36 @@
     CHECK(eventually([&] { return all.is_completed(id_a); }, 3s));
     CHECK(all.starts() == 1);
 }
+
+// Guards against a task that starts after its job's cancelling was
+// acknowledged: the job was not stored, it was withdrawn and the cancelling
+// counted as stored, and the same request came again.
+TEST_CASE("a cancelled job that is not stored is not withdrawn")
+{
+    owned_pool all(std::vector<std::string>{"w0"}, 600ms);
+    all.platform.store.faults.is_down = true;
+    net::task_group calls;
+    calls.spawn(
+        [&]
+        {
+            all.owner->submit(id_a, one_task_job(), "queue",
+                              base::steady_now() + 400ms);
+        });
+    boost::this_fiber::sleep_for(200ms);
+    bool is_cancelled = false;
+    calls.spawn(
+        [&]
+        {
+            using answer = pools::job_answer::kind;
+            is_cancelled =
+                all.owner->cancel(id_a, base::steady_now() + 3s).outcome ==
+                answer::found;
+        });
+    boost::this_fiber::sleep_for(500ms);
+    all.platform.store.faults.is_down = false;
+    calls.join();
+    REQUIRE(is_cancelled);
+    CHECK(all.submit_one_task());
+    boost::this_fiber::sleep_for(300ms);
+    CHECK(all.starts() == 0);
+}
