Replace an unreadable record of the queues' pools by what is known

Callers see (by reading): a job that runs in two pools, if its queue has moved and the record of the queues' earlier pools could not be read: the first instance that read it replaced it by the present configuration, and instances that started later did not look for the job in the earlier pool.

Change: the write says all that this instance has heard of.

Evidence: the new case of test_node fails before, the record lacks the earlier pool; it passes after. An instance that starts beside an unreadable record still knows nothing of earlier pools.

--- a/src/node/queue_recorder.cpp
+++ b/src/node/queue_recorder.cpp
@@ -77,7 +77,7 @@
     }
     catch (const base::error& failure)
     {
-        // The next write replaces it.
+        // The next write replaces it by what is known here.
         stored_ = {};
         log::write(event_queues_invalid,
                    {{"key", item.key}, {"reason", failure.what()}});
@@ -123,7 +123,7 @@
 
 void queue_recorder::write()
 {
-    queue_pools wanted = stored_;
+    queue_pools wanted = known_;
     wanted.add(*configuration_);
     const std::string key(queues_key);
     const std::string value = wanted.encode();
