Look for a job again when the stored record names another pool

Callers see (a real instance): a job that a pool has accepted is accepted in a second one, and runs there too.

Cause: an instance looks for the job in the queue's earlier pools before it waits for the queue's record in the store. If it has missed a configuration, it hears of the pool of that one only while it waits, by the conflict of its own write.

Change: it looks again if the record has named another pool. The store double can keep a watch silent.

Evidence: the new case of test_node fails before, the job has a second record; it passes after.

--- a/src/node/caller_api.cpp
+++ b/src/node/caller_api.cpp
@@ -156,13 +156,19 @@
         current.reason = failure.detail();
         return {bad_request, platform::write_reason(current.reason)};
     }
-    if (auto known = find_in_earlier_pools(current))
+    const auto known_pools = queues_.earlier_pools(route);
+    if (auto known = find_in_earlier_pools(current, route))
         return *known;
     if (!queues_.wait_stored(route, current.deadline - refusal_reserve))
     {
         current.reason = "the queue's pool is not stored yet";
         return retry_later(outage_retry_after, current.reason);
     }
+    // The stored record may name pools of configurations that this instance has
+    // not seen.
+    if (queues_.earlier_pools(route) != known_pools)
+        if (auto known = find_in_earlier_pools(current, route))
+            return *known;
     if (!is_current_())
     {
         current.reason = outdated_reason;
@@ -181,9 +187,10 @@
 // If the queue's pool has changed, a resubmitted job may already exist in an
 // earlier pool; it must not be accepted a second time.
 std::optional<net::http_response>
-caller_api::find_in_earlier_pools(call& current)
+caller_api::find_in_earlier_pools(call& current,
+                                  const platform::queue_route& route)
 {
-    const auto policies = policies_of(*current.route);
+    const auto policies = policies_of(route);
     for (std::size_t index = 1; index < policies.size(); ++index)
     {
         const auto reply = gateway_.status_before_submission(
--- a/src/node/caller_api.hpp
+++ b/src/node/caller_api.hpp
@@ -40,7 +40,8 @@
     net::http_response answer(call& current);
     net::http_response answer_by_configuration(call& current);
     net::http_response submit(call& current);
-    std::optional<net::http_response> find_in_earlier_pools(call& current);
+    std::optional<net::http_response>
+    find_in_earlier_pools(call& current, const platform::queue_route& route);
     net::http_response status(call& current);
     net::http_response cancel(call& current);
     net::http_response pending_count(call& current);
--- a/tests/node/earlier_pool_test.cpp
+++ b/tests/node/earlier_pool_test.cpp
@@ -1,7 +1,9 @@
 // Jobs of a queue that has moved to another pool, whose record is still on its
 // way to the store.
 
+#include "jobs/job_record.hpp"
 #include "node/cluster.hpp"
+#include "node/queue_pools.hpp"
 
 using namespace pimentograde;
 using namespace pimentograde::node_tests;
@@ -66,3 +68,37 @@
     boost::this_fiber::sleep_for(1s);
     CHECK(all.platform.starts_of(id_a + task) == 1);
 }
+
+// Guards against a job that runs in two pools: the queue had the first one in a
+// configuration that the instance has not seen, and the instance reads of it
+// while the same request waits.
+TEST_CASE("a job in a pool of a configuration that was not seen is found")
+{
+    cluster all(1);
+    const auto& only = *all.entries[0];
+    auto& store = all.platform.store;
+    all.platform.add_worker("x0", "other", 100ms);
+    all.platform.configure(2, "pool", std::vector<std::string>{"other"});
+    REQUIRE(eventually([&] { return all.client.knows_worker(only, "x0"); }));
+    store.faults.silent_watch = "pimentograde/";
+    const std::string key = "pimentograde/queues";
+    node::queue_pools pools = node::queue_pools::decode(store.value_of(key));
+    pools.merge(node::queue_pools::decode(
+        R"({"queues":[{"queue":"h/q/","pools":["third"]}]})"));
+    store.put(key, pools.encode());
+    jobs::job stored;
+    stored.queue = "queue";
+    stored.status = jobs::job_status::completed;
+    store.put("pimentograde-jobs/third/" + id_a, jobs::encode_record(stored));
+    store.faults.commit_delay = 300ms;
+    all.platform.configure(3, "other", std::vector<std::string>{"pool"});
+    REQUIRE(eventually(
+        [&] {
+            return all.client.state_contains(only,
+                                             "\"configuration_version\":3");
+        },
+        250ms));
+    CHECK(all.client.submit(only, id_a, one_task) == 200);
+    CHECK(store.keys_under("pimentograde-jobs/other/").empty());
+    CHECK(all.platform.starts_of(id_a + ".0.0.0") == 0);
+}
--- a/tools/platform_standin/store_double.cpp
+++ b/tools/platform_standin/store_double.cpp
@@ -275,9 +275,11 @@
         if (faults.is_compacted)
             return json_answer(410);
         json::array rows;
+        const bool is_silent = prefix == faults.silent_watch;
         for (const change& entry : history_)
         {
-            if (entry.revision <= after || !entry.key.starts_with(prefix))
+            if (is_silent || entry.revision <= after ||
+                !entry.key.starts_with(prefix))
                 continue;
             if (entry.is_deleted || !items_.contains(entry.key))
                 rows.push_back(json::object{{"Key", entry.key},
@@ -287,8 +289,8 @@
                 rows.push_back(to_json(entry.key));
         }
         if (!rows.empty() || base::steady_now() >= deadline)
-            return json_answer(
-                200, {{"events", std::move(rows)}, {"AsOf", revision_}});
+            return json_answer(200, {{"events", std::move(rows)},
+                                     {"AsOf", is_silent ? after : revision_}});
         boost::this_fiber::sleep_for(5ms);
     }
 }
--- a/tools/platform_standin/store_double.hpp
+++ b/tools/platform_standin/store_double.hpp
@@ -41,6 +41,8 @@
     base::duration answer_delay{};
     /// Listings of workers take this long.
     base::duration worker_listing_delay{};
+    /// Watches of this prefix are told of no change.
+    std::string silent_watch{};
     /// Watches are told that the history is gone.
     bool is_compacted = false;
 };
