Answer for no pool whose ownership the session has seen end

Callers see (a real instance): 410 for a job that the next owner has accepted, for up to a second.

Cause: "no such job" is withheld while the instance's lease is not certain. After a new registration the new lease is certain, and the owner of the earlier one answered until the loop that claims pools came round: a claim of another pool that the store does not answer holds it up for a second.

Change: the lookup of an owner asks the session whether the role is held at the owner's fence.

Evidence: the new case of test_node fails before (20 of 20 answers are 410); it passes after.

--- a/src/node/pool_claims.cpp
+++ b/src/node/pool_claims.cpp
@@ -93,9 +93,14 @@
 pool_claims::find(std::string_view pool) const
 {
     const auto found = owners_.find(pool);
-    return found == owners_.end() || lost_.contains(std::string(pool))
-               ? nullptr
-               : found->second;
+    if (found == owners_.end() || lost_.contains(std::string(pool)))
+        return nullptr;
+    // The session learns first that the role has ended, also while a claim of
+    // another pool waits for the store.
+    const holder* current = session_.holder_of(pool_role(pool));
+    return current != nullptr && current->revision == found->second->fence()
+               ? found->second
+               : nullptr;
 }
 
 std::vector<std::shared_ptr<pools::pool_owner>> pool_claims::owners() const
--- a/tests/node/cut_off_owner_test.cpp
+++ b/tests/node/cut_off_owner_test.cpp
@@ -1,6 +1,7 @@
 // An owner that cannot know whether another instance has replaced it, as after
 // its process was suspended or while it is cut off from the store.
 
+#include "jobs/job_record.hpp"
 #include "node/cluster.hpp"
 
 #include "platform_standin/relay.hpp"
@@ -98,3 +99,37 @@
                      { return all.client.state(replaced, id_b) == running; }));
     CHECK(all.platform.starts_of(id_b + ".0.0.0") == 1);
 }
+
+// Guards against the same after its lease has ended, while a claim of another
+// pool waits for the store: the new lease says nothing about the old ownership.
+TEST_CASE("an owner whose lease has been replaced denies no job")
+{
+    cluster all(1);
+    auto& store = all.platform.store;
+    const entry& only = *all.entries[0];
+    REQUIRE(eventually([&] { return all.client.state(only, id_b) == "410"; }));
+    const std::string member = "pimentograde/member/e0";
+    // Claims wait for others to register before.
+    boost::this_fiber::sleep_for(2100ms);
+    const std::int64_t registered = store.revision_of(member);
+    store.faults.commit_delay = 3s;
+    all.platform.configure(2, "pool", std::vector<std::string>{"other"});
+    REQUIRE(eventually(
+        [&] {
+            return all.client.state_contains(only,
+                                             "\"configuration_version\":2");
+        },
+        1s));
+    boost::this_fiber::sleep_for(20ms);
+    store.faults.commit_delay = {};
+    store.end_leases();
+    // As the next owner does.
+    jobs::job accepted;
+    accepted.queue = "queue";
+    accepted.status = jobs::job_status::completed;
+    store.put("pimentograde-jobs/pool/" + id_b, jobs::encode_record(accepted));
+    REQUIRE(
+        eventually([&] { return store.revision_of(member) > registered; }, 2s));
+    for (int call = 0; call < 20; ++call)
+        CHECK(all.client.state(only, id_b) == completed);
+}
