Refuse a submission that comes after its job's cancelling

Callers see (a real owner): the cancelling of a job is answered with 410, and the job runs: its submission, which had got no answer, was still under way to the owner.

Cause: the owner's "no such job" bound nobody. A forwarded submission names the time that is left and not when it was sent, so one that was held up is accepted whenever it arrives.

Change: an owner that has said so refuses the job for 20 s. Calls take 10 s at most; a connection that holds a call up for longer than 20 s is not covered.

Ways weighed: storing such an answer (a write for each id that is asked for); naming the time of sending (clocks of instances differ); remembering it: chosen. The next owner knows nothing of it, but a late submission is sent to the earlier one.

Evidence: the new case of test_pools fails before with one start; it passes after.

--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -24,6 +24,8 @@
 constexpr int max_unstored_starts = 100;
 // A submission this long after its first refusal counts as a new one.
 constexpr std::chrono::seconds refusal_retention{20};
+// A submission may be under way for this long; calls take 10 s at most.
+constexpr std::chrono::seconds denial_retention{20};
 // How long calls that were left unanswered count for the whole pool.
 constexpr std::chrono::seconds unanswered_calls_memory{30};
 
@@ -247,6 +249,19 @@
     return true;
 }
 
+void pool_state::deny(std::string_view id, base::time_point now)
+{
+    std::erase_if(denied_at_, [&](const auto& entry)
+                  { return now - entry.second > denial_retention; });
+    denied_at_.insert_or_assign(std::string(id), now);
+}
+
+bool pool_state::is_denied(std::string_view id, base::time_point now) const
+{
+    const auto found = denied_at_.find(id);
+    return found != denied_at_.end() && now - found->second <= denial_retention;
+}
+
 bool pool_state::withdraw(std::string_view id)
 {
     const job* subject = find_job(id);
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -136,6 +136,11 @@
     void restore(job subject, base::time_point now, base::wall_time wall);
     /// Returns whether the job is known. Does not change an ended job.
     bool cancel(std::string_view id, base::wall_time wall);
+    /// Callers are told that there is no such job: a submission that was sent
+    /// before, and arrives late, must not be accepted.
+    void deny(std::string_view id, base::time_point now);
+    [[nodiscard]] bool is_denied(std::string_view id,
+                                 base::time_point now) const;
     /// Removes an open job of whose record no write has been sent, so that the
     /// store cannot hold it. Returns false, and removes nothing, for any other
     /// job.
@@ -493,6 +498,8 @@
     /// Time of the first submission of each refused job. Its objective counts
     /// from there when the caller submits the job again.
     std::map<std::string, base::time_point, std::less<>> first_refused_at_;
+    /// Jobs that callers were told do not exist, with the time.
+    std::map<std::string, base::time_point, std::less<>> denied_at_;
     std::vector<stop_order> stops_;
     arrival_rate arrivals_;
     /// Times of crashes that no task has caused by its start.
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -421,6 +421,9 @@
         answer = {kind::unknown, {}, "the job's record cannot be read"};
     else if (impl_->writer.is_failing() && impl_->state.find_job(id) == nullptr)
         answer.reason = "the store is away";
+    else if (impl_->state.find_job(id) == nullptr &&
+             impl_->state.is_denied(id, now))
+        answer.reason = "the job was denied";
     else
     {
         result = impl_->state.submit(id, std::move(spec), queue, now,
@@ -468,7 +471,10 @@
         impl_->unreadable.contains(id))
         return {kind::unavailable, {}};
     if (!impl_->state.cancel(id, base::wall_now()))
+    {
+        impl_->state.deny(id, base::steady_now());
         return {kind::absent, {}};
+    }
     impl_->changed();
     const bool is_stored =
         impl_->writer.wait_stored(impl_->state.change_number(), deadline);
--- a/tests/pools/resubmission_test.cpp
+++ b/tests/pools/resubmission_test.cpp
@@ -96,3 +96,16 @@
     boost::this_fiber::sleep_for(300ms);
     CHECK(all.starts() == 0);
 }
+
+// Guards against a task that starts after its job's cancelling was
+// acknowledged: the submission was still on its way to the owner.
+TEST_CASE("a submission that arrives after its cancelling is refused")
+{
+    owned_pool all(std::vector<std::string>{"w0"}, 50ms);
+    CHECK(all.owner->cancel(id_a, base::steady_now() + 1s).outcome ==
+          pools::job_answer::kind::absent);
+    CHECK_FALSE(all.submit_one_task());
+    CHECK(all.submit_one_task(id_b));
+    REQUIRE(eventually([&] { return all.is_completed(id_b); }, 3s));
+    CHECK(all.starts() == 0);
+}
