Refuse a submission of a job that was left to another pool

Callers see (a real instance): a job that runs in two pools. Its queue had moved; the owner of the earlier pool said that it does not know the job, so the new pool accepted it, and the first submission then arrived at the earlier owner.

Cause: as for cancellations, the answer bound nobody.

Evidence: the new case of test_node fails before with two starts of the task; it passes after.

--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -273,18 +273,22 @@
 
 pools::job_answer pool_gateway::owner_status(const jobs::queue_policy& queue,
                                              std::string_view id,
-                                             base::time_point deadline)
+                                             base::time_point deadline,
+                                             bool is_before_submission)
 {
     if (const auto owner = claims_.find(queue.pool))
-        return certain(owner->status(id));
+        return certain(is_before_submission
+                           ? owner->status_before_submission(id)
+                           : owner->status(id));
     const holder* current = session_.holder_of(pool_role(queue.pool));
     if (current == nullptr)
         return {job_kind::unavailable, {}};
     try
     {
-        return from_reply(send_to(current->address,
-                                  peer::query_job{queue.pool, std::string(id)},
-                                  deadline - std::chrono::milliseconds(500)));
+        return from_reply(send_to(
+            current->address,
+            peer::query_job{queue.pool, std::string(id), is_before_submission},
+            deadline - std::chrono::milliseconds(500)));
     }
     catch (const base::error&)
     {
@@ -296,7 +300,7 @@
                                        std::string_view id,
                                        base::time_point deadline)
 {
-    const pools::job_answer answer = owner_status(queue, id, deadline);
+    const pools::job_answer answer = owner_status(queue, id, deadline, false);
     if (answer.outcome == job_kind::unavailable)
         return stored_status(queue.pool, id);
     return answer;
@@ -307,7 +311,7 @@
                                        std::string_view id,
                                        base::time_point deadline)
 {
-    pools::job_answer answer = owner_status(queue, id, deadline);
+    pools::job_answer answer = owner_status(queue, id, deadline, true);
     if (answer.outcome != job_kind::unavailable)
         return answer;
     const bool has_owner = claims_.find(queue.pool) != nullptr ||
@@ -445,9 +449,12 @@
         [this](const peer::call_context&, const peer::query_job& message)
         {
             const auto owner = claims_.find(message.pool);
-            return to_reply(owner == nullptr
-                                ? pools::job_answer{job_kind::unavailable, {}}
-                                : certain(owner->status(message.job)));
+            if (owner == nullptr)
+                return to_reply({job_kind::unavailable, {}});
+            return to_reply(
+                certain(message.is_before_submission
+                            ? owner->status_before_submission(message.job)
+                            : owner->status(message.job)));
         });
     server.handle<peer::cancel_job>(
         [this](const peer::call_context&, const peer::cancel_job& message)
--- a/src/node/pool_gateway.hpp
+++ b/src/node/pool_gateway.hpp
@@ -69,7 +69,8 @@
     /// `unavailable` when there is no owner or it does not answer.
     pools::job_answer owner_status(const jobs::queue_policy& queue,
                                    std::string_view id,
-                                   base::time_point deadline);
+                                   base::time_point deadline,
+                                   bool is_before_submission);
     /// For a submission that no owner has decided on: an earlier call, whose
     /// answer was lost, may have handed the job in. A refusal does not wait for
     /// a slow store.
--- a/src/peer/pool_messages.cpp
+++ b/src/peer/pool_messages.cpp
@@ -59,13 +59,17 @@
     Json::Value value(Json::objectValue);
     value["pool"] = text_value(pool);
     value["job"] = text_value(job);
+    if (is_before_submission)
+        value["before_submission"] = true;
     return value;
 }
 
 query_job query_job::from_json(const Json::Value& source)
 {
     const message_fields fields(source);
-    return {fields.text("pool"), fields.text("job")};
+    return {fields.text("pool"), fields.text("job"),
+            source.isMember("before_submission") &&
+                fields.flag("before_submission")};
 }
 
 Json::Value cancel_job::to_json() const
--- a/src/peer/pool_messages.hpp
+++ b/src/peer/pool_messages.hpp
@@ -61,6 +61,9 @@
 
     std::string pool;
     std::string job;
+    /// The job is accepted elsewhere if it is not known: no submission of it
+    /// may be accepted after this answer. False if missing.
+    bool is_before_submission = false;
 
     [[nodiscard]] Json::Value to_json() const;
     static query_job from_json(const Json::Value& source);
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -464,6 +464,14 @@
             {}};
 }
 
+job_answer pool_owner::status_before_submission(std::string_view id)
+{
+    const job_answer answer = status(id);
+    if (answer.outcome == job_answer::kind::absent)
+        impl_->state.deny(id, base::steady_now());
+    return answer;
+}
+
 job_answer pool_owner::cancel(std::string_view id, base::time_point deadline)
 {
     using kind = job_answer::kind;
--- a/src/pools/pool_owner.hpp
+++ b/src/pools/pool_owner.hpp
@@ -114,6 +114,9 @@
     submission_answer submit(std::string_view id, jobs::job_spec spec,
                              std::string_view queue, base::time_point deadline);
     job_answer status(std::string_view id) const;
+    /// The same; accepts no job for which it answers `absent`, since it is
+    /// accepted in another pool then.
+    job_answer status_before_submission(std::string_view id);
     job_answer cancel(std::string_view id, base::time_point deadline);
     /// Pending jobs of the queue; empty while the pool is not loaded.
     [[nodiscard]] std::optional<int> pending(std::string_view queue) const;
--- a/tests/node/earlier_pool_test.cpp
+++ b/tests/node/earlier_pool_test.cpp
@@ -4,6 +4,8 @@
 #include "jobs/job_record.hpp"
 #include "node/cluster.hpp"
 #include "node/queue_pools.hpp"
+#include "peer/peer_client.hpp"
+#include "peer/pool_messages.hpp"
 
 using namespace pimentograde;
 using namespace pimentograde::node_tests;
@@ -102,3 +104,50 @@
     CHECK(store.keys_under("pimentograde-jobs/other/").empty());
     CHECK(all.platform.starts_of(id_a + ".0.0.0") == 0);
 }
+
+// Guards against a job that runs in two pools: the first one's owner had said
+// that it does not know the job, and accepted a submission that came late.
+TEST_CASE("a submission that arrives after its job was accepted elsewhere is "
+          "refused")
+{
+    cluster all(1);
+    const auto& only = *all.entries[0];
+    all.platform.add_worker("x0", "other", 100ms);
+    all.platform.configure(2, "other", std::vector<std::string>{"pool"});
+    const std::string task = ".0.0.0";
+    int next = 10;
+    REQUIRE(eventually(
+        [&]
+        {
+            const std::string id = "00000000000000" + std::to_string(next++);
+            return all.client.submit(only, id, one_task) == 200 &&
+                   eventually(
+                       [&] {
+                           return all.platform.worker("x0").starts.contains(
+                               id + task);
+                       },
+                       300ms);
+        }));
+    REQUIRE(all.client.submit(only, id_a, one_task) == 200);
+    jobs::job subject;
+    subject.queue = "queue";
+    subject.spec.payload = "s";
+    subject.spec.steps.resize(1);
+    subject.spec.steps[0].need = {1000, 10, 0};
+    subject.spec.steps[0].estimate = 100ms;
+    const auto other =
+        peer::peer_client::builder{}
+            .connect_to({"127.0.0.1", only.settings.first_internal_port})
+            .authenticate_as(
+                {{base::member_id("other"), 1},
+                 all.platform.store.value_of("pimentograde/peer-secret")})
+            .build();
+    const auto reply =
+        other->send(peer::submit_job{"pool", "queue", id_a,
+                                     jobs::encode_record(subject), 2s},
+                    base::steady_now() + 3s);
+    CHECK(reply.outcome == "refused");
+    CHECK(all.completes(0, id_a));
+    boost::this_fiber::sleep_for(300ms);
+    CHECK(all.platform.starts_of(id_a + task) == 1);
+}
