--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -136,8 +136,14 @@
     void restore(job subject, base::time_point now, base::wall_time wall);
     /// Returns whether the job is known. Does not change an ended job.
     bool cancel(std::string_view id, base::wall_time wall);
-    /// Removes a job of whose record no write has been sent, so that the store
-    /// cannot hold it. Returns false, and removes nothing, for any other job.
+    /// Callers are told that there is no such job: a submission that was sent
+    /// before, and arrives late, must not be accepted.
+    void deny(std::string_view id, base::time_point now);
+    [[nodiscard]] bool is_denied(std::string_view id,
+                                 base::time_point now) const;
+    /// Removes an open job of whose record no write has been sent, so that the
+    /// store cannot hold it. Returns false, and removes nothing, for any other
+    /// job.
     bool withdraw(std::string_view id);
     [[nodiscard]] std::optional<reported_status>
     status_of(std::string_view id) const;
@@ -451,6 +457,7 @@
                      std::span<worker_view* const> workers,
                      base::time_point now);
     void evacuate(worker_view& worker, base::time_point now);
+    void hold_unknown_worker(std::string_view id, base::time_point until);
     /// Whether the long-running tasks that run on the worker, or wait for a
     /// place, have places without it.
     [[nodiscard]] bool can_leave(const worker_view& leaving,
@@ -483,11 +490,16 @@
     /// Jobs with a write of their record under way.
     std::set<job*, by_id> writing_;
     std::map<std::string, worker_view, std::less<>> workers_;
+    /// Until when workers that are not known get no runs once they are, since
+    /// they were released.
+    std::map<std::string, base::time_point, std::less<>> held_unknown_;
     std::map<std::string, queue_policy, std::less<>> policies_;
     statistics_table statistics_;
     /// Time of the first submission of each refused job. Its objective counts
     /// from there when the caller submits the job again.
     std::map<std::string, base::time_point, std::less<>> first_refused_at_;
+    /// Jobs that callers were told do not exist, with the time.
+    std::map<std::string, base::time_point, std::less<>> denied_at_;
     std::vector<stop_order> stops_;
     arrival_rate arrivals_;
     /// Times of crashes that no task has caused by its start.
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -421,6 +421,9 @@
         answer = {kind::unknown, {}, "the job's record cannot be read"};
     else if (impl_->writer.is_failing() && impl_->state.find_job(id) == nullptr)
         answer.reason = "the store is away";
+    else if (impl_->state.find_job(id) == nullptr &&
+             impl_->state.is_denied(id, now))
+        answer.reason = "the job was denied";
     else
     {
         result = impl_->state.submit(id, std::move(spec), queue, now,
@@ -461,6 +464,14 @@
             {}};
 }
 
+job_answer pool_owner::status_before_submission(std::string_view id)
+{
+    const job_answer answer = status(id);
+    if (answer.outcome == job_answer::kind::absent)
+        impl_->state.deny(id, base::steady_now());
+    return answer;
+}
+
 job_answer pool_owner::cancel(std::string_view id, base::time_point deadline)
 {
     using kind = job_answer::kind;
@@ -468,7 +479,10 @@
         impl_->unreadable.contains(id))
         return {kind::unavailable, {}};
     if (!impl_->state.cancel(id, base::wall_now()))
+    {
+        impl_->state.deny(id, base::steady_now());
         return {kind::absent, {}};
+    }
     impl_->changed();
     const bool is_stored =
         impl_->writer.wait_stored(impl_->state.change_number(), deadline);
@@ -485,7 +499,8 @@
 
 bool pool_owner::release_worker(std::string_view worker, base::duration hold)
 {
-    if (!impl_->is_loaded || impl_->is_stopping)
+    // The next owner may have started tasks there.
+    if (!impl_->is_loaded || impl_->is_stopping || !impl_->holds_lease())
         return false;
     const base::time_point now = base::steady_now();
     const bool is_released =
