Give a pool idle machines while a wave frees its workers

Cause: between the bursts of a pool its idle machines move away, until it has only the workers that its long-running tasks use. MaxPerServer then leaves no place for the tasks of a worker that is to leave, so it stays.

Change: as long as a wave prepares machines with long-running tasks, their pool gets up to two idle machines, from other pools or standby, and keeps them.

Evidence: without the call of plan_replacements both new cases fail; all 43 of test_machines pass.

--- a/src/fleet/move_policy.cpp
+++ b/src/fleet/move_policy.cpp
@@ -13,6 +13,10 @@
 constexpr double target_backlog_seconds = 0.5;
 // A pool that gives machines away keeps this many idle for its next jobs.
 constexpr std::size_t min_idle_machines = 1;
+// Long-running tasks that have to move need other workers than those of their
+// step, which may all be in use. Limits the machines without tasks that a pool
+// gets for them.
+constexpr std::size_t max_replacements = 2;
 // Limit per round, since a burst takes machines back from standby at once.
 constexpr std::size_t max_standby_moves = 4;
 
@@ -28,6 +32,7 @@
     double cores = 0.0;
     std::vector<std::string> idle;
     std::vector<std::string> draining;
+    std::size_t added = 0;
 
     [[nodiscard]] double needed() const
     {
@@ -42,9 +47,18 @@
     {
         if (demand->is_standby)
             return !idle.empty();
-        return idle.size() > min_idle_machines &&
+        return idle.size() > std::max(min_idle_machines, replacements()) &&
                cores - needed() >= cores_per_machine;
     }
+    [[nodiscard]] std::size_t replacements() const
+    {
+        return std::min(demand->machines_to_free, max_replacements);
+    }
+    [[nodiscard]] bool lacks_replacements() const
+    {
+        return !demand->is_standby &&
+               idle.size() + demand->new_machines + added < replacements();
+    }
 };
 
 // A pool that gives machines away keeps its active cores times this factor, for
@@ -114,6 +128,7 @@
     machines.pop_back();
     giver.cores -= cores_per_machine;
     receiver.cores += cores_per_machine;
+    ++receiver.added;
 }
 
 void plan_demand_moves(std::vector<pool_balance>& balances,
@@ -141,6 +156,21 @@
     }
 }
 
+void plan_replacements(std::vector<pool_balance>& balances,
+                       const move_limits& limits,
+                       std::vector<machine_move>& moves)
+{
+    for (pool_balance& receiver : balances)
+        while (moves.size() < limits.max_moves && receiver.lacks_replacements())
+        {
+            pool_balance* giver =
+                best_giver(balances, limits.cores_per_machine);
+            if (giver == nullptr)
+                return;
+            add_move(*giver, receiver, false, limits.cores_per_machine, moves);
+        }
+}
+
 // The pool with the most idle machines among those that can give one away.
 pool_balance* most_idle(std::vector<pool_balance>& balances,
                         double cores_per_machine)
@@ -189,6 +219,7 @@
         balances.push_back({&entry, entry.cores, entry.idle_machines,
                             entry.draining_machines});
     std::vector<machine_move> moves;
+    plan_replacements(balances, limits, moves);
     plan_demand_moves(balances, limits, moves);
     plan_standby_moves(balances, limits, moves);
     return moves;
--- a/src/fleet/move_policy.hpp
+++ b/src/fleet/move_policy.hpp
@@ -1,6 +1,7 @@
 #ifndef PIMENTOGRADE_FLEET_MOVE_POLICY_HPP
 #define PIMENTOGRADE_FLEET_MOVE_POLICY_HPP
 
+#include <cstddef>
 #include <span>
 #include <string>
 #include <vector>
@@ -28,6 +29,10 @@
     /// Machines that become free when their tasks end, sorted by descending
     /// number of tasks.
     std::vector<std::string> draining_machines;
+    /// Machines that a maintenance wave is freeing of long-running tasks.
+    std::size_t machines_to_free = 0;
+    /// Machines without tasks that are moving to the pool or came lately.
+    std::size_t new_machines = 0;
 };
 
 struct machine_move
--- a/src/node/fleet_manager.cpp
+++ b/src/node/fleet_manager.cpp
@@ -311,9 +311,29 @@
         advance_wave(progress, now);
         try_record_wave(progress, now);
     }
+    moves_.set_machines_to_free(machines_to_free());
     moves_.run_round(now);
 }
 
+// Machines, by pool, whose long-running tasks have to move for a wave.
+std::map<std::string, std::size_t> fleet_manager::machines_to_free() const
+{
+    std::map<std::string, std::size_t> result;
+    for (const auto& [number, wave] : waves_)
+    {
+        if (completed_waves_.contains(number))
+            continue;
+        for (const std::string& name :
+             wave.machines_in(fleet::maintenance_stage::preparing))
+        {
+            const auto load = inventory_.machine_load(name);
+            if (load && load->long_running > 0)
+                ++result[inventory_.find(name)->pool];
+        }
+    }
+    return result;
+}
+
 // Sequential calls would delay the moves for most of a load burst.
 void fleet_manager::for_each_concurrently(
     std::span<const std::string> machines,
--- a/src/node/fleet_manager.hpp
+++ b/src/node/fleet_manager.hpp
@@ -78,6 +78,7 @@
     void refresh_loads();
     [[nodiscard]] std::map<std::string, std::vector<std::string>>
     workers_leaving_soon() const;
+    [[nodiscard]] std::map<std::string, std::size_t> machines_to_free() const;
     void advance_wave(fleet::wave_progress& wave, base::time_point now);
     /// Calls `work` for all machines, several of them concurrently.
     static void
--- a/src/node/machine_moves.cpp
+++ b/src/node/machine_moves.cpp
@@ -177,6 +177,9 @@
     fleet::pool_demand demand;
     demand.pool = pool.name;
     demand.is_standby = pool.is_standby;
+    if (const auto found = machines_to_free_.find(pool.name);
+        found != machines_to_free_.end())
+        demand.machines_to_free = found->second;
     if (const peer::pool_load* load = inventory_.load_of(pool.name))
     {
         demand.backlog = to_cores(load->backlog_core_ms);
@@ -230,6 +233,10 @@
         const auto moved = moves_.find(id);
         const bool is_cooling_down =
             moved != moves_.end() && now - moved->second.at < move_cooldown;
+        const peer::worker_load* worker = inventory_.worker_of(entry);
+        if (is_arriving ||
+            (is_cooling_down && worker != nullptr && worker->runs == 0))
+            ++demand->new_machines;
         if (!is_arriving && !is_cooling_down && !hooks_.is_reserved(id))
             add_movable_machine(entry, *demand);
     }
--- a/src/node/machine_moves.hpp
+++ b/src/node/machine_moves.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace pimentograde::node
@@ -43,6 +44,12 @@
                   hooks functions);
 
     void run_round(base::time_point now);
+    /// Sets how many machines a maintenance wave is freeing of long-running
+    /// tasks, by pool.
+    void set_machines_to_free(std::map<std::string, std::size_t> machines)
+    {
+        machines_to_free_ = std::move(machines);
+    }
     /// Drops all moves: another holder of the role may have sent orders since.
     void clear();
 
@@ -86,6 +93,7 @@
     hooks hooks_;
     std::map<std::string, recent_move> moves_;
     std::map<std::string, draining_move> draining_;
+    std::map<std::string, std::size_t> machines_to_free_;
     /// Rate limit budget: number of moves that may be ordered now.
     double rate_budget_ = 0.0;
     base::time_point planned_at_{};
--- a/tests/machines/machine_moves_test.cpp
+++ b/tests/machines/machine_moves_test.cpp
@@ -201,3 +201,38 @@
     }
     CHECK(all.ordered.size() >= 60);
 }
+
+// Guards against a pool that takes one idle machine after the other while the
+// first ones are still on their way.
+TEST_CASE("machines for long-running tasks are ordered once")
+{
+    fleet_double all(12);
+    all.moves.set_machines_to_free({{"turn", 4}});
+    const auto round = [&](base::duration later)
+    {
+        all.now += later;
+        all.set_load("turn", 0);
+        all.set_load("calm", 0);
+        all.moves.run_round(all.now);
+    };
+    all.busy.insert("turn0");
+    round(200ms);
+    REQUIRE(all.ordered.size() == 2);
+    round(200ms);
+    CHECK(all.ordered.size() == 2);
+    std::vector<fleet::machine> listed;
+    for (const auto& [id, entry] : all.inventory.machines())
+        listed.push_back(entry);
+    for (fleet::machine& entry : listed)
+        for (const auto& move : all.ordered)
+            if (entry.id == move.machine)
+                entry.pool = move.to;
+    all.inventory.set_machines(listed, all.now);
+    round(1600ms);
+    CHECK(all.ordered.size() == 2);
+    // Once one of them is in use, another one comes.
+    all.busy.insert(all.ordered.front().machine);
+    round(200ms);
+    CHECK(all.ordered.size() == 3);
+    CHECK(all.released.size() == 3);
+}
--- a/tests/machines/wave_progress_test.cpp
+++ b/tests/machines/wave_progress_test.cpp
@@ -324,6 +324,38 @@
     CHECK(plan_moves(pools, {32.0, 16, 960.0}).empty());
 }
 
+// Guards against waves that are late (kavango-cues-grown quiet-1: the last
+// machine waited for 10 s): between bursts a pool has only the workers that its
+// long-running tasks use, so that none of these can leave.
+TEST_CASE("a pool whose machines wait to be maintained gets idle machines")
+{
+    pool_demand full = make_demand("full", 0, 600, 0);
+    full.machines_to_free = 5;
+    const pool_demand calm = make_demand("calm", 0, 320, 10);
+    const move_limits limits{32.0, 16, 1e9};
+    const auto moves = plan_moves(std::vector{full, calm}, limits);
+    REQUIRE(moves.size() == 2);
+    for (const auto& move : moves)
+    {
+        CHECK(move.from == "calm");
+        CHECK(move.to == "full");
+        CHECK(!move.needs_drain);
+    }
+    // Also from standby, and no more than are missing.
+    const pool_demand standby = make_demand("standby", 0, 0, 4, true);
+    full.machines_to_free = 1;
+    CHECK(plan_moves(std::vector{full, standby}, limits).size() == 1);
+    full.new_machines = 1;
+    CHECK(plan_moves(std::vector{full, standby}, limits).empty());
+    // They stay until the machines are free.
+    pool_demand ready = make_demand("full", 0, 640, 2);
+    ready.machines_to_free = 5;
+    const pool_demand turn = make_demand("turn", 400, 100, 0);
+    CHECK(plan_moves(std::vector{ready, turn}, limits).empty());
+    ready.machines_to_free = 0;
+    CHECK(plan_moves(std::vector{ready, turn}, limits).size() == 1);
+}
+
 // Guards against machines that go to standby while a pool needs more.
 TEST_CASE("nothing goes to standby while a pool is short of machines")
 {
