Count tasks that an earlier owner may be stopping as away

Cause: an owner had begun to stop one of them when its pool was handed over. A worker lists a run as at work until it has stopped, 0.9 s at most there, so the next owner took the task for serving and stopped another one 0.45 s later.

Change: tasks on an inherited worker count as serving once the worker lists them StopMs (a setting of the platform) and 0.1 s after its first answer. From that answer on it refuses orders of earlier owners.

Evidence: the test fails without the change in may_interrupt, for owners that hand over and owners that are killed.

--- a/src/jobs/pool_leave.cpp
+++ b/src/jobs/pool_leave.cpp
@@ -15,6 +15,8 @@
 // A worker that has not reported for this long may be gone; idle workers report
 // about every 2 s.
 constexpr std::chrono::milliseconds max_report_age{2800};
+// A report may have been under way for this long.
+constexpr std::chrono::milliseconds report_delay{100};
 
 bool awaits_place(const task& entry)
 {
@@ -57,6 +59,14 @@
            run->percent == full_percent;
 }
 
+// A worker lists a run until it has stopped, and does not say that it was told
+// to by an earlier owner.
+bool pool_state::may_be_stopping(const worker_view& worker) const
+{
+    return worker.is_inherited &&
+           worker.reported_at < worker.heard_since + stop_time_ + report_delay;
+}
+
 bool pool_state::may_interrupt(const job& subject, const task_id& id,
                                base::time_point now) const
 {
@@ -72,7 +82,8 @@
             const auto worker = workers_.find(tasks[index].active->worker);
             is_available = worker != workers_.end() &&
                            worker->second.is_reachable &&
-                           now - worker->second.reported_at < max_report_age;
+                           now - worker->second.reported_at < max_report_age &&
+                           !may_be_stopping(worker->second);
         }
         if (static_cast<int>(index) != id.index && !is_available)
             ++unavailable;
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -118,6 +118,10 @@
     /// How many times as long a gang runs on more than one rack.
     void set_remote_factor(double factor) { remote_factor_ = factor; }
 
+    /// The longest time for which a worker lists a run that it was told to
+    /// stop.
+    void set_stop_time(base::duration longest) { stop_time_ = longest; }
+
     /// What was learned from the queues' jobs.
     [[nodiscard]] const statistics_table& statistics() const
     {
@@ -461,6 +465,7 @@
     places_on(const std::function<bool(const worker_view&)>& is_usable) const;
     bool take_place(lasting_places& places, const job& subject,
                     std::size_t position) const;
+    [[nodiscard]] bool may_be_stopping(const worker_view& worker) const;
     [[nodiscard]] bool may_interrupt(const job& subject, const task_id& id,
                                      base::time_point now) const;
     void log_decision(const decision& entry) const;
@@ -513,6 +518,7 @@
     /// others.
     std::optional<base::time_point> left_unanswered_at_;
     double remote_factor_ = 1.0;
+    base::duration stop_time_{};
     std::size_t recorded_workers_ = 0;
     /// A worker was forgotten without its word, since no run could exist there
     /// any more.
--- a/src/jobs/worker_view.hpp
+++ b/src/jobs/worker_view.hpp
@@ -119,6 +119,8 @@
     base::time_point lease_ends_by{};
     /// Time of its last report.
     base::time_point reported_at{};
+    /// Since then it has refused the orders of earlier owners.
+    base::time_point heard_since{};
     /// The last request to it succeeded.
     bool is_reachable = false;
     /// The last request to it failed.
--- a/src/node/node_instance.cpp
+++ b/src/node/node_instance.cpp
@@ -75,6 +75,7 @@
                    }}),
           claims(members, directory, *store, *worker_http,
                  settings.longest_worker_lease, settings.remote_factor,
+                 settings.stop_time,
                  [this](bool is_needed) { set_worker_watch(is_needed); }),
           gateway(members, claims, *store), queues(*store),
           caller_requests(gateway, queues, metrics,
--- a/src/node/pool_claims.cpp
+++ b/src/node/pool_claims.cpp
@@ -39,10 +39,11 @@
 pool_claims::pool_claims(session& members, worker_directory& directory,
                          platform::store_client& store, net::http_client& http,
                          base::duration worker_lease, double remote_factor,
+                         base::duration stop_time,
                          std::function<void(bool)> needs_workers)
     : session_(members), directory_(directory), store_(store), http_(http),
       worker_lease_(worker_lease), remote_factor_(remote_factor),
-      needs_workers_(std::move(needs_workers))
+      stop_time_(stop_time), needs_workers_(std::move(needs_workers))
 {
 }
 
@@ -251,6 +252,7 @@
             .http(http_)
             .worker_lease(worker_lease_)
             .remote_factor(remote_factor_)
+            .stop_time(stop_time_)
             .may_order(
                 [this, role = pool_role(pool), revision] {
                     return session_.may_order(role, revision,
--- a/src/node/pool_claims.hpp
+++ b/src/node/pool_claims.hpp
@@ -41,6 +41,7 @@
     pool_claims(session& members, worker_directory& directory,
                 platform::store_client& store, net::http_client& http,
                 base::duration worker_lease, double remote_factor,
+                base::duration stop_time,
                 std::function<void(bool)> needs_workers);
     ~pool_claims();
     pool_claims(const pool_claims&) = delete;
@@ -80,6 +81,7 @@
     net::http_client& http_;
     base::duration worker_lease_;
     double remote_factor_;
+    base::duration stop_time_;
     std::function<void(bool)> needs_workers_;
     std::vector<jobs::queue_policy> policies_;
     std::set<std::string> pools_;
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -68,6 +68,7 @@
 void read_bounds(const json::object& bounds, node_settings& settings)
 {
     settings.longest_worker_lease = read_millis(bounds, "HoldMaxMs", 6000);
+    settings.stop_time = read_millis(bounds, "StopMs", 900);
     settings.grace = read_seconds(bounds, "GraceS", 6.0);
     settings.move_time = read_seconds(bounds, "MoveS", 1.5);
     settings.maintenance_time = read_seconds(bounds, "UpkeepS", 2.0);
--- a/src/platform/node_settings.hpp
+++ b/src/platform/node_settings.hpp
@@ -29,6 +29,8 @@
     base::duration least_lease{};
     /// Longest lease that a worker grants.
     base::duration longest_worker_lease{};
+    /// How long a worker may take to stop a run.
+    base::duration stop_time{};
     base::duration grace{};
     base::duration move_time{};
     base::duration maintenance_time{};
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -63,6 +63,7 @@
                   }})
     {
         state.set_remote_factor(parts.remote_factor_);
+        state.set_stop_time(parts.stop_time_);
         state.on_decision([this](const jobs::decision& entry)
                           { log_decision(entry); });
     }
--- a/src/pools/pool_owner.hpp
+++ b/src/pools/pool_owner.hpp
@@ -68,6 +68,8 @@
         builder& worker_lease(base::duration length);
         /// How many times as long a gang runs on more than one rack.
         builder& remote_factor(double factor);
+        /// How long a worker may take to stop a run.
+        builder& stop_time(base::duration longest);
         /// Returns whether the instance's lease still allows orders.
         builder& may_order(std::function<bool()> check);
         /// Returns whether no other instance can own the pool at present. If
@@ -86,6 +88,7 @@
         net::http_client* http_ = nullptr;
         base::duration lease_{};
         double remote_factor_ = 1.0;
+        base::duration stop_time_{};
         std::function<bool()> may_order_;
         std::function<bool()> holds_lease_ = []
         {
--- a/src/pools/pool_owner_builder.cpp
+++ b/src/pools/pool_owner_builder.cpp
@@ -43,6 +43,12 @@
     return *this;
 }
 
+pool_owner::builder& pool_owner::builder::stop_time(base::duration longest)
+{
+    stop_time_ = longest;
+    return *this;
+}
+
 pool_owner::builder& pool_owner::builder::may_order(std::function<bool()> check)
 {
     may_order_ = std::move(check);
--- a/tests/jobs/leave_test.cpp
+++ b/tests/jobs/leave_test.cpp
@@ -1,6 +1,6 @@
 // When the instance of a worker may be moved or maintained.
 
-#include "jobs/pool_fixture.hpp"
+#include "jobs/successor.hpp"
 
 #include <doctest/doctest.h>
 
@@ -140,6 +140,85 @@
     CHECK(pool.state.workers().at("w1").accepts_starts(pool.now));
 }
 
+namespace
+{
+
+/// Two tasks that last, of which one may be away, on two of three workers; the
+/// owner begins to stop the first, and the next one hears all workers.
+struct stop_before_takeover
+{
+    static constexpr base::duration stop_time = 900ms;
+
+    pool_fixture before{{describe("w1"), describe("w2"), describe("w3")}};
+    std::vector<start_order> orders;
+    std::optional<successor> next;
+
+    explicit stop_before_takeover(bool is_handed_over)
+    {
+        auto lasting = make_step(2);
+        lasting.is_long_running = true;
+        lasting.max_per_worker = 1;
+        lasting.max_unavailable = 1;
+        before.submit("a", make_job({lasting}));
+        orders = before.plan_and_start();
+        for (const start_order& order : orders)
+            before.report(order.worker, running({order}, 100));
+        before.state.prepare_leave(orders.at(0).worker, before.now + 10s,
+                                   before.now);
+        if (before.state.take_stops().size() != 1)
+            throw std::logic_error("one stop is expected");
+        const auto roster = is_handed_over
+                                ? before.state.final_roster(before.now)
+                                : before.state.roster(before.now);
+        next.emplace(before.state, roster, before.now);
+        next->state.set_stop_time(stop_time);
+        // A run that the roster lacks is adopted with the first report.
+        hear();
+        hear();
+    }
+    /// The worker of the stopped task still lists it as at work.
+    void hear()
+    {
+        for (const std::string worker : {"w1", "w2", "w3"})
+        {
+            std::vector<start_order> there;
+            for (const start_order& order : orders)
+                if (order.worker == worker)
+                    there.push_back(order);
+            next->report(worker, running(there, 100));
+        }
+    }
+    /// Number of stops when the worker of the second task is to leave.
+    std::size_t let_other_worker_leave()
+    {
+        next->state.prepare_leave(orders.at(1).worker, next->now + 10s,
+                                  next->now);
+        return next->state.take_stops().size();
+    }
+};
+
+} // namespace
+
+// Guards against too many tasks of a step that are away at once (AVAIL): a
+// worker lists a run as at work while it carries out a stop order of an earlier
+// owner, and the next one stopped another task of the step.
+TEST_CASE("a task that an earlier owner may be stopping does not count as at "
+          "work")
+{
+    for (const bool is_handed_over : {true, false})
+    {
+        stop_before_takeover pool(is_handed_over);
+        CHECK(pool.let_other_worker_leave() == 0);
+        pool.next->now += stop_before_takeover::stop_time;
+        CHECK(pool.let_other_worker_leave() == 0);
+        // The stop order has not arrived: the run is listed after the longest
+        // time that a stop may take.
+        pool.next->now += 200ms;
+        pool.hear();
+        CHECK(pool.let_other_worker_leave() == 1);
+    }
+}
+
 // Guards against tasks that are started on a worker and end with it: the order
 // to its instance got no answer, and the worker was asked to leave again when
 // it had the only place for a task.
