Count tasks whose stop got no answer as away

Cause: a stop order got no answer. The worker listed the run again, so it counted as at work, and another task of the step was stopped 2.9 s later. Then the late stop was carried out.

Change: a run whose stop order may still be carried out (12 s) counts as away when another task of its step is to be stopped. It may itself be stopped again.

Evidence: the test fails without the change.

--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -59,6 +59,8 @@
     /// Taken from the roster of an earlier owner, which may have seen its end
     /// since and started the task again.
     bool is_from_roster = false;
+    /// Until then a stop order without an answer may be carried out.
+    base::time_point stops_by{};
 };
 
 /// Progress of one task and its current run.
--- a/src/jobs/pool_leave.cpp
+++ b/src/jobs/pool_leave.cpp
@@ -83,6 +83,7 @@
             is_available = worker != workers_.end() &&
                            worker->second.is_reachable &&
                            now - worker->second.reported_at < max_report_age &&
+                           now >= tasks[index].active->stops_by &&
                            !may_be_stopping(worker->second);
         }
         if (static_cast<int>(index) != id.index && !is_available)
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -1,5 +1,6 @@
 // Applies worker reports and answers to the state of the pool.
 
+#include "jobs/lease_bound.hpp"
 #include "jobs/placement.hpp"
 #include "jobs/pool_state.hpp"
 
@@ -551,6 +552,8 @@
     // shows whether the stop order has to be repeated.
     entry->active->state =
         is_acknowledged ? run_state::stopped : run_state::unsettled;
+    if (!is_acknowledged)
+        entry->active->stops_by = now + late_call_time;
 }
 
 } // namespace pimentograde::jobs
--- a/tests/jobs/leave_test.cpp
+++ b/tests/jobs/leave_test.cpp
@@ -219,6 +219,39 @@
     }
 }
 
+// Guards against the same by an order of this owner: a stop that got no answer
+// was carried out seconds later, when another task of the step was stopped.
+TEST_CASE("a task whose stop got no answer does not count as at work")
+{
+    pool_fixture pool({describe("w1"), describe("w2"), describe("w3")});
+    auto lasting = make_step(2);
+    lasting.is_long_running = true;
+    lasting.max_per_worker = 1;
+    lasting.max_unavailable = 1;
+    pool.submit("j", make_job({lasting}));
+    const auto orders = pool.plan_and_start();
+    REQUIRE(orders.size() == 2);
+    const auto list_all = [&]
+    {
+        for (const start_order& order : orders)
+            pool.report(order.worker, running({order}, 100));
+    };
+    const auto let_leave = [&](const start_order& order)
+    {
+        pool.state.prepare_leave(order.worker, pool.now + 10s, pool.now);
+        return pool.state.take_stops();
+    };
+    list_all();
+    const auto stops = let_leave(orders[0]);
+    REQUIRE(stops.size() == 1);
+    pool.state.apply_stop_answer(stops[0], false, pool.now);
+    list_all();
+    CHECK(let_leave(orders[1]).empty());
+    pool.now += 12s;
+    list_all();
+    CHECK(let_leave(orders[1]).size() == 1);
+}
+
 // Guards against tasks that are started on a worker and end with it: the order
 // to its instance got no answer, and the worker was asked to leave again when
 // it had the only place for a task.
