--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -1,5 +1,6 @@
 // Applies worker reports and answers to the state of the pool.
 
+#include "jobs/lease_bound.hpp"
 #include "jobs/placement.hpp"
 #include "jobs/pool_state.hpp"
 
@@ -152,7 +153,11 @@
                       "runs=" + std::to_string(report.running.size()) +
                           " ends=" + std::to_string(report.ended.size())});
     if (!report.is_truncated)
+    {
+        if (!worker->knowledge.has_reported())
+            worker->heard_since = now;
         worker->knowledge.note_report();
+    }
     worker->is_reachable = true;
     worker->is_silent = false;
     worker->reported_at = now;
@@ -547,6 +552,8 @@
     // shows whether the stop order has to be repeated.
     entry->active->state =
         is_acknowledged ? run_state::stopped : run_state::unsettled;
+    if (!is_acknowledged)
+        entry->active->stops_by = now + late_call_time;
 }
 
 } // namespace pimentograde::jobs
