Keep the runs of a job whose record cannot be read

Callers see (real owners): a task that runs again after its end. An owner that cannot read a job's record, for example of another version, took the job for one that does not exist: it stopped its runs as unexpected and acknowledged their ends. The next owner that could read the record started the tasks again.

Change: the pool's state knows these jobs. Their runs go on, their ends stay listed, the worker is not released, and no roster states its runs, so that the next owner asks it. Nothing starts beside such runs, whose room is not known.

--- a/src/jobs/pool_leave.cpp
+++ b/src/jobs/pool_leave.cpp
@@ -192,7 +192,7 @@
         worker->runs.empty() &&
         (worker->knowledge.has_reported() ||
          (!worker->is_listed && worker->knowledge.is_certain())) &&
-        !has_unstored_ends(*worker);
+        !knows_more_than_store(*worker);
     if (is_free)
         worker->released_until = worker->leaving_until;
     return is_free;
--- a/src/jobs/pool_losses.cpp
+++ b/src/jobs/pool_losses.cpp
@@ -78,6 +78,7 @@
     if (loss == run_loss::lapsed)
         return;
     worker->applied_end = 0;
+    worker->lists_unreadable = false;
     // Another worker answers there: no order arrives any more.
     release_late_starts(*worker);
     forget_ends(*worker);
@@ -93,7 +94,7 @@
     // An end that is not stored is known to the worker alone.
     const bool has_ended = worker->runs.empty() &&
                            worker->knowledge.has_reported() &&
-                           !has_unstored_ends(*worker);
+                           !knows_more_than_store(*worker);
     log_decision({"worker_said_to_have_ended",
                   {},
                   {},
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -141,6 +141,7 @@
         apply_listed_run(*worker, row, now);
     settle_late_starts(*worker, now);
     note_other_runs(*worker, report);
+    worker->lists_unreadable = lists_unreadable(report);
     if (!report.is_truncated)
         reconcile_unlisted_runs(*worker, report, sent_at, now);
     if (!report.is_truncated)
@@ -171,6 +172,8 @@
                                   base::time_point now)
 {
     const std::string& id = worker.description.id;
+    if (is_unreadable(row.task.job))
+        return;
     job* subject = find(row.task.job);
     task* entry = subject == nullptr ? nullptr : subject->find(row.task);
     if (entry == nullptr || subject->status != job_status::open ||
@@ -234,6 +237,34 @@
                                    : describe_state(*entry)});
 }
 
+bool pool_state::lists_unreadable(const worker_report& report) const
+{
+    const auto is_of_unreadable = [this](const auto& row)
+    {
+        return is_unreadable(row.task.job);
+    };
+    return std::any_of(report.running.begin(), report.running.end(),
+                       is_of_unreadable) ||
+           std::any_of(report.ended.begin(), report.ended.end(),
+                       is_of_unreadable);
+}
+
+// A worker that lists many ends would list no others.
+std::int64_t pool_state::storable_end(const worker_report& report,
+                                      std::int64_t before) const
+{
+    const bool lists_many =
+        report.is_truncated || report.ended.size() > max_listed_ends;
+    std::int64_t last = before;
+    for (const listed_end& row : report.ended)
+    {
+        if (!lists_many && is_unreadable(row.task.job))
+            break;
+        last = row.number;
+    }
+    return last;
+}
+
 // A run that is to be stopped takes room until the worker no longer lists it.
 void pool_state::note_other_runs(worker_view& worker,
                                  const worker_report& report)
--- a/src/jobs/pool_roster.cpp
+++ b/src/jobs/pool_roster.cpp
@@ -71,6 +71,9 @@
     if (!entry.runs)
         return;
     worker.recorded_runs = entry.runs->size();
+    worker.lists_unreadable = std::any_of(
+        entry.runs->begin(), entry.runs->end(),
+        [this](const roster_run& run) { return is_unreadable(run.task.job); });
     for (const roster_run& run : *entry.runs)
         inherit_run(worker, run, now);
 }
@@ -181,7 +184,7 @@
                                     base::time_point now) const
 {
     const roster_mark mark = worker.wanted_mark(now);
-    return mark != roster_mark::with_starts && has_unstored_ends(worker)
+    return mark != roster_mark::with_starts && knows_more_than_store(worker)
                ? roster_mark::with_starts
                : mark;
 }
@@ -192,7 +195,10 @@
     if (found == workers_.end())
         return true;
     const worker_view& worker = found->second;
+    // Unless it comes back, nobody will hear of these ends.
+    const bool is_lost = worker.is_silent && now >= worker.lease_ends_by;
     return !worker.is_listed && worker.runs.empty() &&
+           (is_lost || !worker.lists_unreadable) &&
            !has_unstored_ends(worker) && !worker.awaits_late_starts(now) &&
            now >= worker.acknowledges_until() &&
            !worker.knowledge.may_hide_runs(now);
@@ -241,7 +247,7 @@
     for (auto& [id, worker] : workers_)
     {
         worker.recorded = roster_mark::absent;
-        if (!worker.may_run_something() && !has_unstored_ends(worker) &&
+        if (!worker.may_run_something() && !knows_more_than_store(worker) &&
             !worker.awaits_late_starts(now))
             continue;
         roster_entry entry{worker.described_as_known(), worker.is_silent};
@@ -250,7 +256,8 @@
         entry.late_starts = late_starts_for_roster(worker, now);
         // An end that is not stored is known to the worker alone: the next
         // owner has to ask.
-        if (worker.knowledge.is_certain() && dirty_.empty() && writing_.empty())
+        if (worker.knowledge.is_certain() && dirty_.empty() &&
+            writing_.empty() && !worker.lists_unreadable)
             entry.runs = runs_for_roster(worker, now);
         entry.lease_left = std::max<base::duration>(worker.lease_ends_by - now,
                                                     base::duration::zero());
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -134,6 +134,16 @@
                          base::wall_time wall);
     /// Adds a job that an earlier owner of the pool stored.
     void restore(job subject, base::time_point now, base::wall_time wall);
+    /// Sets the jobs whose records this owner cannot read. Their runs go on,
+    /// and their ends stay listed, for an owner that can.
+    void set_unreadable(std::set<std::string, std::less<>> jobs)
+    {
+        unreadable_ = std::move(jobs);
+    }
+    [[nodiscard]] bool is_unreadable(std::string_view id) const
+    {
+        return unreadable_.contains(id);
+    }
     /// Returns whether the job is known. Does not change an ended job.
     bool cancel(std::string_view id, base::wall_time wall);
     /// Callers are told that there is no such job: a submission that was sent
@@ -242,6 +252,10 @@
     void note_recorded(std::span<const roster_entry> roster);
     /// Nothing runs on the worker after `at` unless its lease is extended.
     void set_lease_end(std::string_view id, base::time_point at);
+    /// The last end that may be acknowledged once it is stored; `before` if
+    /// there is none. Ends of jobs whose records cannot be read must stay.
+    [[nodiscard]] std::int64_t storable_end(const worker_report& report,
+                                            std::int64_t before) const;
     /// Until when the worker's ends must not be acknowledged.
     [[nodiscard]] base::time_point
     withholds_ends_until(std::string_view id) const;
@@ -342,6 +356,11 @@
     [[nodiscard]] std::vector<roster_run>
     runs_for_roster(const worker_view& worker, base::time_point now);
     [[nodiscard]] bool has_unstored_ends(const worker_view& worker) const;
+    /// It has listed what no record holds.
+    [[nodiscard]] bool knows_more_than_store(const worker_view& worker) const
+    {
+        return worker.lists_unreadable || has_unstored_ends(worker);
+    }
     void forget_ends(const worker_view& worker);
     [[nodiscard]] roster_mark wanted_mark(const worker_view& worker,
                                           base::time_point now) const;
@@ -365,6 +384,7 @@
     void log_unexpected_run(const worker_view& worker, const listed_run& row,
                             const task* entry) const;
     void note_other_runs(worker_view& worker, const worker_report& report);
+    [[nodiscard]] bool lists_unreadable(const worker_report& report) const;
     void note_progress(worker_view& worker, const listed_run& row,
                        const task_id& id, task& entry, const step_spec& part,
                        base::time_point now);
@@ -490,6 +510,7 @@
     /// Jobs with a write of their record under way.
     std::set<job*, by_id> writing_;
     std::map<std::string, worker_view, std::less<>> workers_;
+    std::set<std::string, std::less<>> unreadable_;
     /// Until when workers that are not known get no runs once they are, since
     /// they were released.
     std::map<std::string, base::time_point, std::less<>> held_unknown_;
--- a/src/jobs/worker_view.hpp
+++ b/src/jobs/worker_view.hpp
@@ -130,6 +130,8 @@
     resource_amount used_by_others;
     /// One of these runs is of an unknown task.
     bool has_unknown_runs = false;
+    /// It lists runs or ends of jobs whose records cannot be read.
+    bool lists_unreadable = false;
     /// The CPU part of `used` that long-running tasks use, thousandths of a
     /// core.
     std::int64_t long_running_millis = 0;
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -15,7 +15,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <utility>
 
 namespace pimentograde::pools
@@ -84,9 +83,6 @@
     /// the time.
     std::map<std::string, base::time_point, std::less<>> ended_workers;
     jobs::pool_state state;
-    /// Jobs whose records this owner cannot read: what has become of them is
-    /// not known, so they are neither started nor taken anew.
-    std::set<std::string, std::less<>> unreadable;
     roster_store roster;
     job_writer writer;
     std::map<std::string, std::unique_ptr<worker_link>> links;
@@ -152,7 +148,7 @@
         return;
     // The workers' reports are compared with the records.
     state.restore_statistics(std::move(stored->statistics));
-    unreadable = restore_jobs(stored->records, pool, state);
+    state.set_unreadable(restore_jobs(stored->records, pool, state));
     inherit_workers(stored->roster);
     is_loaded = true;
     log::write(event_pool_loaded, {{"pool", pool},
@@ -417,7 +413,7 @@
     jobs::submit_result result;
     if (!impl_->is_loaded || impl_->is_stopping)
         answer.reason = "the pool is not loaded";
-    else if (impl_->unreadable.contains(id))
+    else if (impl_->state.is_unreadable(id))
         answer = {kind::unknown, {}, "the job's record cannot be read"};
     else if (impl_->writer.is_failing() && impl_->state.find_job(id) == nullptr)
         answer.reason = "the store is away";
@@ -455,7 +451,7 @@
         return {kind::unavailable, {}};
     if (const auto status = impl_->state.status_of(id))
         return {kind::found, *status};
-    if (impl_->unreadable.contains(id))
+    if (impl_->state.is_unreadable(id))
         return {kind::unavailable, {}};
     // A job that is still being stored is reported as unavailable: it may yet
     // be withdrawn.
@@ -476,7 +472,7 @@
 {
     using kind = job_answer::kind;
     if (!impl_->is_loaded || impl_->is_stopping ||
-        impl_->unreadable.contains(id))
+        impl_->state.is_unreadable(id))
         return {kind::unavailable, {}};
     if (!impl_->state.cancel(id, base::wall_now()))
     {
--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -400,8 +400,7 @@
                         hooks_.holds_lease() ? jobs::ownership::exclusive
                                              : jobs::ownership::contested);
     hooks_.changed();
-    const std::int64_t last_end =
-        report.ended.empty() ? stored_end_ : report.ended.back().number;
+    const std::int64_t last_end = state_.storable_end(report, stored_end_);
     if (last_end != stored_end_ && !unstored_)
         unstored_ = {last_end, state_.change_number()};
 }
@@ -411,8 +410,10 @@
 {
     base::duration pause = poll_interval.at(state_.workers().size());
     // Ends that stay listed make each poll return at once.
-    if (sent_at < state_.withholds_ends_until(worker_.id) &&
-        acknowledged_end_ < stored_end_)
+    const auto found = state_.workers().find(worker_.id);
+    if ((sent_at < state_.withholds_ends_until(worker_.id) &&
+         acknowledged_end_ < stored_end_) ||
+        (found != state_.workers().end() && found->second.lists_unreadable))
         pause = std::max<base::duration>(pause, unstored_poll_interval);
     if (!unstored_)
     {
