Date a lease in histories by the last answer, as owners do

The order arrives at 110.5 s and begins a run, which w0 lists at 110.6 s; at 110.7 s w0 does not answer, is given up at once, and the task starts elsewhere beside the run.

Cause: the simulated owner dated the lease by the extensions that it had sent. A poll after a failed one sends none, so the lease of a worker that had just answered lay in the past. Owners (pools/worker_link) date it by the time of the last answer at least, and add the extensions that it has overtaken.

Change: the simulated owner does the same; no odds and no checks change. A case of test_pools shows that real owners do.

--- a/tests/jobs/pool_world_polls.cpp
+++ b/tests/jobs/pool_world_polls.cpp
@@ -82,6 +82,10 @@
     if (owner_.lease_bounds[worker].note_reachable(now_) && is_single)
         owner_.state->note_left_unanswered(now_);
     owner_.failed_polls.erase(worker);
+    // As in the product, a lease ends no earlier than the last look at it.
+    auto& extended = owner_.extended_until[worker];
+    extended = std::max(extended, now_);
+    note_lease_end(worker);
 }
 
 void pool_world::note_lease_end(const std::string& worker)
--- a/tests/pools/lease_test.cpp
+++ b/tests/pools/lease_test.cpp
@@ -48,3 +48,19 @@
         });
     CHECK(starts == 1);
 }
+
+// The histories of tests/jobs rely on this: a worker that has answered has not
+// been given up, although the poll extended nothing.
+TEST_CASE("the lease of a worker ends no earlier than its last answer")
+{
+    owned_pool all(std::vector<std::string>{"w0"}, 12s, 1500ms);
+    REQUIRE(all.submit_one_task());
+    REQUIRE(eventually([&] { return all.starts() == 1; }, 3s));
+    const auto& known = all.owner->state().workers().at("w0");
+    all.workers.at("w0")->is_silent = true;
+    REQUIRE(eventually([&] { return known.runs.empty(); }, 5s));
+    CHECK(known.lease_ends_by <= base::steady_now());
+    all.workers.at("w0")->is_silent = false;
+    REQUIRE(eventually([&] { return known.is_reachable; }, 3s));
+    CHECK(known.lease_ends_by >= known.reported_at);
+}
