Record a released worker without runs

Cause: 20 idle machines of pool yeba78d are ordered to another pool 0.19 s before all instances lose power. The recorded roster still says that runs may start on their workers, so the next owner waits for these until their lease would have ended, and with it all 166 inherited jobs: from 35.2 to 38.9 s it starts nothing. Since an order counts as the end of its worker only with the next listing, the roster is out of date for up to 0.3 s after each order, before only until the answer.

Change: from its release until the hold ends a worker without runs is recorded like a silent one: the roster states that it has none, and nothing starts there until it is recorded with starts again. A worker that lists a run which the owner does not know is still to be asked.

Evidence: two of the three new cases fail before, the third one without the check of unknown runs; all 194 of test_jobs pass.

--- a/src/jobs/worker_view.cpp
+++ b/src/jobs/worker_view.cpp
@@ -242,8 +242,12 @@
     if (!may_run_something())
         return awaits_late_starts(now) ? roster_mark::without_starts
                                        : roster_mark::absent;
-    return is_silent && knowledge.is_certain() ? roster_mark::without_starts
-                                               : roster_mark::with_starts;
+    // The order to its machine may end it before the next owner can ask it.
+    const bool is_released =
+        now < released_until && runs.empty() && !lists_other_runs;
+    return (is_silent || is_released) && knowledge.is_certain()
+               ? roster_mark::without_starts
+               : roster_mark::with_starts;
 }
 
 std::string worker_view::rack() const
--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -163,3 +163,54 @@
     state.forget_worker(pool.order.worker);
     CHECK(state.plan(later + 250ms, wall, ownership::contested).empty());
 }
+
+// Guards against all inherited jobs waiting for workers that have ended
+// (kowhai-retakes-grown trouble-2: 166 jobs for 10 s): their machines were
+// moved just before the owner lost power.
+TEST_CASE("jobs do not wait for released workers after a kill")
+{
+    pool_fixture pool({describe("w1"), describe("w2")});
+    pool.submit("a", make_job({make_step(1, 8000)}));
+    REQUIRE(pool.state.prepare_leave("w2", pool.now + 2500ms, pool.now));
+    CHECK(pool.state.is_roster_outdated(pool.now));
+    const auto roster = pool.state.roster(pool.now);
+    pool.state.note_recorded(roster);
+    CHECK_FALSE(pool.state.is_roster_outdated(pool.now));
+    successor next(pool.state, roster, pool.now);
+    next.report("w1");
+    CHECK(starts(next.plan(), "a"));
+}
+
+// Guards against a second run: a worker that was not taken away after all gets
+// a run that the recorded roster does not tell the next owner to ask for.
+TEST_CASE("a released worker gets runs again only once it is recorded so")
+{
+    pool_fixture pool({describe("w1")});
+    REQUIRE(pool.state.prepare_leave("w1", pool.now + 2500ms, pool.now));
+    pool.state.note_recorded(pool.state.roster(pool.now));
+    pool.submit("a", make_job({make_step(1, 8000)}));
+    pool.now += 2500ms;
+    CHECK(pool.state.plan(pool.now, wall).empty());
+    CHECK(pool.state.is_roster_outdated(pool.now));
+    const auto roster = pool.state.roster(pool.now);
+    CHECK(pool.state.plan(pool.now, wall).empty());
+    pool.state.note_recorded(roster);
+    CHECK(starts(pool.state.plan(pool.now, wall), "a"));
+    successor next(pool.state, roster, pool.now);
+    CHECK_FALSE(starts(next.plan(), "a"));
+}
+
+// Guards against a run that the next owner does not know of: the worker lists
+// one that it is not known to have.
+TEST_CASE("a released worker with an unknown run is to be asked")
+{
+    pool_fixture pool({describe("w1"), describe("w2")});
+    pool.submit("a", make_job({make_step(1, 8000)}));
+    worker_report unknown;
+    unknown.running.push_back({*parse_task_id("b.0.0.0"), 1, {}, 50});
+    pool.report("w2", unknown);
+    pool.state.prepare_leave("w2", pool.now + 2500ms, pool.now);
+    successor next(pool.state, pool.state.roster(pool.now), pool.now);
+    next.report("w1");
+    CHECK_FALSE(starts(next.plan(), "a"));
+}
