Release workers in the histories of a pool

The histories end workers by orders to their machines, but never ask the owner to release one, so they do not cover what it records about released workers. Each step may now ask for that; a third of the released workers end, the others stay.

--- a/tests/jobs/pool_history_test.cpp
+++ b/tests/jobs/pool_history_test.cpp
@@ -359,6 +359,39 @@
                                                  .owner_cut = 30});
 }
 
+// The cases below guard against runs that the next owner does not ask for: the
+// roster states that a released worker has none (kowhai-retakes-grown
+// trouble-2).
+TEST_CASE("workers are released before takeovers")
+{
+    check("releases and takeovers", {.takeover = 3, .release = 5});
+}
+
+TEST_CASE("workers are released beside late orders and restarts")
+{
+    check("releases and late orders", {.lost_answer = 5,
+                                       .late_order = 10,
+                                       .restart = 1,
+                                       .cut = 1,
+                                       .takeover = 2,
+                                       .roster_outage = 1,
+                                       .slow_write = 20,
+                                       .release = 5});
+}
+
+TEST_CASE("workers are released while owners follow each other")
+{
+    check("releases and quick takeovers", {.lost_answer = 5,
+                                           .cut = 1,
+                                           .takeover = 1,
+                                           .slow_write = 20,
+                                           .long_run = 30,
+                                           .release = 5,
+                                           .store_cut = 3,
+                                           .owner_cut = 80,
+                                           .quick_takeover = 50});
+}
+
 // The cases below guard against an owner that relies on what an earlier one has
 // left, although the earlier one goes on without the store.
 TEST_CASE("owners go on without the store")
--- a/tests/jobs/pool_world.hpp
+++ b/tests/jobs/pool_world.hpp
@@ -121,6 +121,9 @@
     /// Repeated orders to machines that end nothing, although the owner is told
     /// that the worker has ended.
     int repeated_order = 0;
+    /// Workers that the owner is asked to release; of the released ones a third
+    /// is ended by an order, the others stay.
+    int release = 0;
     /// Owners that lose the store: the pool has another owner once their lease
     /// has ended, and they go on without writes until their time is over or a
     /// worker tells them of the next owner.
@@ -318,6 +321,7 @@
     void list_worker(const simulated_worker& worker);
     void order_machines();
     void end_by_order(std::size_t index);
+    void release(std::size_t index);
     void name_ended(const std::string& id);
     void advance_machine_orders();
     [[nodiscard]] bool is_deadly(const jobs::task_id& task) const;
--- a/tests/jobs/pool_world_machines.cpp
+++ b/tests/jobs/pool_world_machines.cpp
@@ -16,6 +16,8 @@
 constexpr auto max_stale_listing_time = 2s;
 constexpr auto machine_down_time = 400ms;
 constexpr int max_answer_steps = 20;
+constexpr auto release_hold = 1s;
+constexpr int order_odds = 33;
 constexpr auto wall = base::wall_time(1'000'000s);
 
 } // namespace
@@ -31,9 +33,19 @@
             name_ended(workers_[index].id);
         else if (odds_.machine_order > 0 && chance(odds_.machine_order))
             end_by_order(index);
+        else if (odds_.release > 0 && chance(odds_.release))
+            release(index);
     }
 }
 
+void pool_world::release(std::size_t index)
+{
+    if (owner_.state->prepare_leave(workers_[index].id, now_ + release_hold,
+                                    now_) &&
+        chance(order_odds))
+        end_by_order(index);
+}
+
 void pool_world::end_by_order(std::size_t index)
 {
     simulated_worker& worker = workers_[index];
