Leave pools under load without machines for long-running tasks

Cause: a pool in a burst has no idle machine, so it gets two more each time its short tasks have used them up, before the pools' demand is weighed.

Change: only a pool whose load would not bring idle machines anyway gets them.

Evidence: the new check fails before.

--- a/src/fleet/move_policy.cpp
+++ b/src/fleet/move_policy.cpp
@@ -56,7 +56,7 @@
     }
     [[nodiscard]] bool lacks_replacements() const
     {
-        return !demand->is_standby &&
+        return !demand->is_standby && load_ratio() <= min_load_for_idle &&
                idle.size() + demand->new_machines + added < replacements();
     }
 };
--- a/tests/machines/wave_progress_test.cpp
+++ b/tests/machines/wave_progress_test.cpp
@@ -347,6 +347,10 @@
     CHECK(plan_moves(std::vector{full, standby}, limits).size() == 1);
     full.new_machines = 1;
     CHECK(plan_moves(std::vector{full, standby}, limits).empty());
+    // A burst would use them up, and the machines that it needs come anyway.
+    full.new_machines = 0;
+    full.arriving = 300;
+    CHECK(plan_moves(std::vector{full, standby}, limits).empty());
     // They stay until the machines are free.
     pool_demand ready = make_demand("full", 0, 640, 2);
     ready.machines_to_free = 5;
