Refuse only jobs that no instance can have handed in

Callers saw: 503, "was not accepted and never runs", for a repeated call while neither the pool's owner nor the store answered, also if an earlier call had been accepted; also for a job whose record cannot be read and, by reading, after a pause of the instance.

Cause: a refusal without an answer of the store counted as certain.

Change: each instance remembers for 15 s what it has forwarded; without the store's answer all registered instances are asked. The tests that ask for quick refusals stay as they are.

--- a/src/node/caller_api.cpp
+++ b/src/node/caller_api.cpp
@@ -38,12 +38,12 @@
 constexpr unsigned gateway_timeout = 504;
 
 net::http_response retry_later(base::duration retry_after,
-                               std::string_view reason)
+                               std::string_view reason,
+                               unsigned status = service_unavailable)
 {
     const auto seconds =
         std::chrono::ceil<std::chrono::seconds>(retry_after).count();
-    net::http_response response{service_unavailable,
-                                platform::write_reason(reason)};
+    net::http_response response{status, platform::write_reason(reason)};
     response.headers.emplace_back(
         "Retry-After", std::to_string(std::max<std::int64_t>(seconds, 1)));
     return response;
@@ -158,24 +158,26 @@
     }
     if (auto known = find_in_earlier_pools(current))
         return *known;
+    std::string_view obstacle;
     if (!queues_.wait_stored(route, current.deadline - refusal_reserve))
-    {
-        current.reason = "the queue's pool is not stored yet";
-        return retry_later(outage_retry_after, current.reason);
-    }
-    if (!is_current_())
-    {
-        current.reason = outdated_reason;
-        return retry_later(outage_retry_after, current.reason);
-    }
-    const auto reply = gateway_.submit(route.policy, current.job,
-                                       std::move(spec), current.deadline);
+        obstacle = "the queue's pool is not stored yet";
+    else if (!is_current_())
+        obstacle = outdated_reason;
+    const auto reply =
+        obstacle.empty()
+            ? gateway_.submit(route.policy, current.job, std::move(spec),
+                              current.deadline)
+            : gateway_.refuse_unless_stored(route.policy.pool, current.job,
+                                            std::string(obstacle));
     current.reason = reply.reason;
     if (reply.outcome == submission_kind::accepted)
         return {ok, "{}"};
     if (reply.outcome == submission_kind::refused)
         return retry_later(reply.retry_after, reply.reason);
-    return {gateway_timeout, platform::write_reason(current.reason)};
+    // A caller that has waited already may ask again at once.
+    if (reply.retry_after == base::duration::zero())
+        return {gateway_timeout, platform::write_reason(current.reason)};
+    return retry_later(reply.retry_after, reply.reason, gateway_timeout);
 }
 
 // If the queue's pool has changed, a resubmitted job may already exist in an
--- a/src/node/node_instance.cpp
+++ b/src/node/node_instance.cpp
@@ -68,15 +68,18 @@
                    {settings.address, settings.first_internal_port},
                    settings.cores},
                   *store,
-                  {[this] { claims.notify(); },
-                   [this]
+                  {[this] { claims.notify(); }, [this] { claims.notify(); },
+                   [this](const member& entry)
+                   { gateway.note_member_left(entry, base::steady_now()); },
+                   [this](const member& entry)
                    {
-                       claims.notify();
+                       gateway.note_member_present(entry);
                    }}),
           claims(members, directory, *store, *worker_http,
                  settings.longest_worker_lease, settings.remote_factor,
                  [this](bool is_needed) { set_worker_watch(is_needed); }),
-          gateway(members, claims, *store), queues(*store),
+          gateway(members, claims, *store, !settings.is_first_start),
+          queues(*store),
           caller_requests(gateway, queues, metrics,
                           [this] { return is_configuration_current(); }),
           fleet(members, gateway, *store, *worker_http,
--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -2,12 +2,12 @@
 
 #include "base/error.hpp"
 #include "jobs/job_record.hpp"
+#include "node/pool_replies.hpp"
 #include "pools/job_writer.hpp"
 
 #include <boost/fiber/future.hpp>
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace pimentograde::node
@@ -28,100 +28,33 @@
 constexpr std::chrono::milliseconds lookup_limit{100};
 // Bounds the memory of lookups that a slow store leaves open.
 constexpr std::size_t max_lookups = 16;
+// The other instances are asked after a lookup without an answer.
+constexpr std::chrono::milliseconds inquiry_limit{150};
+constexpr std::size_t max_inquiries = 16;
 
-constexpr std::array submission_names{"accepted", "refused", "unknown"};
-constexpr std::array job_names{"found", "absent", "unavailable"};
-constexpr std::array status_names{"queued", "running", "completed", "failed",
-                                  "cancelled"};
-
-template <class Enum, std::size_t Count>
-std::string name_of(Enum value, const std::array<const char*, Count>& names)
-{
-    return names[static_cast<std::size_t>(value)];
-}
-
-template <class Enum, std::size_t Count>
-Enum value_from_name(std::string_view value_name,
-                     const std::array<const char*, Count>& names)
-{
-    for (std::size_t index = 0; index < Count; ++index)
-        if (value_name == names[index])
-            return static_cast<Enum>(index);
-    // The owner has answered something; whether it acted is not known.
-    throw base::error(base::error_code::cut_off, "read peer reply", "",
-                      "unknown value: " + std::string(value_name));
-}
-
-peer::job_reply to_reply(const pools::job_answer& answer)
-{
-    return {name_of(answer.outcome, job_names),
-            name_of(answer.status, status_names)};
-}
-
-pools::job_answer from_reply(const peer::job_reply& reply)
-{
-    return {value_from_name<job_kind>(reply.outcome, job_names),
-            value_from_name<jobs::reported_status>(reply.status, status_names)};
-}
-
-peer::pool_load load_of(const pools::pool_owner& owner)
+base::duration time_left(base::time_point deadline)
 {
-    constexpr double millis = 1000.0;
-    const jobs::pool_state& state = owner.state();
-    peer::pool_load load;
-    load.is_known = owner.is_loaded();
-    const base::time_point now = base::steady_now();
-    load.backlog_core_ms = static_cast<std::int64_t>(
-        state.waiting_work(now, base::wall_now()) * millis);
-    load.usable_millis =
-        static_cast<std::int64_t>(state.usable_cores(now) * millis);
-    load.active_millis =
-        static_cast<std::int64_t>(state.active_cores(now) * millis);
-    load.arriving_millis =
-        static_cast<std::int64_t>(state.arriving_cores(now) * millis);
-    for (const auto& [id, worker] : state.workers())
-    {
-        peer::worker_load entry{
-            id, static_cast<std::int64_t>(worker.runs.size()), 0};
-        for (const auto& [task, run] : worker.runs)
-        {
-            const jobs::job* subject = state.find_job(task.job);
-            if (subject != nullptr && subject->spec.is_long_running())
-                ++entry.long_running;
-        }
-        load.workers.push_back(std::move(entry));
-    }
-    return load;
+    return std::max<base::duration>(
+        deadline - reply_reserve - base::steady_now(), base::duration::zero());
 }
 
-peer::pool_load answer_load(pools::pool_owner& owner,
-                            const peer::query_load& message)
-{
-    owner.set_leaving_soon(message.leaving_soon);
-    return load_of(owner);
-}
+} // namespace
 
-bool apply_release(pools::pool_owner& owner,
-                   const peer::release_worker& message)
+pool_gateway::pool_gateway(session& members, pool_claims& claims,
+                           platform::store_client& store, bool has_predecessor)
+    : session_(members), claims_(claims), store_(store),
+      forwarded_(has_predecessor, base::steady_now())
 {
-    if (!message.has_ended)
-        return owner.release_worker(message.worker, message.hold);
-    owner.end_worker(message.worker);
-    return true;
 }
 
-base::duration time_left(base::time_point deadline)
+void pool_gateway::note_member_left(const member& entry, base::time_point now)
 {
-    return std::max<base::duration>(
-        deadline - reply_reserve - base::steady_now(), base::duration::zero());
+    forwarded_.note_member_left(entry.name, entry.incarnation, now);
 }
 
-} // namespace
-
-pool_gateway::pool_gateway(session& members, pool_claims& claims,
-                           platform::store_client& store)
-    : session_(members), claims_(claims), store_(store)
+void pool_gateway::note_member_present(const member& entry)
 {
+    forwarded_.note_member_present(entry.name, entry.incarnation);
 }
 
 peer::peer_client& pool_gateway::client_of(const net::endpoint& address)
@@ -164,21 +97,40 @@
                                               std::string_view id,
                                               jobs::job_spec spec,
                                               base::time_point deadline)
+{
+    if (claims_.find(queue.pool) == nullptr)
+    {
+        const holder* current = session_.holder_of(pool_role(queue.pool));
+        if (current == nullptr)
+            return refuse_unless_stored(queue.pool, id,
+                                        "the pool has no owner");
+        if (!liveness_[current->address].should_submit(base::steady_now()))
+            return refuse_unless_stored(queue.pool, id,
+                                        "the pool's owner does not answer");
+    }
+    forwarded_.note_forwarded(queue.pool, id, base::steady_now());
+    const owner_decision decision =
+        forward(queue, id, std::move(spec), deadline);
+    if (decision.answer.outcome == submission_kind::accepted)
+        forwarded_.note_accepted(queue.pool, id);
+    if (decision.answer.outcome == submission_kind::refused)
+        forwarded_.note_refused(queue.pool, id);
+    if (decision.is_final)
+        return decision.answer;
+    return refuse_unless_stored(queue.pool, id, decision.answer.reason);
+}
+
+pool_gateway::owner_decision
+pool_gateway::forward(const jobs::queue_policy& queue, std::string_view id,
+                      jobs::job_spec spec, base::time_point deadline)
 {
     if (const auto owner = claims_.find(queue.pool))
     {
         auto answer = owner->submit(id, std::move(spec), queue.name,
                                     deadline - reply_reserve);
-        if (is_decided(*owner, id, answer))
-            return answer;
-        return refuse_unless_stored(queue.pool, id, answer.reason);
+        const bool is_final = is_decided(*owner, id, answer);
+        return {std::move(answer), is_final};
     }
-    const holder* current = session_.holder_of(pool_role(queue.pool));
-    if (current == nullptr)
-        return refuse_unless_stored(queue.pool, id, "the pool has no owner");
-    if (!liveness_[current->address].should_submit(base::steady_now()))
-        return refuse_unless_stored(queue.pool, id,
-                                    "the pool's owner does not answer");
     jobs::job subject;
     subject.queue = queue.name;
     subject.policy = queue;
@@ -188,16 +140,15 @@
                                    time_left(deadline)};
     try
     {
-        const auto reply = send_to(current->address, message, deadline);
-        return {
-            value_from_name<submission_kind>(reply.outcome, submission_names),
-            reply.retry_after, reply.reason};
+        const holder* current = session_.holder_of(pool_role(queue.pool));
+        return {from_reply(send_to(current->address, message, deadline)), true};
     }
     catch (const base::error& failure)
     {
         if (failure.effect_unknown())
-            return {submission_kind::unknown, {}, failure.what()};
-        return refuse_unless_stored(queue.pool, id, failure.what());
+            return {{submission_kind::unknown, {}, failure.what()}, true};
+        return {{submission_kind::refused, takeover_retry, failure.what()},
+                false};
     }
 }
 
@@ -205,23 +156,84 @@
 pool_gateway::refuse_unless_stored(std::string_view pool, std::string_view id,
                                    std::string reason)
 {
-    pools::submission_answer refusal{submission_kind::refused, takeover_retry,
-                                     std::move(reason)};
+    const pools::submission_answer accepted{
+        submission_kind::accepted, {}, "accepted before"};
+    if (forwarded_.is_accepted(pool, id, base::steady_now()))
+        return accepted;
+    const auto stored = look_up(pool, id);
+    if (stored && stored->outcome == job_kind::found)
+        return accepted;
+    const bool is_excluded =
+        !forwarded_.contains(pool, id, base::steady_now()) &&
+        (stored ? stored->outcome == job_kind::absent
+                : no_member_has_forwarded(pool, id));
+    if (is_excluded)
+        return {submission_kind::refused, takeover_retry, std::move(reason)};
+    return {submission_kind::unknown, takeover_retry,
+            reason.append("; an earlier call may have handed the job in")};
+}
+
+std::optional<pools::job_answer> pool_gateway::look_up(std::string_view pool,
+                                                       std::string_view id)
+{
+    using answer = std::optional<pools::job_answer>;
     if (lookups_.size() >= max_lookups || store_.is_silent())
-        return refusal;
-    const auto lookup = std::make_shared<boost::fibers::promise<bool>>();
-    auto is_stored = lookup->get_future();
+        return std::nullopt;
+    const auto lookup = std::make_shared<boost::fibers::promise<answer>>();
+    auto stored = lookup->get_future();
     lookups_.spawn(
         [this, lookup, key_pool = std::string(pool), key_id = std::string(id)]
-        {
-            lookup->set_value(stored_status(key_pool, key_id).outcome ==
-                              job_kind::found);
-        });
-    const bool is_answered =
-        is_stored.wait_for(lookup_limit) == boost::fibers::future_status::ready;
-    if (!is_answered || !is_stored.get())
-        return refusal;
-    return {submission_kind::accepted, {}, "accepted before"};
+        { lookup->set_value(read_stored(key_pool, key_id)); });
+    if (stored.wait_for(lookup_limit) != boost::fibers::future_status::ready)
+        return std::nullopt;
+    return stored.get();
+}
+
+bool pool_gateway::no_member_has_forwarded(std::string_view pool,
+                                           std::string_view id)
+{
+    const base::time_point now = base::steady_now();
+    std::vector<net::endpoint> others;
+    for (const auto& [name, entry] : session_.members())
+        if (name != session_.own().name)
+            others.push_back(entry.address);
+    const bool is_anyone_silent =
+        std::any_of(others.begin(), others.end(),
+                    [&](const net::endpoint& address)
+                    { return liveness_[address].is_silent(now); });
+    if (!forwarded_.is_complete(now) || is_anyone_silent ||
+        open_inquiries_ >= max_inquiries)
+        return false;
+    ++open_inquiries_;
+    const peer::query_forwarded message{std::string(pool), std::string(id)};
+    bool has_none = true;
+    net::task_group queries;
+    for (const net::endpoint& address : others)
+        queries.spawn(
+            [&]
+            {
+                has_none =
+                    member_excludes(address, message, now + inquiry_limit) &&
+                    has_none;
+            });
+    queries.join();
+    --open_inquiries_;
+    return has_none;
+}
+
+bool pool_gateway::member_excludes(const net::endpoint& address,
+                                   const peer::query_forwarded& message,
+                                   base::time_point deadline)
+{
+    try
+    {
+        return client_of(address).send(message, deadline).is_excluded;
+    }
+    catch (const base::error&)
+    {
+        // It may have forwarded the job, or may have ended.
+        return false;
+    }
 }
 
 // An owner that has not loaded the pool, or is ending, refuses also jobs that
@@ -251,26 +263,42 @@
     return owner.pending(queue);
 }
 
-pools::job_answer pool_gateway::stored_status(std::string_view pool,
-                                              std::string_view id)
+std::optional<pools::job_answer>
+pool_gateway::read_stored(std::string_view pool, std::string_view id)
 {
+    std::optional<platform::store_item> item;
+    try
+    {
+        item = store_.get(pools::record_prefix(pool) + std::string(id));
+    }
+    catch (const base::error&)
+    {
+        // The store does not answer, which its watches report.
+        return std::nullopt;
+    }
+    if (!item)
+        return pools::job_answer{job_kind::absent, {}};
     try
     {
-        const auto item =
-            store_.get(pools::record_prefix(pool) + std::string(id));
-        if (!item)
-            return {job_kind::absent, {}};
         const jobs::job subject = jobs::decode_record(id, item->value);
-        return {job_kind::found,
-                jobs::to_reported(subject.status, subject.has_started)};
+        return pools::job_answer{
+            job_kind::found,
+            jobs::to_reported(subject.status, subject.has_started)};
     }
     catch (const base::error&)
     {
-        // Neither the owner nor the store can be reached.
-        return {job_kind::unavailable, {}};
+        // The owner that loads the pool reports the record.
+        return pools::job_answer{job_kind::unavailable, {}};
     }
 }
 
+pools::job_answer pool_gateway::stored_status(std::string_view pool,
+                                              std::string_view id)
+{
+    return read_stored(pool, id).value_or(
+        pools::job_answer{job_kind::unavailable, {}});
+}
+
 pools::job_answer pool_gateway::owner_status(const jobs::queue_policy& queue,
                                              std::string_view id,
                                              base::time_point deadline)
@@ -438,8 +466,7 @@
             if (!is_decided(*owner, message.job, answer))
                 throw base::error(base::error_code::refused, "submit job",
                                   message.pool, answer.reason);
-            return peer::submit_reply{name_of(answer.outcome, submission_names),
-                                      answer.retry_after, answer.reason};
+            return to_reply(answer);
         });
     server.handle<peer::query_job>(
         [this](const peer::call_context&, const peer::query_job& message)
@@ -449,6 +476,14 @@
                                 ? pools::job_answer{job_kind::unavailable, {}}
                                 : certain(owner->status(message.job)));
         });
+    server.handle<peer::query_forwarded>(
+        [this](const peer::call_context&, const peer::query_forwarded& message)
+        {
+            const base::time_point now = base::steady_now();
+            return peer::forwarded_reply{
+                forwarded_.is_complete(now) &&
+                !forwarded_.contains(message.pool, message.job, now)};
+        });
     server.handle<peer::cancel_job>(
         [this](const peer::call_context&, const peer::cancel_job& message)
         {
--- a/src/node/pool_gateway.hpp
+++ b/src/node/pool_gateway.hpp
@@ -3,6 +3,7 @@
 
 #include "base/time.hpp"
 #include "net/task_group.hpp"
+#include "node/forwarded_jobs.hpp"
 #include "node/peer_liveness.hpp"
 #include "node/pool_claims.hpp"
 #include "node/session.hpp"
@@ -24,12 +25,23 @@
 class pool_gateway
 {
 public:
+    /// `has_predecessor`: see `forwarded_jobs`.
     pool_gateway(session& members, pool_claims& claims,
-                 platform::store_client& store);
+                 platform::store_client& store, bool has_predecessor);
+
+    /// An instance has left; it may have forwarded submissions.
+    void note_member_left(const member& entry, base::time_point now);
+    void note_member_present(const member& entry);
 
     pools::submission_answer submit(const jobs::queue_policy& queue,
                                     std::string_view id, jobs::job_spec spec,
                                     base::time_point deadline);
+    /// For a submission that no owner has decided on: an earlier call, whose
+    /// answer was lost, may have handed the job in. A refusal does not wait for
+    /// a slow store: the job is refused if no instance has forwarded it before.
+    pools::submission_answer refuse_unless_stored(std::string_view pool,
+                                                  std::string_view id,
+                                                  std::string reason);
     pools::job_answer status(const jobs::queue_policy& queue,
                              std::string_view id, base::time_point deadline);
     /// `absent` only if the pool does not have the job and is not storing it.
@@ -70,12 +82,24 @@
     pools::job_answer owner_status(const jobs::queue_policy& queue,
                                    std::string_view id,
                                    base::time_point deadline);
-    /// For a submission that no owner has decided on: an earlier call, whose
-    /// answer was lost, may have handed the job in. A refusal does not wait for
-    /// a slow store.
-    pools::submission_answer refuse_unless_stored(std::string_view pool,
-                                                  std::string_view id,
-                                                  std::string reason);
+    struct owner_decision
+    {
+        pools::submission_answer answer;
+        /// Otherwise a refusal may concern a job that another owner has
+        /// accepted.
+        bool is_final = false;
+    };
+    /// Sends the submission to the owner, which must be known.
+    owner_decision forward(const jobs::queue_policy& queue, std::string_view id,
+                           jobs::job_spec spec, base::time_point deadline);
+    /// `read_stored`, but empty also if the store does not answer soon.
+    std::optional<pools::job_answer> look_up(std::string_view pool,
+                                             std::string_view id);
+    /// Whether all instances answer that they have not forwarded the job.
+    bool no_member_has_forwarded(std::string_view pool, std::string_view id);
+    bool member_excludes(const net::endpoint& address,
+                         const peer::query_forwarded& message,
+                         base::time_point deadline);
     /// Whether the owner's answer holds; a refusal may concern a job that it
     /// does not know.
     [[nodiscard]] bool is_decided(const pools::pool_owner& owner,
@@ -89,6 +113,10 @@
     [[nodiscard]] std::optional<int>
     certain_pending(const pools::pool_owner& owner,
                     std::string_view queue) const;
+    /// The job's state in the store, `unavailable` if its record cannot be
+    /// read; empty if the store does not answer.
+    std::optional<pools::job_answer> read_stored(std::string_view pool,
+                                                 std::string_view id);
     pools::job_answer stored_status(std::string_view pool, std::string_view id);
 
     session& session_;
@@ -96,6 +124,8 @@
     platform::store_client& store_;
     std::map<net::endpoint, std::unique_ptr<peer::peer_client>> clients_;
     std::map<net::endpoint, peer_liveness> liveness_;
+    forwarded_jobs forwarded_;
+    std::size_t open_inquiries_ = 0;
     net::task_group lookups_;
 };
 
--- a/src/node/session.cpp
+++ b/src/node/session.cpp
@@ -154,7 +154,8 @@
     const std::int64_t lease = store_.grant_lease(pools::role_lease);
     const json::object value{{"zone", own_.zone},
                              {"address", net::to_string(own_.address)},
-                             {"cores", own_.cores}};
+                             {"cores", own_.cores},
+                             {"incarnation", own_.incarnation}};
     const std::string key = std::string(member_prefix) + own_.name;
     const auto write = [&]
     {
@@ -326,11 +327,16 @@
     {
         const std::string name(key.substr(member_prefix.size()));
         const json::value* cores = source.if_contains("cores");
-        members_[name] = {name, text("zone"), *address,
-                          cores != nullptr && cores->is_number()
-                              ? cores->to_number<double>()
-                              : 0.0,
-                          item.revision};
+        const json::value* process = source.if_contains("incarnation");
+        members_[name] = {
+            name,
+            text("zone"),
+            *address,
+            cores != nullptr && cores->is_number() ? cores->to_number<double>()
+                                                   : 0.0,
+            item.revision,
+            process == nullptr ? 0 : process->to_number<std::uint64_t>()};
+        hooks_.member_present(members_[name]);
         return;
     }
     if (!key.starts_with(role_prefix))
@@ -351,7 +357,12 @@
 void session::remove_key(std::string_view key, std::int64_t revision)
 {
     if (key.starts_with(member_prefix))
-        members_.erase(std::string(key.substr(member_prefix.size())));
+    {
+        const std::string name(key.substr(member_prefix.size()));
+        const auto left = members_.extract(name);
+        if (!left.empty() && name != own_.name)
+            hooks_.member_left(left.mapped());
+    }
     else if (key.starts_with(role_prefix))
     {
         const auto found = holders_.find(key.substr(role_prefix.size()));
@@ -363,10 +374,13 @@
 
 void session::apply_listing(std::span<const platform::store_item> items)
 {
-    members_.clear();
+    const auto earlier = std::exchange(members_, {});
     holders_.clear();
     for (const auto& item : items)
         apply_item(item);
+    for (const auto& [name, entry] : earlier)
+        if (name != own_.name && !members_.contains(name))
+            hooks_.member_left(entry);
     hooks_.changed();
 }
 
--- a/src/node/session.hpp
+++ b/src/node/session.hpp
@@ -30,6 +30,8 @@
     double cores = 0.0;
     /// Store revision of the registration; larger for a later start.
     std::int64_t revision = 0;
+    /// Identifies the process; 0 if its version does not tell.
+    std::uint64_t incarnation = 0;
 };
 
 /// The holder of a role, such as the ownership of a pool.
@@ -63,6 +65,12 @@
         std::function<void()> changed;
         /// The lease and all roles of this instance have ended.
         std::function<void()> lease_lost;
+        /// Another instance has ended its registration, or lost it.
+        std::function<void(const member&)> member_left = [](const member&) {
+        };
+        /// An instance is registered.
+        std::function<void(const member&)> member_present = [](const member&) {
+        };
     };
 
     session(identity own, platform::store_client& store, hooks functions);
--- a/src/peer/pool_messages.cpp
+++ b/src/peer/pool_messages.cpp
@@ -40,6 +40,32 @@
             fields.text("record"), fields.length("time_left_us")};
 }
 
+Json::Value forwarded_reply::to_json() const
+{
+    Json::Value value(Json::objectValue);
+    value["excluded"] = is_excluded;
+    return value;
+}
+
+forwarded_reply forwarded_reply::from_json(const Json::Value& source)
+{
+    return {message_fields(source).flag("excluded")};
+}
+
+Json::Value query_forwarded::to_json() const
+{
+    Json::Value value(Json::objectValue);
+    value["pool"] = text_value(pool);
+    value["job"] = text_value(job);
+    return value;
+}
+
+query_forwarded query_forwarded::from_json(const Json::Value& source)
+{
+    const message_fields fields(source);
+    return {fields.text("pool"), fields.text("job")};
+}
+
 Json::Value job_reply::to_json() const
 {
     Json::Value value(Json::objectValue);
--- a/src/peer/pool_messages.hpp
+++ b/src/peer/pool_messages.hpp
@@ -42,6 +42,30 @@
     static submit_job from_json(const Json::Value& source);
 };
 
+struct forwarded_reply
+{
+    /// The instance has forwarded no submission of the job that it could
+    /// remember.
+    bool is_excluded = false;
+
+    [[nodiscard]] Json::Value to_json() const;
+    static forwarded_reply from_json(const Json::Value& source);
+};
+
+/// Asks an instance whether it may have forwarded a submission of the job to an
+/// owner of the pool.
+struct query_forwarded
+{
+    static constexpr const char* method = "query_forwarded";
+    using reply_type = forwarded_reply;
+
+    std::string pool;
+    std::string job;
+
+    [[nodiscard]] Json::Value to_json() const;
+    static query_forwarded from_json(const Json::Value& source);
+};
+
 /// State of a job at the pool's owner.
 struct job_reply
 {
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -106,6 +106,7 @@
         read_number(machine_service, "DutyPerS", 64.0);
     if (!read_text(source, "Advice").empty())
         settings.advice_service = read_endpoint(source, "Advice");
+    settings.is_first_start = read_flag(source, "Bootstrap");
     read_bounds(read_object(source, "Bounds"), settings);
     const json::object& limits = read_object(source, "Limits");
     settings.memory_mb =
--- a/src/platform/node_settings.hpp
+++ b/src/platform/node_settings.hpp
@@ -41,6 +41,8 @@
     /// How many times as long a gang runs on more than one rack.
     double remote_factor = 1.5;
     bool fencing_enforced = false;
+    /// The whole system starts for the first time: no instance has run before.
+    bool is_first_start = false;
     /// Orders to machines that the platform accepts a second, from all
     /// instances together.
     double machine_orders_per_second = 64.0;
--- a/tests/node/cluster.hpp
+++ b/tests/node/cluster.hpp
@@ -67,6 +67,7 @@
         settings.move_time = 200ms;
         settings.maintenance_time = 200ms;
         settings.machine_holder_pause = 300ms;
+        settings.is_first_start = true;
         instance = std::make_unique<node::node_instance>(settings, [this]
                                                          { return settings; });
         instance->start();
--- a/tests/node/pause_test.cpp
+++ b/tests/node/pause_test.cpp
@@ -43,6 +43,8 @@
     const auto refused =
         all.client.call(paused, "POST", "/q/" + id_b, two_steps);
     CHECK(refused.status == 503);
+    // It has been accepted before.
+    CHECK(all.client.submit(paused, id_a, two_steps) == 200);
     CHECK(all.client.call(paused, "GET", "/new/").status == 503);
     CHECK(all.client.call(paused, "GET", "/q/" + id_b).status == 503);
     to_store.holds_answers = false;
