Let a cut-off owner state only what cannot have changed

Callers saw: `running` for as long as an owner was cut off from the store, although the next owner may have ended the job.

Change: once it may send no more orders (6 s after its last renewal) an owner answers from memory for ended jobs only; for others the store is asked.

Evidence: the new case of tests/node/cut_off_owner_test.cpp failed before ("running" after 6.1 s).

--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -32,6 +32,12 @@
 constexpr std::chrono::milliseconds inquiry_limit{150};
 constexpr std::size_t max_inquiries = 16;
 
+bool is_final(jobs::reported_status status)
+{
+    return status != jobs::reported_status::queued &&
+           status != jobs::reported_status::running;
+}
+
 base::duration time_left(base::time_point deadline)
 {
     return std::max<base::duration>(
@@ -249,8 +255,13 @@
 
 pools::job_answer pool_gateway::certain(pools::job_answer answer) const
 {
-    if (answer.outcome == job_kind::absent &&
-        !session_.holds_lease(base::suspend_aware_now()))
+    const base::time_point now = base::suspend_aware_now();
+    if (session_.holds_lease(now))
+        return answer;
+    const bool is_outdated = answer.outcome == job_kind::found &&
+                             !is_final(answer.status) &&
+                             !session_.is_renewed(now);
+    if (answer.outcome == job_kind::absent || is_outdated)
         answer.outcome = job_kind::unavailable;
     return answer;
 }
--- a/src/node/pool_gateway.hpp
+++ b/src/node/pool_gateway.hpp
@@ -105,8 +105,9 @@
     [[nodiscard]] bool is_decided(const pools::pool_owner& owner,
                                   std::string_view id,
                                   const pools::submission_answer& answer) const;
-    /// The answer of an owner here, which denies no job once its lease may have
-    /// ended: the next owner may have accepted it.
+    /// The answer of an owner here. Once its lease may have ended, it denies no
+    /// job, as the next owner may have accepted it; once it may send no more
+    /// orders, it knows only the states of jobs that have ended.
     [[nodiscard]] pools::job_answer certain(pools::job_answer answer) const;
     /// Empty once the owner's lease may have ended: the next owner may have
     /// accepted and started jobs.
--- a/src/node/session.cpp
+++ b/src/node/session.cpp
@@ -98,8 +98,13 @@
                         base::time_point now) const
 {
     const holder* current = holder_of(role);
-    return lease_ != 0 && current != nullptr && current->revision == revision &&
-           now - renewed_at_ < pools::max_ordering_time;
+    return is_renewed(now) && current != nullptr &&
+           current->revision == revision;
+}
+
+bool session::is_renewed(base::time_point now) const
+{
+    return lease_ != 0 && now - renewed_at_ < pools::max_ordering_time;
 }
 
 bool session::holds_lease(base::time_point now) const
--- a/src/node/session.hpp
+++ b/src/node/session.hpp
@@ -109,6 +109,9 @@
     /// Whether the lease is certainly valid, so that no other instance can hold
     /// a role of this one.
     [[nodiscard]] bool holds_lease(base::time_point now) const;
+    /// Whether the last lease renewal is recent enough to send orders under
+    /// the roles of this instance.
+    [[nodiscard]] bool is_renewed(base::time_point now) const;
 
     /// How long to wait before claiming `role`, which no other instance holds.
     /// A restarted instance resumes its own roles without a delay. `roles`
--- a/tests/node/cut_off_owner_test.cpp
+++ b/tests/node/cut_off_owner_test.cpp
@@ -98,3 +98,33 @@
                      { return all.client.state(replaced, id_b) == running; }));
     CHECK(all.platform.starts_of(id_b + ".0.0.0") == 1);
 }
+
+// Guards against states that an owner gives from memory for as long as it is
+// cut off from the store, while the next owner may have ended the jobs.
+TEST_CASE("an owner that is cut off for long states no job that may have ended")
+{
+    cluster all(0);
+    platform_standin::relay to_store(all.platform.store_address());
+    all.entries.push_back(std::make_unique<entry>(all.platform, "e0", 1.0,
+                                                  to_store.local_endpoint()));
+    REQUIRE(eventually([&] { return all.owner() == 0; }));
+    const entry& only = *all.entries[0];
+    REQUIRE(eventually(
+        [&] { return all.client.submit(only, id_b, one_task) == 200; }));
+    REQUIRE(all.completes(0, id_b));
+    REQUIRE(all.client.submit(only, id_a, lasting) == 200);
+    REQUIRE(
+        eventually([&] { return all.client.state(only, id_a) == running; }));
+    to_store.refuses = true;
+    to_store.cut();
+    // As long as it may give orders, it is likely to know.
+    boost::this_fiber::sleep_for(3s);
+    CHECK(all.client.state(only, id_a) == running);
+    boost::this_fiber::sleep_for(3100ms);
+    REQUIRE(all.client.owns_pool(only));
+    CHECK(all.client.state(only, id_a) == "503");
+    // The end of a job does not change.
+    CHECK(all.client.state(only, id_b) == completed);
+    to_store.refuses = false;
+    CHECK(eventually([&] { return all.client.state(only, id_a) == running; }));
+}
