Notice a suspension of the machine in `serve`

Callers saw: nothing on a deployment, found by reading. An instance whose machine had been suspended took work under the bundle that it had before.

Cause: admission and the member table compared times of the steady clock, which stands still meanwhile.

Change: both services use the clock that counts a suspension; it is a hook of their builders. Deadlines of calls stay on the steady clock.

Evidence: two new cases (document_service_test, member_service_test) fail with the steady clock put back. The existing cases name the clock that they had implicitly.

--- a/src/entry/operator_routes.cpp
+++ b/src/entry/operator_routes.cpp
@@ -112,7 +112,7 @@
 
 json::object status(services& all)
 {
-    const auto admission = all.documents->admit(base::steady_now());
+    const auto admission = all.documents->admit();
     return {{"id", all.settings.id.str()},
             {"zone", all.settings.zone.str()},
             {"version", PIMENTOGRADE_VERSION},
--- a/src/entry/services.cpp
+++ b/src/entry/services.cpp
@@ -126,7 +126,7 @@
                     .document(bundle_document, rollout::bundle_key,
                               rollout::envelope_version)
                     .document(fleet_document, rollout::fleet_key, fleet_version)
-                    .build(base::steady_now());
+                    .build();
     bundle_document.on_adopt([this](const rollout::document_revision& revision)
                              { adopt_bundle(revision); });
     fleet_document.on_adopt([this](const rollout::document_revision& revision)
@@ -372,7 +372,7 @@
 
 bool services::takes_work()
 {
-    return documents->admit(base::steady_now()) == rollout::admission::ready;
+    return documents->admit() == rollout::admission::ready;
 }
 
 base::member_id services::broker_of(const base::pool_name& pool)
--- a/src/membership/member_service.cpp
+++ b/src/membership/member_service.cpp
@@ -46,7 +46,7 @@
 struct member_service::impl
 {
     impl(builder settings, base::time_point now)
-        : given(std::move(settings)), table(given.self_, now),
+        : given(std::move(settings)), table(given.self_, now), last_change(now),
           random(given.seed_ ? base::random_source(*given.seed_)
                              : base::random_source())
     {
@@ -54,6 +54,7 @@
 
     builder given;
     member_table table;
+    base::time_point last_change;
     base::random_source random;
     std::map<net::endpoint, std::shared_ptr<peer::peer_client>> links;
     /// When a heartbeat, not a reply, last came from this address.
@@ -61,7 +62,6 @@
     std::vector<change_listener> change_listeners;
     std::vector<heartbeat_listener> heartbeat_listeners;
     bool registered = true;
-    base::time_point last_change = base::steady_now();
     net::stop_signal stopping;
     net::task_group fibers;
 
@@ -122,7 +122,7 @@
     peer::heartbeat beat;
     beat.sender = table.self();
     beat.leaving = table.is_leaving();
-    const base::time_point now = base::steady_now();
+    const base::time_point now = given.clock_();
     const auto interval = now.time_since_epoch() / heartbeat_interval;
     if (now - last_change < change_time || interval % list_every == 0)
         beat.known = table.live();
@@ -134,7 +134,7 @@
 
 void member_service::impl::accept(const peer::heartbeat& beat)
 {
-    const base::time_point now = base::steady_now();
+    const base::time_point now = given.clock_();
     const change_list changes = table.heard(beat, now);
     // Before the listeners: they may call the member that joined.
     open_links();
@@ -146,7 +146,7 @@
 void member_service::impl::publish(const change_list& changes)
 {
     if (!changes.empty())
-        last_change = base::steady_now();
+        last_change = given.clock_();
     for (const member_change& change : changes)
     {
         log::write(event_of(change.kind),
@@ -163,7 +163,7 @@
 {
     do
     {
-        publish(table.advance(base::steady_now()));
+        publish(table.advance(given.clock_()));
         open_links();
     } while (!stopping.wait_for(tick));
 }
@@ -217,7 +217,7 @@
     while (!stopping.is_set() && wanted_addresses().contains(where))
     {
         const base::time_point start = base::steady_now();
-        if (hears_from(where, start))
+        if (hears_from(where, given.clock_()))
         {
             stopping.wait_for(heartbeat_interval);
             continue;
@@ -289,7 +289,7 @@
         {
             table.learned(peer::member_entry::from_json(
                               peer::parse_object(item.entry.value)),
-                          base::steady_now());
+                          given.clock_());
         }
         catch (const base::error&)
         {
@@ -356,10 +356,17 @@
     return *this;
 }
 
+member_service::builder&
+member_service::builder::clock(std::function<base::time_point()> now)
+{
+    clock_ = std::move(now);
+    return *this;
+}
+
 std::unique_ptr<member_service> member_service::builder::build()
 {
     return std::unique_ptr<member_service>(
-        new member_service(std::make_shared<impl>(*this, base::steady_now())));
+        new member_service(std::make_shared<impl>(*this, clock_())));
 }
 
 member_service::member_service(std::shared_ptr<impl> state)
@@ -406,7 +413,7 @@
                                         const peer::heartbeat& beat)
 {
     require_sender(context, beat.sender);
-    impl_->received_at[beat.sender.address] = base::steady_now();
+    impl_->received_at[beat.sender.address] = impl_->given.clock_();
     impl_->accept(beat);
     return impl_->own_heartbeat();
 }
--- a/src/membership/member_service.hpp
+++ b/src/membership/member_service.hpp
@@ -31,7 +31,8 @@
 {
 public:
     using change_listener = std::function<void(const member_change&)>;
-    /// Called for each valid heartbeat of another member, also for replies.
+    /// Called for each valid heartbeat of another member, also for replies, at
+    /// `now` of the service's clock.
     using heartbeat_listener =
         std::function<void(const peer::heartbeat&, base::time_point now)>;
 
@@ -48,6 +49,9 @@
         builder& fill_heartbeat(std::function<void(peer::heartbeat&)> hook);
         builder& on_late_result(peer::peer_client::late_result_hook hook);
         builder& random_seed(std::uint64_t seed);
+        /// Clock of silence and pauses, by default the one that also runs
+        /// while the machine is suspended.
+        builder& clock(std::function<base::time_point()> now);
         std::unique_ptr<member_service> build();
 
     private:
@@ -59,6 +63,7 @@
         std::function<void(peer::heartbeat&)> fill_;
         peer::peer_client::late_result_hook late_;
         std::optional<std::uint64_t> seed_;
+        std::function<base::time_point()> clock_ = base::suspend_aware_now;
     };
 
     ~member_service();
--- a/src/rollout/document_service.cpp
+++ b/src/rollout/document_service.cpp
@@ -78,8 +78,14 @@
     return *this;
 }
 
-std::unique_ptr<document_service>
-document_service::builder::build(base::time_point now)
+document_service::builder&
+document_service::builder::clock(std::function<base::time_point()> now)
+{
+    clock_ = std::move(now);
+    return *this;
+}
+
+std::unique_ptr<document_service> document_service::builder::build()
 {
     if (documents_.empty())
         throw base::error(base::error_code::invalid, "document service", "",
@@ -87,14 +93,15 @@
     auto state = std::make_shared<impl>();
     state->store = store_;
     state->calls = calls_;
+    state->clock = clock_;
     state->cancel_watch = cancel_watch_;
     for (const entry& added : documents_)
         state->documents.push_back(
             {added.document, added.store_key, added.version, 0, false});
     if (seed_)
         state->random = base::random_source(*seed_);
-    state->last_observed = now;
-    state->last_contact = now;
+    state->last_observed = clock_();
+    state->last_contact = state->last_observed;
     return std::unique_ptr<document_service>(
         new document_service(std::move(state)));
 }
@@ -123,7 +130,7 @@
 {
     versioned_document& document =
         *impl_->find(message.content.document).document;
-    impl_->contacted(base::steady_now());
+    impl_->contacted(impl_->clock());
     document.offer(message.content.version, message.content.text,
                    base::wall_now());
     return {document.version()};
@@ -224,9 +231,14 @@
     return admission::ready;
 }
 
+admission document_service::admit()
+{
+    return admit(impl_->clock());
+}
+
 void document_service::start()
 {
-    impl_->last_observed = base::steady_now();
+    impl_->last_observed = impl_->clock();
     impl_->fibers.spawn([self = impl_.get()] { self->tick_loop(); });
     impl_->fibers.spawn([self = impl_.get()] { self->watch_loop(); });
 }
--- a/src/rollout/document_service.hpp
+++ b/src/rollout/document_service.hpp
@@ -77,9 +77,12 @@
         builder& document(versioned_document& document, std::string store_key,
                           version_reader version);
         builder& random_seed(std::uint64_t seed);
+        /// Clock of pauses and contact, by default the one that also runs
+        /// while the machine is suspended.
+        builder& clock(std::function<base::time_point()> now);
         /// Called by `stop` to end the pending watch, for which `stop` waits.
         builder& cancel_watch(std::function<void()> hook);
-        std::unique_ptr<document_service> build(base::time_point now);
+        std::unique_ptr<document_service> build();
 
     private:
         friend class document_service;
@@ -93,6 +96,7 @@
         document_calls calls_;
         std::vector<entry> documents_;
         std::optional<std::uint64_t> seed_;
+        std::function<base::time_point()> clock_ = base::suspend_aware_now;
         std::function<void()> cancel_watch_;
     };
 
@@ -105,8 +109,8 @@
     peer::document_content receive(const peer::fetch_document& message);
     peer::version_reply receive(const peer::push_document& message);
 
-    /// A member reported its versions. Fetches what is newer in a fiber of its
-    /// own, one at a time for each document.
+    /// A member reported its versions, at `now` of the service's clock. Fetches
+    /// what is newer in a fiber of its own, one at a time for each document.
     void heard(const peer::heartbeat& beat, base::time_point now);
     /// Adds this member's versions to a heartbeat.
     void fill(peer::heartbeat& beat) const;
@@ -126,10 +130,12 @@
     /// `base::error`.
     void watch_once(base::time_point deadline);
 
-    /// Notices a pause of this process. Called by `admit` and several times a
-    /// second by the service's own fiber.
+    /// Notices a pause of this process, by the service's clock. Called by
+    /// `admit` and several times a second by the service's own fiber.
     void observe(base::time_point now);
     [[nodiscard]] admission admit(base::time_point now);
+    /// By the present time of the service's clock.
+    [[nodiscard]] admission admit();
 
     /// Starts the fibers of the watch and the contact check.
     void start();
--- a/src/rollout/document_service_impl.hpp
+++ b/src/rollout/document_service_impl.hpp
@@ -26,6 +26,7 @@
 
     provider::kv_operations store;
     document_calls calls;
+    std::function<base::time_point()> clock;
     std::function<void()> cancel_watch;
     std::vector<entry> documents;
     base::random_source random;
--- a/src/rollout/document_service_loops.cpp
+++ b/src/rollout/document_service_loops.cpp
@@ -61,7 +61,7 @@
     // The documents may be gone when a watch outlives the service.
     if (stopping.is_set())
         return;
-    contacted(base::steady_now());
+    contacted(clock());
     if (stored.version == 0)
         return;
     target.seen_store_version =
@@ -102,7 +102,7 @@
         const std::string& name = target.document->name();
         const auto content =
             calls.fetch(member, {name, target.document->version()}, deadline);
-        contacted(base::steady_now());
+        contacted(clock());
         if (content.document == name)
             target.document->offer(content.version, content.text,
                                    base::wall_now());
@@ -133,7 +133,7 @@
 
 bool document_service::impl::synchronise(base::time_point deadline)
 {
-    observe(base::steady_now());
+    observe(clock());
     const std::uint64_t pauses_before = pauses;
     bool answered = false;
     net::task_group asking;
@@ -148,7 +148,7 @@
                 answered = answered || all;
             });
     asking.join();
-    observe(base::steady_now());
+    observe(clock());
     if (answered && pauses == pauses_before && resuming)
     {
         resuming = false;
@@ -238,7 +238,7 @@
 {
     while (!stopping.wait_for(tick))
     {
-        const base::time_point now = base::steady_now();
+        const base::time_point now = clock();
         observe(now);
         probe(now);
     }
--- a/tests/membership/member_service_test.cpp
+++ b/tests/membership/member_service_test.cpp
@@ -67,7 +67,8 @@
 {
     test_member(const std::string& name, fake_store& store,
                 std::vector<net::endpoint> contacts, std::uint64_t incarnation,
-                net::endpoint where = {"127.0.0.1", 0})
+                net::endpoint where = {"127.0.0.1", 0},
+                std::function<base::time_point()> clock = base::steady_now)
     {
         const peer::credentials own{{base::member_id(name), incarnation},
                                     "secret"};
@@ -89,6 +90,7 @@
                       .store(store.operations())
                       .first_contacts(std::move(contacts))
                       .random_seed(incarnation)
+                      .clock(std::move(clock))
                       .build();
         service->on_change([this](const membership::member_change& change)
                            { changes.push_back(change); });
@@ -198,6 +200,28 @@
     }
 }
 
+// Guards against a member that drops all others, and what they own, since its
+// machine was suspended, or that does not notice the suspension at all.
+TEST_CASE("a suspension is noticed as a pause, and nobody is dropped for it")
+{
+    net::this_thread_io();
+    fake_store store;
+    store.up = false;
+    base::duration suspended{};
+    test_member first("a", store, {}, 1, {"127.0.0.1", 0},
+                      [&] { return base::steady_now() + suspended; });
+    test_member second("b", store, {first.server->local_endpoint()}, 1);
+    REQUIRE(
+        wait_for([&] { return first.live() == 2 && second.live() == 2; }, 2s));
+    first.changes.clear();
+    suspended += 60s;
+    CHECK(wait_for([&] { return !first.changes.empty(); }, 1s));
+    boost::this_fiber::sleep_for(1s);
+    REQUIRE(first.changes.size() == 1);
+    CHECK(first.changes[0].kind == membership::change_kind::paused);
+    CHECK(first.live() == 2);
+}
+
 // Guards against a member that speaks for another.
 TEST_CASE("a heartbeat that names another sender is refused")
 {
--- a/tests/rollout/document_history_test.cpp
+++ b/tests/rollout/document_history_test.cpp
@@ -68,7 +68,7 @@
                        .calls(calls)
                        .document(document_, key, rollout::stored_version)
                        .random_seed(1)
-                       .build(base::steady_now());
+                       .build();
     }
     void accepted(std::uint64_t version, const std::string& value) override
     {
@@ -84,7 +84,7 @@
     }
     void heard(const peer::heartbeat& beat) override
     {
-        service_->heard(beat, base::steady_now());
+        service_->heard(beat, base::suspend_aware_now());
     }
     void watch() override { service_->watch_once(base::steady_now() + 1s); }
     void synchronise() override
--- a/tests/rollout/document_service_test.cpp
+++ b/tests/rollout/document_service_test.cpp
@@ -52,7 +52,8 @@
                       .store(store.operations())
                       .calls(calls)
                       .document(document, key, rollout::stored_version)
-                      .build(start);
+                      .clock(base::steady_now)
+                      .build();
     }
 
     void sign_off()
@@ -133,6 +134,34 @@
     CHECK(f.document.version() == 2);
 }
 
+// Guards against a resumed instance that takes work as before, since the steady
+// clock does not count the time for which its machine was suspended.
+TEST_CASE("after a suspension no new work is taken before a check")
+{
+    net::this_thread_io();
+    simulated_store store(1);
+    store.operations().compare_and_swap(key, 0, "one", {});
+    rollout::document_calls calls;
+    calls.members = []
+    {
+        return std::vector<base::member_id>{};
+    };
+    rollout::versioned_document document("bundle");
+    base::duration suspended{};
+    auto service = rollout::document_service::builder{}
+                       .store(store.operations())
+                       .calls(calls)
+                       .document(document, key, rollout::stored_version)
+                       .clock([&] { return base::steady_now() + suspended; })
+                       .build();
+    service->synchronise(base::steady_now() + 1s);
+    REQUIRE(service->admit() == admission::ready);
+    suspended += 3s;
+    CHECK(service->admit() == admission::resuming);
+    CHECK(service->synchronise(base::steady_now() + 1s));
+    CHECK(service->admit() == admission::ready);
+}
+
 // Guards against answers from before a pause that count as a check after it.
 TEST_CASE("a check that was under way during the pause does not count")
 {
@@ -278,7 +307,7 @@
                         .store(store.operations())
                         .calls(calls)
                         .document(bundle, key, rollout::stored_version)
-                        .build(base::steady_now());
+                        .build();
         members->on_heartbeat(
             [this](const peer::heartbeat& beat, base::time_point now)
             { documents->heard(beat, now); });
@@ -350,7 +379,7 @@
                        .document(document, key, rollout::stored_version)
                        .random_seed(1)
                        .cancel_watch([&] { release = true; })
-                       .build(base::steady_now());
+                       .build();
     service->start();
     time_until([&] { return polls == 1; }, 3s);
     operations.compare_and_swap(key, 0, "one", {});
@@ -361,8 +390,7 @@
     {
         // `resuming` would only show that the test itself was held up.
         always_in_contact =
-            always_in_contact &&
-            service->admit(base::steady_now()) != admission::out_of_contact;
+            always_in_contact && service->admit() != admission::out_of_contact;
         boost::this_fiber::sleep_for(50ms);
     }
     CHECK(always_in_contact);
