Count the planner's lease and what it has read in real time

Found by reading: after a suspension of its machine a planner of `serve` went on with a lease that had run out and with the state and reports that it had read, and ordered workers by them.

Change: the ages of lease, state and reports are on the clock that counts a suspension; a lease whose grant took longer than it lasts is none.

Evidence: both new cases of fleet_service_test fail with the steady clock put back: the planner stays planner, and a second command is sent after a suspension on the way.

--- a/src/dispatch/fleet_service.cpp
+++ b/src/dispatch/fleet_service.cpp
@@ -103,7 +103,7 @@
     // seven members.
     bool acquire_or_renew_lease()
     {
-        const base::time_point now = calls.steady_now();
+        const base::time_point now = calls.suspend_aware_now();
         if (now < next_lease_call)
             return report.planner;
         const auto grant = calls.store.acquire_lease(
@@ -113,13 +113,15 @@
         report.planner = grant.held;
         report.lease_holder = grant.holder;
         next_lease_call = now + settings.lease_ttl / (grant.held ? 3 : 2);
-        return grant.held;
+        // It counts from when it was asked for.
+        return grant.held &&
+               calls.suspend_aware_now() - now < settings.lease_ttl;
     }
 
     void give_up_lease()
     {
         report.planner = false;
-        next_lease_call = calls.steady_now() + settings.lease_ttl / 2;
+        next_lease_call = calls.suspend_aware_now() + settings.lease_ttl / 2;
         try
         {
             calls.store.release_lease(lease_name, self.str(), deadline());
@@ -135,11 +137,11 @@
     bool refresh(base::duration longest_age)
     {
         if (cached && !stale && noted_version <= cached->state.version &&
-            calls.steady_now() - cached_at <= longest_age)
+            calls.suspend_aware_now() - cached_at <= longest_age)
             return true;
         cached.reset();
         stale = false;
-        const base::time_point asked_at = calls.steady_now();
+        const base::time_point asked_at = calls.suspend_aware_now();
         cached = store.read(deadline());
         cached_at = asked_at;
         // Another member may have reported a version that the store does not
@@ -171,7 +173,7 @@
     {
         if (next == cached->state && cached->store_version != 0)
             return true;
-        const base::time_point asked_at = calls.steady_now();
+        const base::time_point asked_at = calls.suspend_aware_now();
         try
         {
             if (store.swap(*cached, std::move(next), calls.wall_now(),
@@ -277,9 +279,10 @@
             return;
         if (!read_as_planner())
             return;
-        const worker_calls worker_hooks{calls.workers, calls.instances,
-                                        calls.steady_now, settings.call_timeout,
-                                        settings.concurrency};
+        const worker_calls worker_hooks{
+            calls.workers,         calls.instances,
+            calls.steady_now,      calls.suspend_aware_now,
+            settings.call_timeout, settings.concurrency};
         worker_poll_result polled = poll_workers(worker_hooks, *bundle);
         report.workers_answering = polled.answered;
         if (polled.answered == 0 && !polled.sightings.empty())
@@ -288,7 +291,8 @@
             // Another member may be able to reach the workers.
             give_up_lease();
         }
-        mark_outdated(polled, calls.steady_now() - settings.longest_action_age);
+        mark_outdated(polled,
+                      calls.suspend_aware_now() - settings.longest_action_age);
         std::vector<fleet_change> applied;
         if (!write(plan(*cached, polled, applied)))
             return;
@@ -374,13 +378,13 @@
 
 std::unique_ptr<fleet_service> fleet_service::builder::build()
 {
-    const bool complete = hooks_.store.get && hooks_.store.compare_and_swap &&
-                          hooks_.store.acquire_lease &&
-                          hooks_.store.release_lease && hooks_.workers.report &&
-                          hooks_.workers.drain && hooks_.workers.undrain &&
-                          hooks_.workers.reboot && hooks_.instances.list &&
-                          hooks_.bundle && hooks_.steady_now &&
-                          hooks_.wall_now && !self_.empty();
+    const bool complete =
+        hooks_.store.get && hooks_.store.compare_and_swap &&
+        hooks_.store.acquire_lease && hooks_.store.release_lease &&
+        hooks_.workers.report && hooks_.workers.drain &&
+        hooks_.workers.undrain && hooks_.workers.reboot &&
+        hooks_.instances.list && hooks_.bundle && hooks_.steady_now &&
+        hooks_.suspend_aware_now && hooks_.wall_now && !self_.empty();
     if (!complete)
         throw base::error(base::error_code::invalid, "build fleet service", "",
                           "a hook or the member id is missing");
--- a/src/dispatch/fleet_service.hpp
+++ b/src/dispatch/fleet_service.hpp
@@ -73,8 +73,12 @@
         /// Called with each new fleet state that this service reads or writes,
         /// in version order.
         std::function<void(const capacity::fleet_state&)> on_state;
-        /// Default to the system clocks.
+        /// Default to the system clocks. Deadlines of calls are on the steady
+        /// one, the age of the lease and of what was read on the one that also
+        /// runs while the machine is suspended.
         std::function<base::time_point()> steady_now = base::steady_now;
+        std::function<base::time_point()> suspend_aware_now =
+            base::suspend_aware_now;
         std::function<base::wall_time()> wall_now = base::wall_now;
     };
 
--- a/src/dispatch/worker_poll.cpp
+++ b/src/dispatch/worker_poll.cpp
@@ -165,12 +165,11 @@
     template <class Call>
     void attempt(const provider::worker_endpoint& where, Call call) const
     {
-        const base::time_point now = calls_.steady_now();
-        if (now > valid_until_)
+        if (calls_.suspend_aware_now() > valid_until_)
             return;
         try
         {
-            call(now + calls_.timeout);
+            call(calls_.steady_now() + calls_.timeout);
         }
         catch (const base::error& failure)
         {
@@ -194,9 +193,11 @@
         attempt(where,
                 [&](base::time_point deadline)
                 {
+                    const base::time_point asked_at =
+                        calls_.suspend_aware_now();
                     const auto report = calls_.workers.report(where, deadline);
                     if (report.leaving && report.slots_used == 0 &&
-                        calls_.steady_now() <= deadline)
+                        calls_.suspend_aware_now() - asked_at <= calls_.timeout)
                         calls_.workers.reboot(where, deadline);
                 });
     }
@@ -236,7 +237,7 @@
                          const config::worker& worker = bundle.workers[index];
                          worker_sighting& seen = polled.sightings[index];
                          seen.worker = worker.id;
-                         polled.asked_at[index] = calls.steady_now();
+                         polled.asked_at[index] = calls.suspend_aware_now();
                          seen.listed_leaving = leaving.contains(worker.id);
                          try
                          {
--- a/src/dispatch/worker_poll.hpp
+++ b/src/dispatch/worker_poll.hpp
@@ -17,7 +17,10 @@
 {
     const provider::worker_operations& workers;
     const provider::instance_list_operations& instances;
+    /// Clock of deadlines.
     const std::function<base::time_point()>& steady_now;
+    /// Clock of ages, which also runs while the machine is suspended.
+    const std::function<base::time_point()>& suspend_aware_now;
     /// Timeout of each call.
     base::duration timeout;
     /// Maximum number of concurrent calls.
@@ -30,7 +33,7 @@
     std::vector<capacity::worker_sighting> sightings;
     /// Per worker; empty if the worker did not answer.
     std::vector<std::vector<provider::task_usage>> usage;
-    /// Time of each worker's call.
+    /// Time of each worker's call, on the clock of ages.
     std::vector<base::time_point> asked_at;
     std::size_t answered = 0;
 };
@@ -55,7 +58,8 @@
 
 /// Sends each worker the command that its state requires: drain, checkpoint,
 /// reboot or undrain. Each call may be repeated. Sends nothing after
-/// `valid_until`, since another planner may have changed the state by then.
+/// `valid_until` of the clock of ages, since another planner may have changed
+/// the state by then.
 void run_worker_actions(const worker_calls& calls, const config::bundle& bundle,
                         const capacity::fleet_state& state,
                         const worker_poll_result& polled, base::wall_time now,
--- a/tests/fleet/fake_platform.hpp
+++ b/tests/fleet/fake_platform.hpp
@@ -80,6 +80,13 @@
             }
     }
 
+    /// The planners' machines are suspended: their steady clocks stand still.
+    void suspend_planners(base::duration length)
+    {
+        advance(length);
+        suspended_ += length;
+    }
+
     [[nodiscard]] base::wall_time now() const
     {
         return start_time() +
@@ -120,6 +127,10 @@
         };
         hooks.on_state = std::move(listener);
         hooks.steady_now = [this]
+        {
+            return base::time_point{} + elapsed_ - suspended_;
+        };
+        hooks.suspend_aware_now = [this]
         {
             return base::time_point{} + elapsed_;
         };
@@ -278,6 +289,7 @@
     std::map<base::worker_id, base::duration> refused_at_;
     base::random_source random_;
     base::duration elapsed_{};
+    base::duration suspended_{};
     std::string value_;
     std::uint64_t version_ = 0;
     capacity::fleet_state decoded_;
--- a/tests/fleet/fleet_service_test.cpp
+++ b/tests/fleet/fleet_service_test.cpp
@@ -475,6 +475,48 @@
     CHECK(platform.workers[first_worker].refuses_work);
 }
 
+// Guards against a planner that orders workers by what it knew before its
+// machine was suspended, while another one has the lease and has changed that.
+TEST_CASE("a planner whose machine was suspended reads again")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    auto first = platform.make_service("a", {});
+    auto second = platform.make_service("b", {});
+    run(platform, *first, 5);
+    platform.suspend_planners(6s);
+    second->step();
+    second->drain_worker(first_worker);
+    second->step();
+    REQUIRE(platform.workers[first_worker].refuses_work);
+    first->step();
+    CHECK(first->snapshot().at("role").as_string() == "standby");
+    CHECK(platform.workers[first_worker].refuses_work);
+}
+
+// Guards against a command that a worker gets after the state on which it rests
+// has become too old, since the machine was suspended on the way.
+TEST_CASE("a planner sends no command after a suspension on the way")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    auto service = platform.make_service("a", {});
+    run(platform, *service, 4);
+    service->drain_worker(first_worker);
+    // Of the other pool.
+    const base::worker_id last_worker("w11");
+    service->drain_worker(last_worker);
+    // All reports, and the first of the two commands.
+    platform.calls_until_pause = platform.workers.size();
+    platform.during_call = [&]
+    {
+        platform.suspend_planners(6s);
+    };
+    service->step();
+    CHECK(platform.workers[first_worker].refuses_work);
+    CHECK_FALSE(platform.workers[last_worker].refuses_work);
+}
+
 TEST_CASE("the loop runs in a fiber and gives up the lease at the end")
 {
     net::this_thread_io();
