Remove records of ended jobs as fast as jobs end

Cause: at most 31 records were removed in 10 s, and only while nothing was to be written.

Change: pools/removal_schedule removes in full transactions of 31, up to 8 of them every 2 s, and the rest every 10 s, beside the other writes.

--- a/src/pools/job_writer.cpp
+++ b/src/pools/job_writer.cpp
@@ -35,7 +35,6 @@
 constexpr std::chrono::milliseconds retry_delay{150};
 constexpr std::chrono::milliseconds idle_wait{1000};
 constexpr std::chrono::milliseconds poll_interval{20};
-constexpr std::chrono::seconds removal_interval{10};
 // Callers can query ended jobs for this long; the users' requirements are 120
 // s.
 constexpr std::chrono::seconds record_retention{150};
@@ -64,6 +63,7 @@
         if (!hooks_.is_stopping() &&
             state_.is_roster_outdated(base::steady_now()))
             write_roster();
+        remove_expired(base::steady_now());
         if (!state_.has_unwritten() && !is_failing_)
         {
             idle();
@@ -93,8 +93,6 @@
 {
     stored_ = std::max(stored_, state_.stored_change());
     work_.wait_until(base::steady_now() + idle_wait);
-    if (base::steady_now() >= next_removal_)
-        remove_expired(base::steady_now());
 }
 
 bool job_writer::write_roster()
@@ -295,29 +293,51 @@
 
 void job_writer::remove_expired(base::time_point now)
 {
-    next_removal_ = base::steady_now() + removal_interval;
+    if (is_removing_ || is_failing_ || hooks_.is_stopping() ||
+        !removals_.is_due(now))
+        return;
     auto expired = state_.expired_jobs(now, record_retention);
+    expired.resize(removals_.take(expired.size(), now));
     if (expired.empty())
         return;
-    constexpr std::size_t removals_per_transaction = 31;
-    expired.resize(std::min(expired.size(), removals_per_transaction));
+    is_removing_ = true;
+    writes_.spawn(
+        [this, ids = std::move(expired)]
+        {
+            std::span<const std::string> left = ids;
+            while (!left.empty() && !hooks_.is_stopping())
+            {
+                const auto batch = left.first(std::min(
+                    left.size(), removal_schedule::records_per_transaction));
+                left = left.subspan(batch.size());
+                if (!remove_records(batch))
+                    break;
+            }
+            is_removing_ = false;
+        });
+}
+
+bool job_writer::remove_records(std::span<const std::string> ids)
+{
     platform::store_transaction transaction;
     transaction.conditions.push_back({owner_key_, owner_revision_});
-    for (const std::string& id : expired)
+    for (const std::string& id : ids)
         transaction.removals.push_back(record_prefix(pool_) + id);
     try
     {
         if (store_.commit(transaction).outcome !=
             platform::commit_result::kind::committed)
-            return;
-        for (const std::string& id : expired)
+            return false;
+        for (const std::string& id : ids)
             state_.remove_job(id);
+        return true;
     }
     catch (const std::exception& failure)
     {
         log::write(event_write_failed, {{"pool", pool_},
-                                        {"records", expired.size()},
+                                        {"records", ids.size()},
                                         {"reason", failure.what()}});
+        return false;
     }
 }
 
--- a/src/pools/job_writer.hpp
+++ b/src/pools/job_writer.hpp
@@ -6,6 +6,7 @@
 #include "net/task_group.hpp"
 #include "net/wakeup.hpp"
 #include "platform/store_client.hpp"
+#include "pools/removal_schedule.hpp"
 #include "pools/roster_store.hpp"
 
 #include <cstdint>
@@ -70,7 +71,11 @@
                         const platform::commit_result& result);
     void note_failure(std::span<const jobs::record_change> changes,
                       std::string_view reason, bool may_be_stored);
+    /// Starts to remove records that have been kept long enough, if it is time
+    /// to.
     void remove_expired(base::time_point now);
+    /// Returns whether they are removed.
+    bool remove_records(std::span<const std::string> ids);
 
     std::string pool_;
     std::string owner_key_;
@@ -89,7 +94,8 @@
     bool should_pause_ = false;
     base::time_point answered_at_ = base::time_point::min();
     base::time_point end_by_ = base::time_point::max();
-    base::time_point next_removal_{};
+    removal_schedule removals_;
+    bool is_removing_ = false;
     std::size_t open_writes_ = 0;
     net::task_group writes_;
 };
