Keep the pools that queues have had when their record is unreadable

Callers would see: 410 for an accepted job in an earlier pool of its queue, and a second start when it is handed in again.

Cause: the next write replaced an unreadable record by the present assignments.

Change: before it is written anew, all pools that have a roster are taken for pools that any queue may have had; until they are known the instance is not ready.

--- a/src/node/queue_pools.cpp
+++ b/src/node/queue_pools.cpp
@@ -44,7 +44,7 @@
 bool queue_pools::add(const platform::configuration& current)
 {
     bool has_changed = false;
-    std::set<std::string> configured;
+    std::set<std::string, std::less<>> configured{std::string(all_queues)};
     for (const auto& route : current.queues)
     {
         configured.insert(key_of(route));
@@ -75,6 +75,11 @@
             add(known.queue, pool);
 }
 
+bool queue_pools::add_for_all(const std::string& pool)
+{
+    return add(all_queues, pool);
+}
+
 bool queue_pools::contains(const platform::queue_route& route) const
 {
     const entry* known = find(key_of(route));
@@ -89,6 +94,10 @@
     std::vector<std::string> pools;
     if (const entry* known = find(key_of(route)))
         pools = known->pools;
+    if (const entry* known = find(all_queues))
+        for (const std::string& pool : known->pools)
+            if (std::find(pools.begin(), pools.end(), pool) == pools.end())
+                pools.push_back(pool);
     std::erase(pools, route.policy.pool);
     return pools;
 }
--- a/src/node/queue_pools.hpp
+++ b/src/node/queue_pools.hpp
@@ -23,6 +23,8 @@
     bool add(const platform::configuration& current);
     /// Adds what another instance knows.
     void merge(const queue_pools& other);
+    /// Adds a pool that any queue may have been assigned to.
+    bool add_for_all(const std::string& pool);
     [[nodiscard]] bool contains(const platform::queue_route& route) const;
     /// The queue's pools without the one that the route names.
     [[nodiscard]] std::vector<std::string>
@@ -44,6 +46,9 @@
         bool operator==(const entry&) const = default;
     };
 
+    /// Queue of the pools that any queue may have had; no queue has this name.
+    static constexpr std::string_view all_queues{};
+
     [[nodiscard]] const entry* find(std::string_view queue) const;
     bool add(std::string_view queue, const std::string& pool);
 
--- a/src/node/queue_recorder.cpp
+++ b/src/node/queue_recorder.cpp
@@ -3,6 +3,7 @@
 #include "base/error.hpp"
 #include "log/event.hpp"
 #include "node/events.hpp"
+#include "pools/roster_store.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -74,11 +75,14 @@
     try
     {
         stored_ = queue_pools::decode(item.value);
+        is_unreadable_ = false;
     }
     catch (const base::error& failure)
     {
-        // The next write replaces it.
         stored_ = {};
+        is_unreadable_ = true;
+        is_recovered_ = false;
+        work_.notify();
         log::write(event_queues_invalid,
                    {{"key", item.key}, {"reason", failure.what()}});
     }
@@ -89,10 +93,11 @@
 bool queue_recorder::is_outdated() const
 {
     return configuration_ &&
-           std::any_of(configuration_->queues.begin(),
-                       configuration_->queues.end(),
-                       [this](const platform::queue_route& route)
-                       { return !stored_.contains(route); });
+           (is_unreadable_ ||
+            std::any_of(configuration_->queues.begin(),
+                        configuration_->queues.end(),
+                        [this](const platform::queue_route& route)
+                        { return !stored_.contains(route); }));
 }
 
 void queue_recorder::run()
@@ -123,7 +128,9 @@
 
 void queue_recorder::write()
 {
-    queue_pools wanted = stored_;
+    if (is_unreadable_ && !is_recovered_)
+        recover();
+    queue_pools wanted = is_unreadable_ ? known_ : stored_;
     wanted.add(*configuration_);
     const std::string key(queues_key);
     const std::string value = wanted.encode();
@@ -145,6 +152,17 @@
             adopt(item);
 }
 
+void queue_recorder::recover()
+{
+    const auto rosters = store_.list(pools::roster_prefix);
+    if (!rosters.is_complete)
+        throw base::error(base::error_code::invalid, "read rosters", "",
+                          "an item of the listing is unreadable");
+    for (const platform::store_item& item : rosters.items)
+        known_.add_for_all(item.key.substr(pools::roster_prefix.size()));
+    is_recovered_ = true;
+}
+
 bool queue_recorder::wait_stored(const platform::queue_route& route,
                                  base::time_point deadline)
 {
--- a/src/node/queue_recorder.hpp
+++ b/src/node/queue_recorder.hpp
@@ -37,8 +37,11 @@
     void apply_listing(std::span<const platform::store_item> items);
     void apply_changes(std::span<const platform::store_event> events);
 
-    /// The store's list has been read.
-    [[nodiscard]] bool is_listed() const { return is_listed_; }
+    /// The pools that the queues have had are known.
+    [[nodiscard]] bool is_listed() const
+    {
+        return is_listed_ && (!is_unreadable_ || is_recovered_);
+    }
     [[nodiscard]] std::vector<std::string>
     earlier_pools(const platform::queue_route& route) const
     {
@@ -53,6 +56,9 @@
 private:
     void run();
     void write();
+    /// Takes all pools that have had an owner for pools that any queue may have
+    /// had. Throws `base::error`.
+    void recover();
     void adopt(const platform::store_item& item);
     [[nodiscard]] bool is_outdated() const;
 
@@ -63,6 +69,10 @@
     queue_pools stored_;
     std::int64_t revision_ = 0;
     bool is_listed_ = false;
+    /// The store's record cannot be read.
+    bool is_unreadable_ = false;
+    /// The pools that it may name are known.
+    bool is_recovered_ = false;
     bool is_failing_ = false;
     net::wakeup work_;
     net::wakeup written_;
--- a/src/pools/roster_store.cpp
+++ b/src/pools/roster_store.cpp
@@ -11,7 +11,7 @@
 
 std::string roster_key(std::string_view pool)
 {
-    return "pimentograde-rosters/" + std::string(pool);
+    return std::string(roster_prefix).append(pool);
 }
 
 std::string statistics_key(std::string_view pool)
--- a/src/pools/roster_store.hpp
+++ b/src/pools/roster_store.hpp
@@ -14,6 +14,9 @@
 namespace pimentograde::pools
 {
 
+/// Prefix of the keys of all pools' rosters.
+inline constexpr std::string_view roster_prefix = "pimentograde-rosters/";
+
 /// Store key of the roster: the workers that the pool's owner may use.
 std::string roster_key(std::string_view pool);
 
--- a/tests/node/queue_pools_test.cpp
+++ b/tests/node/queue_pools_test.cpp
@@ -72,6 +72,20 @@
         CHECK_THROWS_AS(queue_pools::decode(text), base::error);
 }
 
+// Guards against pools that are forgotten with the queues that had them.
+TEST_CASE("pools that any queue may have had are earlier pools of each queue")
+{
+    queue_pools known;
+    known.add_for_all("a");
+    known.add_for_all("b");
+    for (std::size_t index = 0; index < queue_pools::max_queues + 10; ++index)
+        known.add(with({route_to("/" + std::to_string(index) + "/", "a")}));
+    known = queue_pools::decode(known.encode());
+    CHECK(known.earlier_pools(route_to("/new/", "b")) ==
+          std::vector<std::string>{"a"});
+    CHECK_FALSE(known.contains(route_to("/new/", "b")));
+}
+
 // Guards against a value that grows for ever with routes that come and go.
 TEST_CASE("queues that are no longer configured are dropped beyond a limit")
 {
