Order machines only by a listing of the last 3 s

Found by reading: while listings failed and orders succeeded, the holder of the machine role went on ordering by the last list for any time.

Evidence: the new case of node_instance_test failed before (an order 3 s after the last listing and later).

--- a/src/node/fleet_manager.cpp
+++ b/src/node/fleet_manager.cpp
@@ -28,6 +28,9 @@
 // Orders are sent within this time from the beginning of their recording. The
 // store is rarely slower.
 constexpr std::chrono::milliseconds record_validity{600};
+// Orders rest on the listing: later the machines may have other workers or
+// pools. Covers a slow listing, the release and the record of an order.
+constexpr std::chrono::seconds max_listing_age{3};
 
 } // namespace
 
@@ -180,6 +183,7 @@
     const holder* current = session_.holder_of(role);
     return fence_ && current != nullptr && current->revision == *fence_ &&
            recent_.is_read() && !stop_.is_set() &&
+           base::steady_now() - inventory_.listed_at() < max_listing_age &&
            session_.holds_lease(base::suspend_aware_now());
 }
 
--- a/tests/node/node_instance_test.cpp
+++ b/tests/node/node_instance_test.cpp
@@ -462,6 +462,23 @@
     CHECK(eventually([&] { return all.entries[0]->instance->is_ready(); }, 3s));
 }
 
+// Guards against orders by an old listing for as long as listings fail while
+// orders are carried out: the machines may have other workers by then.
+TEST_CASE("a holder orders nothing by a listing that is seconds old")
+{
+    cluster all(1, 2);
+    boost::this_fiber::sleep_for(600ms);
+    all.platform.refuses_listings = true;
+    boost::this_fiber::sleep_for(3s);
+    all.platform.store.put(
+        "op/wave/1",
+        R"({"Wave":1,"Machines":["m-w0"],"FinishByS":20,"Cap":1})");
+    boost::this_fiber::sleep_for(1500ms);
+    CHECK(all.platform.orders.empty());
+    all.platform.refuses_listings = false;
+    CHECK(eventually([&] { return all.platform.carried_out.size() == 1; }));
+}
+
 // Guards against orders by the machines that an earlier holding of the role has
 // listed: the pools would free workers that are gone, and the present ones end
 // with their tasks.
