Remember the worker of a machine that is busy

A machine that is busy is leaving by an order that this holder does not know. Its worker was named to nobody when a listing showed that it had ended, so its owner waited for the lease.

Evidence: the new case of node_instance_test failed before (the owner knew the worker for as long as the test waited).

--- a/src/fleet/ordered_workers.hpp
+++ b/src/fleet/ordered_workers.hpp
@@ -30,7 +30,8 @@
 
     /// The machine was ordered while listed as `entry`. `answered_at` is the
     /// time of the answer, or when the caller stopped waiting for it: the order
-    /// may have been carried out without an answer.
+    /// may have been carried out without an answer, or an earlier one may be
+    /// under way.
     void note_ordered(const machine& entry, base::time_point answered_at);
     /// Applies a listing that was requested at `listed_at`; `find` returns null
     /// for a machine that it lacks. Returns the workers that it proves to have
--- a/src/node/fleet_manager.cpp
+++ b/src/node/fleet_manager.cpp
@@ -377,7 +377,9 @@
     try
     {
         const auto answer = send();
-        if (answer == platform::machine_answer::done)
+        // A busy machine is leaving by an order that this holder does not know.
+        if (answer == platform::machine_answer::done ||
+            answer == platform::machine_answer::busy)
             ordered_workers_.note_ordered(entry, base::steady_now());
         return answer;
     }
--- a/tests/node/node_instance_test.cpp
+++ b/tests/node/node_instance_test.cpp
@@ -401,6 +401,29 @@
     }
 }
 
+// Guards against an owner that waits for the lease of a worker whose machine an
+// earlier holder has ordered, since the machine was busy for the next order.
+TEST_CASE(
+    "a worker whose machine is busy is named to its owner once it is gone")
+{
+    cluster all(1, 1);
+    all.platform.maintenance_time = 6s;
+    boost::this_fiber::sleep_for(600ms);
+    // The machine is listed as before.
+    all.platform.refuses_listings = true;
+    all.platform.begin_maintenance("w0");
+    all.platform.store.put(
+        "op/wave/1",
+        R"({"Wave":1,"Machines":["m-w0"],"FinishByS":20,"Cap":1})");
+    REQUIRE(eventually([&] { return !all.platform.orders.empty(); }, 2500ms));
+    boost::this_fiber::sleep_for(100ms);
+    CHECK(all.client.knows_worker(*all.entries[0], "w0"));
+    all.platform.refuses_listings = false;
+    CHECK(eventually(
+        [&] { return !all.client.knows_worker(*all.entries[0], "w0"); }, 3s));
+    CHECK(all.platform.carried_out.empty());
+}
+
 // Guards against a wave that stays `running` since its last event is a machine
 // that has left the fleet, and not one that is done.
 TEST_CASE("a wave with a machine that has left the fleet is completed")
--- a/tools/platform_standin/platform_double.cpp
+++ b/tools/platform_standin/platform_double.cpp
@@ -114,6 +114,18 @@
     return all;
 }
 
+void platform_double::begin_maintenance(const std::string& id)
+{
+    begin_maintenance(workers_.at(id));
+}
+
+void platform_double::begin_maintenance(worker_entry& entry)
+{
+    entry.down_until = base::steady_now() + maintenance_time;
+    entry.worker->restart();
+    announce(entry);
+}
+
 void platform_double::note_maintained(const std::string& id, std::int64_t wave)
 {
     workers_.at(id).waves.insert(wave);
@@ -227,9 +239,7 @@
     if (now < entry.down_until)
         return json_answer(409, {{"Reason", "busy"}});
     carried_out.push_back(order);
-    entry.down_until = now + maintenance_time;
-    entry.worker->restart();
-    announce(entry);
+    begin_maintenance(entry);
     if (order_answer_delay > base::duration::zero())
         boost::this_fiber::sleep_for(order_answer_delay);
     return json_answer(200);
--- a/tools/platform_standin/platform_double.hpp
+++ b/tools/platform_standin/platform_double.hpp
@@ -49,6 +49,8 @@
     [[nodiscard]] std::vector<run_record> records();
     /// Writes the worker's entry again, as the worker does.
     void announce(const std::string& id);
+    /// The worker's machine goes into maintenance by an order of somebody else.
+    void begin_maintenance(const std::string& id);
     /// The worker's machine has had its maintenance of the wave before.
     void note_maintained(const std::string& id, std::int64_t wave);
     /// Puts a configuration with one queue, `/q/` at host `h`, into force.
@@ -94,6 +96,7 @@
 
     net::http_response handle_machines(const net::http_request& request);
     void announce(const worker_entry& entry);
+    void begin_maintenance(worker_entry& entry);
     int garbled_ = 0;
 
     std::map<std::string, worker_entry> workers_;
