--- a/src/cli/serve_command.cpp
+++ b/src/cli/serve_command.cpp
@@ -1,6 +1,7 @@
 #include "cli/serve_command.hpp"
 
 #include "entry/entry_instance.hpp"
+#include "entry/signal_wait.hpp"
 #include "log/event.hpp"
 #include "net/endpoint.hpp"
 
@@ -68,6 +69,8 @@
 
 exit_code serve(command_input& input)
 {
+    // A signal during the start must not end the process at once.
+    entry::catch_signals();
     log::configure(value_of(input.settings, "log-format") == "json"
                        ? log::format::json
                        : log::format::plain,
--- a/src/entry/entry_instance.cpp
+++ b/src/entry/entry_instance.cpp
@@ -10,6 +10,7 @@
 
 #include <boost/fiber/operations.hpp>
 
+#include <csignal>
 #include <utility>
 
 namespace pimentograde::entry
@@ -144,7 +145,8 @@
                {{"callers", net::to_string(settings.caller_listen)},
                 {"operators", net::to_string(settings.operator_listen)},
                 {"members", net::to_string(settings.peer_listen)}});
-    wait_for_stop_signal();
+    while (wait_for_signal() == SIGHUP)
+        log::write(event_settings_kept);
     return impl_->stop();
 }
 
--- a/src/entry/events.hpp
+++ b/src/entry/events.hpp
@@ -26,6 +26,8 @@
     2109, log::severity::error, "work in progress at the end of the stop"};
 inline constexpr log::event event_document_invalid{
     2110, log::severity::error, "document in the store is invalid"};
+inline constexpr log::event event_settings_kept{
+    2111, log::severity::info, "SIGHUP has no effect on the settings"};
 
 } // namespace pimentograde::entry
 
--- a/src/entry/signal_wait.cpp
+++ b/src/entry/signal_wait.cpp
@@ -13,13 +13,6 @@
 namespace
 {
 
-int wait_for(boost::asio::signal_set& signals)
-{
-    return net::await_io<int>([&](auto done)
-                              { signals.async_wait(std::move(done)); })
-        .value;
-}
-
 // Kept, so that no signal meets the default action between two waits.
 boost::asio::signal_set& caught_signals()
 {
@@ -30,12 +23,6 @@
 
 } // namespace
 
-int wait_for_stop_signal()
-{
-    boost::asio::signal_set signals(net::this_thread_io(), SIGTERM, SIGINT);
-    return wait_for(signals);
-}
-
 void catch_signals()
 {
     caught_signals();
@@ -43,7 +30,9 @@
 
 int wait_for_signal()
 {
-    return wait_for(caught_signals());
+    return net::await_io<int>([](auto done)
+                              { caught_signals().async_wait(std::move(done)); })
+        .value;
 }
 
 } // namespace pimentograde::entry
--- a/src/entry/signal_wait.hpp
+++ b/src/entry/signal_wait.hpp
@@ -4,15 +4,11 @@
 namespace pimentograde::entry
 {
 
-/// Suspends the calling fiber until SIGTERM or SIGINT arrives and returns the
-/// signal's number.
-int wait_for_stop_signal();
-
 /// From here on SIGTERM, SIGINT and SIGHUP are kept for `wait_for_signal`.
 void catch_signals();
 
-/// Like `wait_for_stop_signal`, but returns for SIGHUP too, and for a signal
-/// that arrived earlier if `catch_signals` had been called.
+/// Suspends the calling fiber until one of them arrives, or has arrived since
+/// `catch_signals`, and returns the signal's number.
 int wait_for_signal();
 
 } // namespace pimentograde::entry
