Let the loops of `serve` survive unexpected errors

Found by reading: an error that is no `base::error` ended loops for good that others rely on: heartbeats, the planner, the watch of documents, scans, listeners; and the commits of a record shard waited for ever.

Change: these loops start again; a shard takes such an error of a store call for an unknown effect.

--- a/src/dispatch/fleet_service.cpp
+++ b/src/dispatch/fleet_service.cpp
@@ -404,7 +404,8 @@
 
 void fleet_service::start()
 {
-    impl_->fibers.spawn(
+    impl_->fibers.spawn_restarting(
+        "plan",
         [this]
         {
             while (!impl_->stopping.wait_for(impl_->settings.interval))
@@ -429,7 +430,7 @@
     {
         impl_->run_step();
     }
-    catch (const base::error& failure)
+    catch (const std::exception& failure)
     {
         // A hook failed; the next step retries.
         log::write(event_fleet_step_failed, {{"reason", failure.what()}});
--- a/src/dispatch/job_runner.cpp
+++ b/src/dispatch/job_runner.cpp
@@ -242,7 +242,8 @@
 
 void job_runner::start()
 {
-    impl_->scanner.spawn(
+    impl_->scanner.spawn_restarting(
+        "scan jobs",
         [state = impl_.get()]
         {
             const auto interval = state->settings().scan_interval;
--- a/src/entry/worker_watch.cpp
+++ b/src/entry/worker_watch.cpp
@@ -128,8 +128,10 @@
 
 void worker_watch::start()
 {
-    impl_->fibers.spawn([this] { impl_->run_reports(); });
-    impl_->fibers.spawn([this] { impl_->run_list(); });
+    impl_->fibers.spawn_restarting("read worker reports",
+                                   [this] { impl_->run_reports(); });
+    impl_->fibers.spawn_restarting("read instance list",
+                                   [this] { impl_->run_list(); });
 }
 
 void worker_watch::stop()
--- a/src/membership/member_service.cpp
+++ b/src/membership/member_service.cpp
@@ -195,7 +195,8 @@
                 .random_seed(random.bits())
                 .build();
         links.emplace(where, client);
-        fibers.spawn([this, where, client] { heartbeat_loop(where, client); });
+        fibers.spawn_restarting("send heartbeats", [this, where, client]
+                                { heartbeat_loop(where, client); });
     }
 }
 
@@ -438,9 +439,11 @@
 
 void member_service::start()
 {
-    impl_->fibers.spawn([self = impl_.get()] { self->tick_loop(); });
+    impl_->fibers.spawn_restarting("check members",
+                                   [self = impl_.get()] { self->tick_loop(); });
     if (impl_->given.store_.acquire_lease)
-        impl_->fibers.spawn([self = impl_.get()] { self->store_loop(); });
+        impl_->fibers.spawn_restarting("register member", [self = impl_.get()]
+                                       { self->store_loop(); });
 }
 
 void member_service::announce_leaving(base::time_point deadline)
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -290,7 +290,8 @@
         throw base::error(base::error_code::unavailable, "listen",
                           to_string(where_), failure.what());
     }
-    state->fibers.spawn([self = state.get()] { self->accept_loop(); });
+    state->fibers.spawn_restarting("accept connections", [self = state.get()]
+                                   { self->accept_loop(); });
     return std::unique_ptr<http_server>(new http_server(std::move(state)));
 }
 
--- a/src/peer/peer_server.cpp
+++ b/src/peer/peer_server.cpp
@@ -291,7 +291,8 @@
     state->max_connections = max_connections_;
     state->idle_timeout = idle_timeout_;
     state->bind(where_);
-    state->fibers.spawn([self = state.get()] { self->accept_loop(); });
+    state->fibers.spawn_restarting("accept connections", [self = state.get()]
+                                   { self->accept_loop(); });
     return std::unique_ptr<peer_server>(new peer_server(std::move(state)));
 }
 
--- a/src/records/record_shard.cpp
+++ b/src/records/record_shard.cpp
@@ -244,12 +244,15 @@
         written = env.store.compare_and_swap(key, version, value,
                                              start + env.timing.call_timeout);
     }
-    catch (const base::error& failure)
+    catch (const std::exception& failure)
     {
         valid = false;
+        const auto* known = dynamic_cast<const base::error*>(&failure);
+        const bool is_without_effect =
+            known != nullptr && !known->effect_unknown();
         for (std::size_t i = 0; i < batch.size(); ++i)
         {
-            if (!failure.effect_unknown() ||
+            if (is_without_effect ||
                 results[i].outcome != commit_outcome::applied)
                 continue;
             batch[i]->in_doubt = true;
@@ -296,6 +299,14 @@
             expire(0ns);
             back_off();
         }
+        catch (const std::exception& failure)
+        {
+            valid = false;
+            note_failure({base::error_code::internal, "write records", key,
+                          failure.what()});
+            expire(0ns);
+            back_off();
+        }
     }
     if (abandoned.is_set())
         expire(0ns);
--- a/src/rollout/document_service.cpp
+++ b/src/rollout/document_service.cpp
@@ -239,8 +239,10 @@
 void document_service::start()
 {
     impl_->last_observed = impl_->clock();
-    impl_->fibers.spawn([self = impl_.get()] { self->tick_loop(); });
-    impl_->fibers.spawn([self = impl_.get()] { self->watch_loop(); });
+    impl_->fibers.spawn_restarting("check documents",
+                                   [self = impl_.get()] { self->tick_loop(); });
+    impl_->fibers.spawn_restarting("watch documents", [self = impl_.get()]
+                                   { self->watch_loop(); });
 }
 
 void document_service::stop()
--- a/tests/fleet/fleet_service_test.cpp
+++ b/tests/fleet/fleet_service_test.cpp
@@ -454,6 +454,27 @@
     CHECK(wave.at("done") == planner->snapshot().at("waves").at(0).at("done"));
 }
 
+// Guards against a fleet that nobody plans for any more after an error that no
+// call names.
+TEST_CASE("the loop goes on after an unexpected error")
+{
+    net::this_thread_io();
+    fake_platform platform(small_bundle());
+    dispatch::fleet_settings settings;
+    settings.interval = 1ms;
+    auto service = platform.make_service("a", settings);
+    platform.before_swap = []
+    {
+        throw std::runtime_error("unexpected");
+    };
+    service->start();
+    const auto end = base::steady_now() + 3s;
+    while (!platform.has_state() && base::steady_now() < end)
+        boost::this_fiber::sleep_for(1ms);
+    CHECK(platform.has_state());
+    service->stop();
+}
+
 // Guards against a planner that decides from its cached view after the lease
 // was with another one.
 TEST_CASE("a planner that lost its lease reads again when it returns")
--- a/tests/membership/member_service_test.cpp
+++ b/tests/membership/member_service_test.cpp
@@ -200,6 +200,35 @@
     }
 }
 
+// Guards against a member that is cut off from the others for good after an
+// unexpected error, for example of one that listens to its changes.
+TEST_CASE("heartbeats and checks go on after an unexpected error")
+{
+    net::this_thread_io();
+    fake_store store;
+    store.up = false;
+    test_member first("a", store, {}, 1);
+    bool fails = true;
+    const auto fail_once = [&](const membership::member_change&)
+    {
+        if (std::exchange(fails, false))
+            throw std::runtime_error("unexpected");
+    };
+    auto second = std::make_unique<test_member>(
+        "b", store, std::vector{first.server->local_endpoint()}, 1);
+    second->service->on_change(fail_once);
+    REQUIRE(wait_for([&] { return second->live() == 2 && !fails; }, 2s));
+    // Past the time after which a silent member is dropped.
+    boost::this_fiber::sleep_for(4s);
+    CHECK(first.live() == 2);
+    CHECK(second->live() == 2);
+    fails = true;
+    first.service->on_change(fail_once);
+    second = nullptr;
+    CHECK(wait_for([&] { return first.live() == 1; }, 5s));
+    CHECK_FALSE(fails);
+}
+
 // Guards against a member that drops all others, and what they own, since its
 // machine was suspended, or that does not notice the suspension at all.
 TEST_CASE("a suspension is noticed as a pause, and nobody is dropped for it")
--- a/tests/records/record_shard_test.cpp
+++ b/tests/records/record_shard_test.cpp
@@ -101,6 +101,35 @@
 }
 
 } // namespace
+// for ever, after an error that its store calls do not name.
+TEST_CASE("a shard goes on after an unexpected error")
+{
+    shard_fixture f;
+    const auto shard = f.make_shard(1);
+    int calls = 0;
+    f.store.next_fault = [&]
+    {
+        if (++calls == 2)
+            throw std::runtime_error("unexpected");
+        return store_fault::none;
+    };
+    std::optional<commit_outcome> outcome;
+    net::task_group fibers;
+    fibers.spawn(
+        [&]
+        {
+            outcome =
+                shard
+                    ->commit(identity_of("k"), insert("lease", start_time),
+                             base::steady_now() + 2s)
+                    .outcome;
+        });
+    CHECK(fibers.join_until(base::steady_now() + 4s));
+    CHECK(outcome == commit_outcome::applied);
+    shard->abandon();
+}
+
+// namespace
 
 // Guards against one write for each record: the store takes only several
 // hundred writes a second.
