Let a started instance ask for the newest bundle before it takes work

Found by reading: after a restart `serve` took work under the first bundle that any member reported; a key that a newer one withdraws was in use again until the store had been read.

Change: an instance starts in the state that it has after a pause.

Evidence: the new case of document_service_test failed without the change (ready under version 1, version 2 in the store).

--- a/src/rollout/document_service.cpp
+++ b/src/rollout/document_service.cpp
@@ -239,6 +239,8 @@
 void document_service::start()
 {
     impl_->last_observed = impl_->clock();
+    // What one member reports first may be outdated.
+    impl_->resuming = true;
     impl_->fibers.spawn_restarting("check documents",
                                    [self = impl_.get()] { self->tick_loop(); });
     impl_->fibers.spawn_restarting("watch documents", [self = impl_.get()]
--- a/src/rollout/document_service.hpp
+++ b/src/rollout/document_service.hpp
@@ -34,7 +34,8 @@
     ready,
     /// No bundle known yet.
     no_bundle,
-    /// After a pause: the newest versions have not been asked for yet.
+    /// After the start or a pause: the newest versions have not been asked for
+    /// yet.
     resuming,
     /// Neither store nor members reached for 8 s.
     out_of_contact
@@ -137,7 +138,8 @@
     /// By the present time of the service's clock.
     [[nodiscard]] admission admit();
 
-    /// Starts the fibers of the watch and the contact check.
+    /// Starts the fibers of the watch and the contact check, which ask for the
+    /// newest versions first.
     void start();
     /// Does not wait for a pending long poll, which ends at its own deadline
     /// without any effect.
--- a/tests/rollout/document_service_test.cpp
+++ b/tests/rollout/document_service_test.cpp
@@ -113,6 +113,29 @@
     CHECK(from_peer.document.version() == 3);
 }
 
+// Guards against a restarted instance at which a withdrawn key is in use again,
+// since a member that has missed the newest bundle answered first.
+TEST_CASE("a started instance takes no work by what one member has")
+{
+    fixture f;
+    f.sign_off();
+    f.sign_off();
+    f.peer_version = 1;
+    f.service->start();
+    peer::heartbeat beat;
+    beat.sender.id = base::member_id("peer");
+    beat.bundle.version = 1;
+    f.service->heard(beat, base::steady_now());
+    f.service->settle();
+    REQUIRE(f.document.version() == 1);
+    CHECK(f.service->admit() == admission::resuming);
+    const auto end = base::steady_now() + 1s;
+    while (f.service->admit() != admission::ready && base::steady_now() < end)
+        boost::this_fiber::sleep_for(10ms);
+    CHECK(f.service->admit() == admission::ready);
+    CHECK(f.document.version() == 2);
+}
+
 // Guards against a resumed instance that takes work under the bundle that was
 // in force before its pause.
 TEST_CASE("after a pause no new work is taken before a check")
