--- a/tests/membership/member_service_test.cpp
+++ b/tests/membership/member_service_test.cpp
@@ -68,7 +68,8 @@
 {
     test_member(const std::string& name, fake_store& store,
                 std::vector<net::endpoint> contacts, std::uint64_t incarnation,
-                net::endpoint where = {"127.0.0.1", 0})
+                net::endpoint where = {"127.0.0.1", 0},
+                std::function<base::time_point()> clock = base::steady_now)
     {
         const peer::credentials own{{base::member_id(name), incarnation},
                                     "secret"};
@@ -90,6 +91,7 @@
                       .store(store.operations())
                       .first_contacts(std::move(contacts))
                       .random_seed(incarnation)
+                      .clock(std::move(clock))
                       .build();
         service->on_change([this](const membership::member_change& change)
                            { changes.push_back(change); });
@@ -201,6 +203,57 @@
     }
 }
 
+// Guards against a member that is cut off from the others for good after an
+// unexpected error, for example of one that listens to its changes.
+TEST_CASE("heartbeats and checks go on after an unexpected error")
+{
+    net::this_thread_io();
+    fake_store store;
+    store.up = false;
+    test_member first("a", store, {}, 1);
+    bool fails = true;
+    const auto fail_once = [&](const membership::member_change&)
+    {
+        if (std::exchange(fails, false))
+            throw std::runtime_error("unexpected");
+    };
+    auto second = std::make_unique<test_member>(
+        "b", store, std::vector{first.server->local_endpoint()}, 1);
+    second->service->on_change(fail_once);
+    REQUIRE(wait_for([&] { return second->live() == 2 && !fails; }, 2s));
+    // Past the time after which a silent member is dropped.
+    boost::this_fiber::sleep_for(4s);
+    CHECK(first.live() == 2);
+    CHECK(second->live() == 2);
+    fails = true;
+    first.service->on_change(fail_once);
+    second = nullptr;
+    CHECK(wait_for([&] { return first.live() == 1; }, 5s));
+    CHECK_FALSE(fails);
+}
+
+// Guards against a member that drops all others, and what they own, since its
+// machine was suspended, or that does not notice the suspension at all.
+TEST_CASE("a suspension is noticed as a pause, and nobody is dropped for it")
+{
+    net::this_thread_io();
+    fake_store store;
+    store.up = false;
+    base::duration suspended{};
+    test_member first("a", store, {}, 1, {"127.0.0.1", 0},
+                      [&] { return base::steady_now() + suspended; });
+    test_member second("b", store, {first.server->local_endpoint()}, 1);
+    REQUIRE(
+        wait_for([&] { return first.live() == 2 && second.live() == 2; }, 2s));
+    first.changes.clear();
+    suspended += 60s;
+    CHECK(wait_for([&] { return !first.changes.empty(); }, 1s));
+    boost::this_fiber::sleep_for(1s);
+    REQUIRE(first.changes.size() == 1);
+    CHECK(first.changes[0].kind == membership::change_kind::paused);
+    CHECK(first.live() == 2);
+}
+
 // Guards against a member that speaks for another.
 TEST_CASE("a heartbeat that names another sender is refused")
 {
