--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -162,7 +162,7 @@
 pool_gateway::refuse_unless_stored(std::string_view pool, std::string_view id,
                                    std::string reason)
 {
-    const pools::submission_answer accepted{
+    pools::submission_answer accepted{
         submission_kind::accepted, {}, "accepted before"};
     if (forwarded_.is_accepted(pool, id, base::steady_now()))
         return accepted;
--- a/tests/cli/serve_command_test.cpp
+++ b/tests/cli/serve_command_test.cpp
@@ -40,6 +40,7 @@
                                          "1",           "--log-level",
                                          "error"};
     std::vector<const char*> arguments;
+    arguments.reserve(words.size());
     for (const std::string& word : words)
         arguments.push_back(word.c_str());
     std::ostringstream out;
--- a/tests/membership/member_service_test.cpp
+++ b/tests/membership/member_service_test.cpp
@@ -74,7 +74,7 @@
                                     "secret"};
         server =
             peer::peer_server::builder{}
-                .listen_on(where)
+                .listen_on(std::move(where))
                 .authenticate_as(own)
                 .handle<peer::heartbeat>(
                     [this](const auto& context, const peer::heartbeat& beat)
