Outdate acknowledgements that were cut off, too

Callers see TWICE: a task starts again after its end was taken note of.

Cause: a poll whose connection is cut may be carried out late, like one that times out, but only the latter counted as open: a later start had the fence of the poll. If the worker restarts and both arrive, the poll makes the worker forget the end of the run that the start has begun.

Change: each poll with an unknown effect counts as open for the fence of later starts.

Evidence: the case runs with a connection that is cut, too; without the change it fails there (run 1 ended done at 5772 ms, acknowledged at 6162 ms, run 2 began at 7075 ms), with it it passes. The variant that times out passes in both.

--- a/src/pools/worker_link.cpp
+++ b/src/pools/worker_link.cpp
@@ -293,9 +293,11 @@
                                  earlier.fence < asked.fence ||
                                      now >= earlier.arrives_by};
     }
-    const auto end_acknowledgement = [&](bool may_arrive)
+    // One that was cut off may arrive, too, but holds no starts back for the
+    // whole time: a higher fence is enough for those.
+    const auto end_acknowledgement = [&](bool may_arrive, bool is_timed_out)
     {
-        state_.end_acknowledgement(worker_.id, may_arrive);
+        state_.end_acknowledgement(worker_.id, is_timed_out);
         open_acknowledgement_.is_under_way = false;
         if (request.stored_end > 0 && !may_arrive)
             open_acknowledgement_ = earlier;
@@ -305,7 +307,7 @@
         const auto listing =
             client_.list(asked, request, poll_deadline(now, request.wait));
         note_answered(sent);
-        end_acknowledgement(false);
+        end_acknowledgement(false, false);
         if (is_stopping_ || !apply(listing, asked, now))
             return;
         // After a restart no end of the new incarnation is stored yet.
@@ -317,13 +319,14 @@
     catch (const base::error& failure)
     {
         note_failed(sent, failure.effect_unknown());
-        end_acknowledgement(failure.code() == base::error_code::timeout);
+        end_acknowledgement(failure.effect_unknown(),
+                            failure.code() == base::error_code::timeout);
         handle_poll_failure(failure.what());
     }
     catch (const std::exception& failure)
     {
         note_failed(sent, true);
-        end_acknowledgement(true);
+        end_acknowledgement(true, true);
         handle_poll_failure(failure.what());
     }
 }
--- a/tests/pools/late_start_test.cpp
+++ b/tests/pools/late_start_test.cpp
@@ -137,21 +137,28 @@
 TEST_CASE("an acknowledgement sent before a late start hides no end of it")
 {
     constexpr auto poll_delay = 6s;
-    late_pool all;
-    auto& worker = all.platform.worker("w1");
-    worker.late.next_acknowledgements = 1;
-    worker.late.from = worker.late.to = poll_delay;
-    all.submit();
-    REQUIRE(eventually([&] { return worker.late_count == 1; }, 3s));
-    const auto arrives_at = base::steady_now() + poll_delay;
-    REQUIRE(eventually([&] { return all.accepts_starts("w1"); }, 4s));
-    // The end must not lapse before the poll arrives.
-    worker.late.next_starts = 1;
-    worker.late.from = worker.late.to = arrives_at - base::steady_now() - 700ms;
-    all.submit(id_b);
-    REQUIRE(eventually([&] { return worker.late_count == 2; }, 500ms));
-    worker.is_silent = true;
-    worker.restart();
-    all.check_until_completed(arrives_at + 300ms, id_b);
-    CHECK(all.platform.completions_of(id_b + ".0.0.0") == 1);
+    for (const int cut_percentage : {0, 100})
+    {
+        CAPTURE(cut_percentage);
+        late_pool all;
+        auto& worker = all.platform.worker("w1");
+        worker.late.next_acknowledgements = 1;
+        worker.late.from = worker.late.to = poll_delay;
+        worker.late.cut = cut_percentage;
+        all.submit();
+        REQUIRE(eventually([&] { return worker.late_count == 1; }, 3s));
+        const auto arrives_at = base::steady_now() + poll_delay;
+        REQUIRE(eventually([&] { return all.accepts_starts("w1"); }, 4s));
+        // The end must not lapse before the poll arrives.
+        worker.late.cut = 0;
+        worker.late.next_starts = 1;
+        worker.late.from = worker.late.to =
+            arrives_at - base::steady_now() - 700ms;
+        all.submit(id_b);
+        REQUIRE(eventually([&] { return worker.late_count == 2; }, 500ms));
+        worker.is_silent = true;
+        worker.restart();
+        all.check_until_completed(arrives_at + 300ms, id_b);
+        CHECK(all.platform.completions_of(id_b + ".0.0.0") == 1);
+    }
 }
