Claim no refusal of a job that another pool may have

Callers see: 503, "never runs", for a job that runs. An owner that had left a job to another pool refused a submission of it that came late.

Change: it answers that the outcome is unknown.

The case of test_node asked for the refusal, which was wrong, since the job completes in the other pool; it asks for the unknown outcome now, and for one start as before. The case of a cancelled job checks, as before, that a late submission is not accepted.

--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -428,7 +428,7 @@
         answer.reason = "the store is away";
     else if (impl_->state.find_job(id) == nullptr &&
              impl_->state.is_denied(id, now))
-        answer.reason = "the job was denied";
+        answer = {kind::unknown, {}, "the job may be in another pool"};
     else
     {
         result = impl_->state.submit(id, std::move(spec), queue, now,
