Count the instances that exclude a submission

An inquiry that ended by an unexpected error counted as one that excludes an earlier submission, so that a job could be refused that may run. Only answers count now. By reading; there is no test that lets an inquiry fail so.

--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -212,19 +212,18 @@
         return false;
     ++open_inquiries_;
     const peer::query_forwarded message{std::string(pool), std::string(id)};
-    bool has_none = true;
+    std::size_t excluding = 0;
     net::task_group queries;
     for (const net::endpoint& address : others)
         queries.spawn(
             [&]
             {
-                has_none =
-                    member_excludes(address, message, now + inquiry_limit) &&
-                    has_none;
+                if (member_excludes(address, message, now + inquiry_limit))
+                    ++excluding;
             });
     queries.join();
     --open_inquiries_;
-    return has_none;
+    return excluding == others.size();
 }
 
 bool pool_gateway::member_excludes(const net::endpoint& address,
