Drop denied jobs once a second

Each denial looked at all those of the last 20 s: the time grew with the square of the rate, which is that of all submissions to a queue that has moved.

--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -26,6 +26,7 @@
 constexpr std::chrono::seconds refusal_retention{20};
 // A submission may be under way for this long; calls take 10 s at most.
 constexpr std::chrono::seconds denial_retention{20};
+constexpr std::chrono::seconds denial_removal_interval{1};
 // How long calls that were left unanswered count for the whole pool.
 constexpr std::chrono::seconds unanswered_calls_memory{30};
 
@@ -251,8 +252,12 @@
 
 void pool_state::deny(std::string_view id, base::time_point now)
 {
-    std::erase_if(denied_at_, [&](const auto& entry)
-                  { return now - entry.second > denial_retention; });
+    if (now >= next_denial_removal_)
+    {
+        next_denial_removal_ = now + denial_removal_interval;
+        std::erase_if(denied_at_, [&](const auto& entry)
+                      { return now - entry.second > denial_retention; });
+    }
     denied_at_.insert_or_assign(std::string(id), now);
 }
 
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -526,6 +526,7 @@
     std::map<std::string, base::time_point, std::less<>> first_refused_at_;
     /// Jobs that callers were told do not exist, with the time.
     std::map<std::string, base::time_point, std::less<>> denied_at_;
+    base::time_point next_denial_removal_{};
     std::vector<stop_order> stops_;
     arrival_rate arrivals_;
     /// Times of crashes that no task has caused by its start.
