Count the stops of earlier owners from the first answer of any length

A first report that lists few of its ends did not set the time from which a worker refuses earlier owners, so that their stops counted as over. By reading; the case of a complete report is tested as before.

--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -160,12 +160,10 @@
                       worker->description.id,
                       "runs=" + std::to_string(report.running.size()) +
                           " ends=" + std::to_string(report.ended.size())});
+    if (worker->heard_since == base::time_point{})
+        worker->heard_since = now;
     if (!report.is_truncated)
-    {
-        if (!worker->knowledge.has_reported())
-            worker->heard_since = now;
         worker->knowledge.note_report();
-    }
     worker->is_reachable = true;
     worker->is_silent = false;
     worker->reported_at = now;
