Explain jobs whose ids have only digits

Such an id was taken for the number of a wave; an empty id matched other lines; logs in the plain format ended in "no line names" without the number of lines that cannot be read.

--- a/src/cli/explain_command.cpp
+++ b/src/cli/explain_command.cpp
@@ -8,6 +8,8 @@
 
 #include <fstream>
 #include <iostream>
+#include <span>
+#include <string>
 
 namespace pimentograde::cli
 {
@@ -65,10 +67,23 @@
             {"warnings", std::move(warnings)}};
 }
 
+// Plain logs, for example, cannot be read at all.
+std::string describe_nothing(const std::string& id,
+                             std::span<const std::string> warnings)
+{
+    std::string text = "no line names " + id;
+    for (const std::string& warning : warnings)
+        text.append("; ").append(warning);
+    return text;
+}
+
 exit_code run_explain(command_input& input)
 {
     const std::string& id = input.arguments[0];
     const std::string& path = input.arguments[1];
+    if (id.empty())
+        throw base::error(base::error_code::invalid, "explain", "",
+                          "the id is empty");
     log_timeline timeline(id);
     if (path == standard_input)
         timeline.read(std::cin);
@@ -83,7 +98,7 @@
     const explanation found = timeline.explain();
     if (found.lines.empty())
         throw base::error(base::error_code::not_found, "read logs", path,
-                          "no line names " + id);
+                          describe_nothing(id, found.warnings));
     const json::value value = to_json(found, input.json);
     if (input.json)
         input.out << json::serialize(value) << '\n';
--- a/src/cli/log_timeline.cpp
+++ b/src/cli/log_timeline.cpp
@@ -84,9 +84,13 @@
     return false;
 }
 
-bool is_number(std::string_view id)
+// Ids of jobs are longer, and may consist of digits too.
+constexpr std::size_t max_wave_digits = 10;
+
+bool is_wave_number(std::string_view id)
 {
-    return std::all_of(id.begin(), id.end(),
+    return id.size() <= max_wave_digits &&
+           std::all_of(id.begin(), id.end(),
                        [](unsigned char letter)
                        { return std::isdigit(letter) != 0; });
 }
@@ -191,7 +195,7 @@
 
 bool log_timeline::impl::is_named(const log_line& line) const
 {
-    if (is_number(id))
+    if (is_wave_number(id))
         return line.value_of("wave") == id;
     return std::any_of(line.fields.begin(), line.fields.end(),
                        [&](const auto& field)
--- a/tests/cli/log_timeline_test.cpp
+++ b/tests/cli/log_timeline_test.cpp
@@ -131,3 +131,11 @@
     CHECK(explain("w1", logs).lines.empty());
     CHECK(explain("1", logs).lines.size() == 1);
 }
+
+TEST_CASE("a job whose id has only digits is no wave")
+{
+    const std::string id = "4543152381901234";
+    const std::string logs =
+        line("10.000", "PG-3204", "a", "\"job\":\"" + id + "\"");
+    CHECK(explain(id, logs).lines.size() == 1);
+}
