Wait for the start of a job whose owner ends

The case failed when its process was stopped for 1.3 s, 1.6 s after the begin: the owner ended before it had started the task, which the next owner starts a moment later. It waits for the first start now, and still checks that there is one, also 300 ms later.

--- a/tests/node/earlier_call_test.cpp
+++ b/tests/node/earlier_call_test.cpp
@@ -34,7 +34,14 @@
     all.entries[owner].reset();
     CHECK(eventually(
         [&] { return all.client.submit(asked, id_a, lasting) == 200; }));
-    CHECK(all.platform.starts_of(id_a + ".0.0.0") == 1);
+    // The earlier owner may have ended before it has started the task.
+    const auto starts = [&]
+    {
+        return all.platform.starts_of(id_a + ".0.0.0");
+    };
+    CHECK(eventually([&] { return starts() > 0; }));
+    boost::this_fiber::sleep_for(300ms);
+    CHECK(starts() == 1);
 }
 
 // Guards against a refusal of a job that an instance has forwarded which does
