Test that denied jobs are kept for as long as a submission may be under way

The new case checks that a job is denied for 20 s, that another denial at 19 s does not end that, and that it is gone afterwards.

--- a/tests/jobs/pool_state_test.cpp
+++ b/tests/jobs/pool_state_test.cpp
@@ -641,3 +641,19 @@
     CHECK_FALSE(pool.state.withdraw("written"));
     CHECK(pool.state.find_job("written") != nullptr);
 }
+
+// Guards against a submission that was under way when callers were told that
+// there is no such job, and against denials that are kept for ever.
+TEST_CASE("a denied job stays denied while a submission may be under way")
+{
+    pool_state state("pool");
+    const base::time_point begin = base::steady_now();
+    state.deny("a", begin);
+    CHECK_FALSE(state.is_denied("b", begin));
+    state.deny("b", begin + 19s);
+    CHECK(state.is_denied("a", begin + 20s));
+    CHECK_FALSE(state.is_denied("a", begin + 20s + 1ms));
+    state.deny("b", begin + 30s);
+    CHECK_FALSE(state.is_denied("a", begin));
+    CHECK(state.is_denied("b", begin + 30s));
+}
