--- a/review/lib-2/standin.py
+++ b/review/lib-2/standin.py
@@ -11,6 +11,7 @@
 import json
 import os
 import shlex
+import shutil
 import signal
 import socket
 import subprocess
@@ -468,6 +469,8 @@
         self.start()
 
     def start(self):
+        if self.platform.is_ending:
+            return
         path = os.path.join(self.platform.folder, self.name + ".json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(self.settings, file)
@@ -541,6 +544,7 @@
         self.workers = []
         self.instances = []
         self.records = []
+        self.is_ending = False
         # Runs are not logged one by one.
         self.is_brief = False
         self.lock = threading.Lock()
@@ -612,27 +616,22 @@
                     if record["task"].startswith(job + ".")]
 
     def stop(self):
-        for one in self.instances:
-            if one.process and one.process.poll() is None:
+        self.is_ending = True
+        started = [one for one in self.instances if one.process]
+        for one in started:
+            if one.process.poll() is None:
                 one.process.send_signal(signal.SIGCONT)
                 one.process.send_signal(signal.SIGTERM)
-        for one in self.instances:
+        for one in started:
             try:
                 one.process.wait(7)
             except subprocess.TimeoutExpired:
                 one.process.kill()
                 one.process.wait()
-        for one in self.instances:
-            try:
-                os.unlink(os.path.join(self.folder, one.name + ".json"))
-                if "KEEP_LOGS" not in os.environ:
-                    os.unlink(os.path.join(self.folder, one.name + ".log"))
-            except OSError:
-                pass
         if "KEEP_LOGS" in os.environ:
             print("logs in", self.folder)
         else:
-            os.rmdir(self.folder)
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def wait_for_service(platform, services):
@@ -691,7 +690,10 @@
             platform.log.write(f"could not run: {failure!r}")
         else:
             print("could not run:", repr(failure))
-    finally:
+    try:
         if platform:
             platform.stop()
+    except Exception as failure:
+        print("could not end all processes:", repr(failure))
+        status = 2
     os._exit(status)
