--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# The stand-ins of the cases 6 to 10 are Python 3.11 programs that use its
+# The stand-ins of the cases 6 to 9 are Python 3.11 programs that use its
 # standard library only: there is nothing to compile, only to check.
 cd "$(dirname "$0")" && exec python3 - <<'CHECK'
 import ast
