Accept new jobs only under their queue's newest assignment

The same request arrives again at an instance that is cut off from the store, and the job is accepted and run again at the old one.

Cause: nothing bound an acceptance to the queue's present pool. An owner accepted whatever an instance sent, however old that instance's configuration. It only remembered for 20 s, in memory, which jobs it had denied to others, so a restart or a hand-over of the owner, a pool without an owner at the time of the question, or a queue that moved back broke the promise.

Change: the record of the queues' pools orders each queue's assignments by the version that made them. Requests for a pool state the newest assignment that the sender has read. An owner reads the record after its claim, learns of newer assignments by the questions of others, and accepts new jobs only under the newest one, if that names its pool. Otherwise the outcome is unknown (504). It denies a job, and counts jobs, only for senders that know the newest assignment (503 otherwise). An assignment is stored before the queue's other pools are asked; for a pool without an owner the claim is read first, then the job and the record. What an instance has forwarded is remembered by queue in place of pool. A refusal after a pause asks the owner, which keeps the job from being accepted later; a queue whose assignment cannot be stored yields 504 in place of a refusal.

Why this works: the first acceptance in a new pool comes after the assignment was stored and after each owner of an earlier pool has been told of it; owners that begin later have read it.

--- a/src/node/caller_api.cpp
+++ b/src/node/caller_api.cpp
@@ -6,6 +6,8 @@
 #include "platform/caller_protocol.hpp"
 #include "platform/job_document.hpp"
 
+#include <boost/fiber/operations.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -24,6 +26,9 @@
 constexpr std::chrono::seconds outage_retry_after{1};
 // Time reserved for sending a refusal.
 constexpr std::chrono::milliseconds refusal_reserve{150};
+// The record of the queues' pools may arrive shortly before the configuration.
+constexpr std::chrono::milliseconds max_reassignment_wait{500};
+constexpr std::chrono::milliseconds reassignment_poll_interval{10};
 
 constexpr std::string_view outdated_reason =
     "the configuration may be outdated after a pause";
@@ -156,25 +161,27 @@
         current.reason = failure.detail();
         return {bad_request, platform::write_reason(current.reason)};
     }
-    const auto known_pools = queues_.earlier_pools(route);
-    if (auto known = find_in_earlier_pools(current, route))
+    // Stored before the earlier pools are asked: from then on each owner of
+    // them learns of the assignment, by the question or from the store.
+    const auto assignment =
+        queues_.wait_stored(route, current.deadline - refusal_reserve);
+    if (!assignment && queues_.knowledge().is_superseded(route))
+        return submit_reassigned(current);
+    if (auto known = find_in_earlier_pools(
+            current, route,
+            assignment.value_or(queues_.knowledge().newest(route))))
         return *known;
-    std::string_view obstacle;
-    if (!queues_.wait_stored(route, current.deadline - refusal_reserve))
-        obstacle = "the queue's pool is not stored yet";
-    // The stored record may name pools of configurations that this instance has
-    // not seen.
-    if (obstacle.empty() && queues_.earlier_pools(route) != known_pools)
-        if (auto known = find_in_earlier_pools(current, route))
-            return *known;
-    if (obstacle.empty() && !is_current_())
-        obstacle = outdated_reason;
+    if (!assignment)
+    {
+        current.reason = "the queue's pool is not stored yet";
+        return retry_later(outage_retry_after, current.reason, gateway_timeout);
+    }
     const auto reply =
-        obstacle.empty()
-            ? gateway_.submit(route.policy, current.job, std::move(spec),
-                              current.deadline)
-            : gateway_.refuse_unless_stored(route.policy.pool, current.job,
-                                            std::string(obstacle));
+        is_current_()
+            ? gateway_.submit(route.policy, *assignment, current.job,
+                              std::move(spec), current.deadline)
+            : gateway_.refuse(route.policy, *assignment, current.job,
+                              std::string(outdated_reason), current.deadline);
     current.reason = reply.reason;
     if (reply.outcome == submission_kind::accepted)
         return {ok, "{}"};
@@ -186,17 +193,32 @@
     return retry_later(reply.retry_after, reply.reason, gateway_timeout);
 }
 
+net::http_response caller_api::submit_reassigned(call& current)
+{
+    const std::int64_t version = configuration_->version;
+    const base::time_point until =
+        std::min<base::time_point>(current.deadline - refusal_reserve,
+                                   base::steady_now() + max_reassignment_wait);
+    while (configuration_->version == version && base::steady_now() < until)
+        boost::this_fiber::sleep_for(reassignment_poll_interval);
+    if (configuration_->version != version)
+        return answer_by_configuration(current);
+    current.reason = "the queue has been assigned to another pool";
+    return retry_later(outage_retry_after, current.reason, gateway_timeout);
+}
+
 // If the queue's pool has changed, a resubmitted job may already exist in an
 // earlier pool; it must not be accepted a second time.
 std::optional<net::http_response>
 caller_api::find_in_earlier_pools(call& current,
-                                  const platform::queue_route& route)
+                                  const platform::queue_route& route,
+                                  const peer::queue_assignment& assignment)
 {
     const auto policies = policies_of(route);
     for (std::size_t index = 1; index < policies.size(); ++index)
     {
         const auto reply = gateway_.status_before_submission(
-            policies[index], current.job, current.deadline);
+            policies[index], assignment, current.job, current.deadline);
         if (reply.outcome == job_kind::found)
         {
             current.reason = "accepted before";
@@ -215,7 +237,7 @@
 caller_api::policies_of(const platform::queue_route& route) const
 {
     std::vector<jobs::queue_policy> policies{route.policy};
-    for (const std::string& pool : queues_.earlier_pools(route))
+    for (const std::string& pool : queues_.knowledge().earlier_pools(route))
     {
         policies.push_back(route.policy);
         policies.back().pool = pool;
@@ -226,10 +248,11 @@
 net::http_response caller_api::status(call& current)
 {
     bool is_certain = true;
+    const auto assignment = queues_.knowledge().newest(*current.route);
     for (const auto& queue : policies_of(*current.route))
     {
         const auto reply =
-            gateway_.status(queue, current.job, current.deadline);
+            gateway_.status(queue, assignment, current.job, current.deadline);
         if (reply.outcome == job_kind::found)
             return {ok, platform::write_status(reply.status)};
         is_certain = is_certain && reply.outcome == job_kind::absent;
@@ -246,10 +269,11 @@
 net::http_response caller_api::cancel(call& current)
 {
     bool is_certain = true;
+    const auto assignment = queues_.knowledge().newest(*current.route);
     for (const auto& queue : policies_of(*current.route))
     {
         const auto reply =
-            gateway_.cancel(queue, current.job, current.deadline);
+            gateway_.cancel(queue, assignment, current.job, current.deadline);
         if (reply.outcome == job_kind::found)
             return {ok, "{}"};
         is_certain = is_certain && reply.outcome == job_kind::absent;
@@ -269,12 +293,14 @@
 {
     std::int64_t count = 0;
     const std::string current_pool = current.route->policy.pool;
+    const auto assignment = queues_.knowledge().newest(*current.route);
     for (const auto& queue : policies_of(*current.route))
     {
         if (queue.pool != current_pool &&
             !configuration_->has_active_pool(queue.pool))
             continue;
-        const auto pending = gateway_.pending(queue, current.deadline);
+        const auto pending =
+            gateway_.pending(queue, assignment, current.deadline);
         if (!pending)
         {
             current.reason = "the pool's owner does not answer";
--- a/src/node/caller_api.hpp
+++ b/src/node/caller_api.hpp
@@ -40,8 +40,13 @@
     net::http_response answer(call& current);
     net::http_response answer_by_configuration(call& current);
     net::http_response submit(call& current);
+    /// Waits until this instance has the configuration that has assigned the
+    /// queue to another pool, and submits the job by it.
+    net::http_response submit_reassigned(call& current);
+    /// Empty if no earlier pool of the queue has the job.
     std::optional<net::http_response>
-    find_in_earlier_pools(call& current, const platform::queue_route& route);
+    find_in_earlier_pools(call& current, const platform::queue_route& route,
+                          const peer::queue_assignment& assignment);
     net::http_response status(call& current);
     net::http_response cancel(call& current);
     net::http_response pending_count(call& current);
--- a/src/node/forwarded_jobs.cpp
+++ b/src/node/forwarded_jobs.cpp
@@ -10,9 +10,9 @@
 
 constexpr std::chrono::seconds drop_interval{1};
 
-std::string key_of(std::string_view pool, std::string_view job)
+std::string key_of(std::string_view queue, std::string_view job)
 {
-    return std::string(pool).append("/").append(job);
+    return std::string(queue).append("/").append(job);
 }
 
 } // namespace
@@ -22,11 +22,11 @@
 {
 }
 
-void forwarded_jobs::note_forwarded(std::string_view pool, std::string_view job,
-                                    base::time_point now)
+void forwarded_jobs::note_forwarded(std::string_view queue,
+                                    std::string_view job, base::time_point now)
 {
     drop_expired(now);
-    std::string key = key_of(pool, job);
+    std::string key = key_of(queue, job);
     if (jobs_.size() >= max_jobs && !jobs_.contains(key))
     {
         incomplete_until_ = now + retention;
@@ -37,16 +37,16 @@
     known.latest = now;
 }
 
-void forwarded_jobs::note_refused(std::string_view pool, std::string_view job)
+void forwarded_jobs::note_refused(std::string_view queue, std::string_view job)
 {
-    const auto found = jobs_.find(key_of(pool, job));
+    const auto found = jobs_.find(key_of(queue, job));
     if (found != jobs_.end() && --found->second.forwarded <= 0)
         jobs_.erase(found);
 }
 
-void forwarded_jobs::note_accepted(std::string_view pool, std::string_view job)
+void forwarded_jobs::note_accepted(std::string_view queue, std::string_view job)
 {
-    const auto found = jobs_.find(key_of(pool, job));
+    const auto found = jobs_.find(key_of(queue, job));
     if (found != jobs_.end())
         found->second.is_accepted = true;
 }
@@ -69,26 +69,26 @@
         left_.erase(found);
 }
 
-const forwarded_jobs::entry* forwarded_jobs::find(std::string_view pool,
+const forwarded_jobs::entry* forwarded_jobs::find(std::string_view queue,
                                                   std::string_view job,
                                                   base::time_point now) const
 {
-    const auto found = jobs_.find(key_of(pool, job));
+    const auto found = jobs_.find(key_of(queue, job));
     return found == jobs_.end() || now - found->second.latest > retention
                ? nullptr
                : &found->second;
 }
 
-bool forwarded_jobs::contains(std::string_view pool, std::string_view job,
+bool forwarded_jobs::contains(std::string_view queue, std::string_view job,
                               base::time_point now) const
 {
-    return find(pool, job, now) != nullptr;
+    return find(queue, job, now) != nullptr;
 }
 
-bool forwarded_jobs::is_accepted(std::string_view pool, std::string_view job,
+bool forwarded_jobs::is_accepted(std::string_view queue, std::string_view job,
                                  base::time_point now) const
 {
-    const entry* known = find(pool, job, now);
+    const entry* known = find(queue, job, now);
     return known != nullptr && known->is_accepted;
 }
 
--- a/src/node/forwarded_jobs.hpp
+++ b/src/node/forwarded_jobs.hpp
@@ -14,7 +14,8 @@
 
 /// Submissions that this instance has forwarded to owners of pools within the
 /// retention time. Tells a first submission from a repeated one while neither
-/// the owner nor the store can be asked.
+/// the owner nor the store can be asked. Queues are named by host and path
+/// prefix, since the queue's pool may change between the two.
 class forwarded_jobs
 {
 public:
@@ -23,11 +24,11 @@
     forwarded_jobs(bool has_predecessor, base::time_point now);
 
     /// A submission is about to be forwarded.
-    void note_forwarded(std::string_view pool, std::string_view job,
+    void note_forwarded(std::string_view queue, std::string_view job,
                         base::time_point now);
     /// It had no effect. To be called once for each `note_forwarded`.
-    void note_refused(std::string_view pool, std::string_view job);
-    void note_accepted(std::string_view pool, std::string_view job);
+    void note_refused(std::string_view queue, std::string_view job);
+    void note_accepted(std::string_view queue, std::string_view job);
     /// Another instance has left, with what it remembered.
     void note_member_left(const std::string& name, std::uint64_t incarnation,
                           base::time_point now);
@@ -36,9 +37,9 @@
     void note_member_present(const std::string& name,
                              std::uint64_t incarnation);
 
-    [[nodiscard]] bool contains(std::string_view pool, std::string_view job,
+    [[nodiscard]] bool contains(std::string_view queue, std::string_view job,
                                 base::time_point now) const;
-    [[nodiscard]] bool is_accepted(std::string_view pool, std::string_view job,
+    [[nodiscard]] bool is_accepted(std::string_view queue, std::string_view job,
                                    base::time_point now) const;
     /// Whether nothing has been forgotten that instances which have ended, or
     /// this one, have forwarded.
@@ -57,7 +58,8 @@
         base::time_point latest{};
     };
 
-    [[nodiscard]] const entry* find(std::string_view pool, std::string_view job,
+    [[nodiscard]] const entry* find(std::string_view queue,
+                                    std::string_view job,
                                     base::time_point now) const;
     void drop_expired(base::time_point now);
 
--- a/src/node/node_instance.cpp
+++ b/src/node/node_instance.cpp
@@ -75,12 +75,12 @@
                    {
                        gateway.note_member_present(entry);
                    }}),
-          claims(members, directory, *store, *worker_http,
+          queues(*store),
+          claims(members, directory, queues, *store, *worker_http,
                  settings.longest_worker_lease, settings.remote_factor,
                  settings.stop_time,
                  [this](bool is_needed) { set_worker_watch(is_needed); }),
-          gateway(members, claims, *store, !settings.is_first_start),
-          queues(*store),
+          gateway(members, claims, queues, *store, !settings.is_first_start),
           caller_requests(gateway, queues, metrics,
                           [this] { return is_configuration_current(); }),
           fleet(members, gateway, *store, *worker_http,
@@ -106,9 +106,9 @@
     std::unique_ptr<net::http_client> worker_http;
     worker_directory directory;
     session members;
+    queue_recorder queues;
     pool_claims claims;
     pool_gateway gateway;
-    queue_recorder queues;
     caller_api caller_requests;
     fleet_manager fleet;
     prefix_watch member_watch;
--- a/src/node/pool_claims.cpp
+++ b/src/node/pool_claims.cpp
@@ -37,12 +37,12 @@
 }
 
 pool_claims::pool_claims(session& members, worker_directory& directory,
-                         platform::store_client& store, net::http_client& http,
-                         base::duration worker_lease, double remote_factor,
-                         base::duration stop_time,
+                         queue_recorder& queues, platform::store_client& store,
+                         net::http_client& http, base::duration worker_lease,
+                         double remote_factor, base::duration stop_time,
                          std::function<void(bool)> needs_workers)
-    : session_(members), directory_(directory), store_(store), http_(http),
-      worker_lease_(worker_lease), remote_factor_(remote_factor),
+    : session_(members), directory_(directory), queues_(queues), store_(store),
+      http_(http), worker_lease_(worker_lease), remote_factor_(remote_factor),
       stop_time_(stop_time), needs_workers_(std::move(needs_workers))
 {
 }
@@ -270,6 +270,7 @@
                     return session_.holds_lease(now) &&
                            session_.may_order(role, revision, now);
                 })
+            .on_load([this] { queues_.refresh(); })
             .on_lost(
                 [this, pool](std::string_view)
                 {
--- a/src/node/pool_claims.hpp
+++ b/src/node/pool_claims.hpp
@@ -5,6 +5,7 @@
 #include "net/http_client.hpp"
 #include "net/task_group.hpp"
 #include "net/wakeup.hpp"
+#include "node/queue_recorder.hpp"
 #include "node/session.hpp"
 #include "node/worker_directory.hpp"
 #include "platform/configuration.hpp"
@@ -39,9 +40,9 @@
     /// `needs_workers` is called with whether this instance owns a pool, since
     /// only owners need the worker directory.
     pool_claims(session& members, worker_directory& directory,
-                platform::store_client& store, net::http_client& http,
-                base::duration worker_lease, double remote_factor,
-                base::duration stop_time,
+                queue_recorder& queues, platform::store_client& store,
+                net::http_client& http, base::duration worker_lease,
+                double remote_factor, base::duration stop_time,
                 std::function<void(bool)> needs_workers);
     ~pool_claims();
     pool_claims(const pool_claims&) = delete;
@@ -77,6 +78,7 @@
 
     session& session_;
     worker_directory& directory_;
+    queue_recorder& queues_;
     platform::store_client& store_;
     net::http_client& http_;
     base::duration worker_lease_;
--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -8,6 +8,7 @@
 #include <boost/fiber/future.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace pimentograde::node
@@ -32,12 +33,6 @@
 constexpr std::chrono::milliseconds inquiry_limit{150};
 constexpr std::size_t max_inquiries = 16;
 
-bool is_final(jobs::reported_status status)
-{
-    return status != jobs::reported_status::queued &&
-           status != jobs::reported_status::running;
-}
-
 base::duration time_left(base::time_point deadline)
 {
     return std::max<base::duration>(
@@ -47,8 +42,10 @@
 } // namespace
 
 pool_gateway::pool_gateway(session& members, pool_claims& claims,
+                           queue_recorder& queues,
                            platform::store_client& store, bool has_predecessor)
-    : session_(members), claims_(claims), store_(store),
+    : session_(members), claims_(claims), queues_(queues), store_(store),
+      owned_(members, claims, queues),
       forwarded_(has_predecessor, base::steady_now())
 {
 }
@@ -99,51 +96,46 @@
     }
 }
 
-pools::submission_answer pool_gateway::submit(const jobs::queue_policy& queue,
-                                              std::string_view id,
-                                              jobs::job_spec spec,
-                                              base::time_point deadline)
+pools::submission_answer pool_gateway::submit(
+    const jobs::queue_policy& queue, const peer::queue_assignment& assignment,
+    std::string_view id, jobs::job_spec spec, base::time_point deadline)
 {
     if (claims_.find(queue.pool) == nullptr)
     {
         const holder* current = session_.holder_of(pool_role(queue.pool));
         if (current == nullptr)
-            return refuse_unless_stored(queue.pool, id,
+            return refuse_unless_stored(assignment, id,
                                         "the pool has no owner");
         if (!liveness_[current->address].should_submit(base::steady_now()))
-            return refuse_unless_stored(queue.pool, id,
+            return refuse_unless_stored(assignment, id,
                                         "the pool's owner does not answer");
     }
-    forwarded_.note_forwarded(queue.pool, id, base::steady_now());
-    const owner_decision decision =
-        forward(queue, id, std::move(spec), deadline);
+    forwarded_.note_forwarded(assignment.queue, id, base::steady_now());
+    const owned_pools::submission_decision decision =
+        forward(queue, assignment, id, std::move(spec), deadline);
     if (decision.answer.outcome == submission_kind::accepted)
-        forwarded_.note_accepted(queue.pool, id);
+        forwarded_.note_accepted(assignment.queue, id);
     if (decision.answer.outcome == submission_kind::refused)
-        forwarded_.note_refused(queue.pool, id);
+        forwarded_.note_refused(assignment.queue, id);
     if (decision.is_final)
         return decision.answer;
-    return refuse_unless_stored(queue.pool, id, decision.answer.reason);
+    return refuse_unless_stored(assignment, id, decision.answer.reason);
 }
 
-pool_gateway::owner_decision
-pool_gateway::forward(const jobs::queue_policy& queue, std::string_view id,
-                      jobs::job_spec spec, base::time_point deadline)
+owned_pools::submission_decision pool_gateway::forward(
+    const jobs::queue_policy& queue, const peer::queue_assignment& assignment,
+    std::string_view id, jobs::job_spec spec, base::time_point deadline)
 {
+    peer::submit_job message{queue.pool, queue.name,          std::string(id),
+                             {},         time_left(deadline), assignment};
     if (const auto owner = claims_.find(queue.pool))
-    {
-        auto answer = owner->submit(id, std::move(spec), queue.name,
-                                    deadline - reply_reserve);
-        const bool is_final = is_decided(*owner, id, answer);
-        return {std::move(answer), is_final};
-    }
+        return owned_.submit(*owner, message, std::move(spec),
+                             deadline - reply_reserve);
     jobs::job subject;
     subject.queue = queue.name;
     subject.policy = queue;
     subject.spec = std::move(spec);
-    const peer::submit_job message{queue.pool, queue.name, std::string(id),
-                                   jobs::encode_record(subject),
-                                   time_left(deadline)};
+    message.record = jobs::encode_record(subject);
     try
     {
         const holder* current = session_.holder_of(pool_role(queue.pool));
@@ -158,29 +150,44 @@
     }
 }
 
+pools::submission_answer pool_gateway::refuse(
+    const jobs::queue_policy& queue, const peer::queue_assignment& assignment,
+    std::string_view id, std::string reason, base::time_point deadline)
+{
+    const auto known =
+        status_before_submission(queue, assignment, id, deadline);
+    if (known.outcome == job_kind::found)
+        return {submission_kind::accepted, {}, "accepted before"};
+    if (known.outcome == job_kind::absent)
+        return {submission_kind::refused, takeover_retry, std::move(reason)};
+    return {submission_kind::unknown, takeover_retry,
+            reason.append("; an earlier call may have handed the job in")};
+}
+
 pools::submission_answer
-pool_gateway::refuse_unless_stored(std::string_view pool, std::string_view id,
-                                   std::string reason)
+pool_gateway::refuse_unless_stored(const peer::queue_assignment& assignment,
+                                   std::string_view id, std::string reason)
 {
     pools::submission_answer accepted{
         submission_kind::accepted, {}, "accepted before"};
-    if (forwarded_.is_accepted(pool, id, base::steady_now()))
+    if (forwarded_.is_accepted(assignment.queue, id, base::steady_now()))
         return accepted;
-    const auto stored = look_up(pool, id);
+    const auto stored = look_up(assignment, id);
     if (stored && stored->outcome == job_kind::found)
         return accepted;
     const bool is_excluded =
-        !forwarded_.contains(pool, id, base::steady_now()) &&
+        !forwarded_.contains(assignment.queue, id, base::steady_now()) &&
         (stored ? stored->outcome == job_kind::absent
-                : no_member_has_forwarded(pool, id));
+                : no_member_has_forwarded(assignment, id));
     if (is_excluded)
         return {submission_kind::refused, takeover_retry, std::move(reason)};
     return {submission_kind::unknown, takeover_retry,
             reason.append("; an earlier call may have handed the job in")};
 }
 
-std::optional<pools::job_answer> pool_gateway::look_up(std::string_view pool,
-                                                       std::string_view id)
+std::optional<pools::job_answer>
+pool_gateway::look_up(const peer::queue_assignment& assignment,
+                      std::string_view id)
 {
     using answer = std::optional<pools::job_answer>;
     if (lookups_.size() >= max_lookups || store_.is_silent())
@@ -188,15 +195,16 @@
     const auto lookup = std::make_shared<boost::fibers::promise<answer>>();
     auto stored = lookup->get_future();
     lookups_.spawn(
-        [this, lookup, key_pool = std::string(pool), key_id = std::string(id)]
-        { lookup->set_value(read_stored(key_pool, key_id)); });
+        [this, lookup, assignment, key_id = std::string(id)] {
+            lookup->set_value(read_stored(assignment.pool, assignment, key_id));
+        });
     if (stored.wait_for(lookup_limit) != boost::fibers::future_status::ready)
         return std::nullopt;
     return stored.get();
 }
 
-bool pool_gateway::no_member_has_forwarded(std::string_view pool,
-                                           std::string_view id)
+bool pool_gateway::no_member_has_forwarded(
+    const peer::queue_assignment& assignment, std::string_view id)
 {
     const base::time_point now = base::steady_now();
     std::vector<net::endpoint> others;
@@ -211,7 +219,8 @@
         open_inquiries_ >= max_inquiries)
         return false;
     ++open_inquiries_;
-    const peer::query_forwarded message{std::string(pool), std::string(id)};
+    const peer::query_forwarded message{assignment.pool, std::string(id),
+                                        assignment.queue};
     std::size_t excluding = 0;
     net::task_group queries;
     for (const net::endpoint& address : others)
@@ -241,53 +250,39 @@
     }
 }
 
-// An owner that has not loaded the pool, or is ending, refuses also jobs that
-// were accepted before; one whose lease may have ended, those that the next
-// owner has accepted.
-bool pool_gateway::is_decided(const pools::pool_owner& owner,
-                              std::string_view id,
-                              const pools::submission_answer& answer) const
-{
-    return answer.outcome != submission_kind::refused ||
-           certain(owner.status(id)).outcome == job_kind::absent;
-}
-
-pools::job_answer pool_gateway::certain(pools::job_answer answer) const
-{
-    const base::time_point now = base::suspend_aware_now();
-    if (session_.holds_lease(now))
-        return answer;
-    const bool is_outdated = answer.outcome == job_kind::found &&
-                             !is_final(answer.status) &&
-                             !session_.is_renewed(now);
-    if (answer.outcome == job_kind::absent || is_outdated)
-        answer.outcome = job_kind::unavailable;
-    return answer;
-}
-
-std::optional<int> pool_gateway::certain_pending(const pools::pool_owner& owner,
-                                                 std::string_view queue) const
-{
-    if (!session_.holds_lease(base::suspend_aware_now()))
-        return std::nullopt;
-    return owner.pending(queue);
-}
-
 std::optional<pools::job_answer>
-pool_gateway::read_stored(std::string_view pool, std::string_view id)
+pool_gateway::read_stored(std::string_view pool,
+                          const peer::queue_assignment& assignment,
+                          std::string_view id)
 {
-    std::optional<platform::store_item> item;
-    try
-    {
-        item = store_.get(pools::record_prefix(pool) + std::string(id));
-    }
-    catch (const base::error&)
+    // Returns whether the store has answered; its watches report that it does
+    // not.
+    const auto succeeds = [](const std::function<void()>& read)
     {
-        // The store does not answer, which its watches report.
+        try
+        {
+            read();
+            return true;
+        }
+        catch (const base::error&)
+        {
+            return false;
+        }
+    };
+    bool is_refreshed = false;
+    net::task_group reads;
+    reads.spawn([&] { is_refreshed = succeeds([&] { queues_.refresh(); }); });
+    std::optional<platform::store_item> item;
+    const std::string key = pools::record_prefix(pool) + std::string(id);
+    const bool is_read = succeeds([&] { item = store_.get(key); });
+    reads.join();
+    if (!is_read || (!item && !is_refreshed))
         return std::nullopt;
-    }
     if (!item)
-        return pools::job_answer{job_kind::absent, {}};
+        return pools::job_answer{queues_.knowledge().adopt(assignment)
+                                     ? job_kind::absent
+                                     : job_kind::unavailable,
+                                 {}};
     try
     {
         const jobs::job subject = jobs::decode_record(id, item->value);
@@ -302,31 +297,30 @@
     }
 }
 
-pools::job_answer pool_gateway::stored_status(std::string_view pool,
-                                              std::string_view id)
+pools::job_answer
+pool_gateway::stored_status(std::string_view pool,
+                            const peer::queue_assignment& assignment,
+                            std::string_view id)
 {
-    return read_stored(pool, id).value_or(
-        pools::job_answer{job_kind::unavailable, {}});
+    return read_stored(pool, assignment, id)
+        .value_or(pools::job_answer{job_kind::unavailable, {}});
 }
 
-pools::job_answer pool_gateway::owner_status(const jobs::queue_policy& queue,
-                                             std::string_view id,
-                                             base::time_point deadline,
-                                             bool is_before_submission)
+pools::job_answer pool_gateway::owner_status(
+    const jobs::queue_policy& queue, const peer::queue_assignment& assignment,
+    std::string_view id, base::time_point deadline, bool is_before_submission)
 {
+    const peer::query_job message{queue.pool, std::string(id),
+                                  is_before_submission, assignment};
     if (const auto owner = claims_.find(queue.pool))
-        return certain(is_before_submission
-                           ? owner->status_before_submission(id)
-                           : owner->status(id));
+        return owned_.status(*owner, message);
     const holder* current = session_.holder_of(pool_role(queue.pool));
     if (current == nullptr)
         return {job_kind::unavailable, {}};
     try
     {
-        return from_reply(send_to(
-            current->address,
-            peer::query_job{queue.pool, std::string(id), is_before_submission},
-            deadline - std::chrono::milliseconds(500)));
+        return from_reply(send_to(current->address, message,
+                                  deadline - std::chrono::milliseconds(500)));
     }
     catch (const base::error&)
     {
@@ -335,47 +329,68 @@
 }
 
 pools::job_answer pool_gateway::status(const jobs::queue_policy& queue,
+                                       const peer::queue_assignment& assignment,
                                        std::string_view id,
                                        base::time_point deadline)
 {
-    const pools::job_answer answer = owner_status(queue, id, deadline, false);
+    const pools::job_answer answer =
+        owner_status(queue, assignment, id, deadline, false);
     if (answer.outcome == job_kind::unavailable)
-        return stored_status(queue.pool, id);
+        return stored_status(queue.pool, assignment, id);
     return answer;
 }
 
-pools::job_answer
-pool_gateway::status_before_submission(const jobs::queue_policy& queue,
-                                       std::string_view id,
-                                       base::time_point deadline)
+pools::job_answer pool_gateway::status_before_submission(
+    const jobs::queue_policy& queue, const peer::queue_assignment& assignment,
+    std::string_view id, base::time_point deadline)
 {
-    pools::job_answer answer = owner_status(queue, id, deadline, true);
+    pools::job_answer answer =
+        owner_status(queue, assignment, id, deadline, true);
     if (answer.outcome != job_kind::unavailable)
         return answer;
-    const bool has_owner = claims_.find(queue.pool) != nullptr ||
-                           session_.holder_of(pool_role(queue.pool)) != nullptr;
-    answer = stored_status(queue.pool, id);
-    // The owner may be storing the job.
-    if (has_owner && answer.outcome == job_kind::absent)
+    // An owner may be storing the job. One that this instance has not heard of
+    // may also have begun before the assignment was stored.
+    const bool is_unowned = !has_owner(queue.pool) && is_unclaimed(queue.pool);
+    answer = stored_status(queue.pool, assignment, id);
+    if (!is_unowned && answer.outcome == job_kind::absent)
         answer.outcome = job_kind::unavailable;
     return answer;
 }
 
+bool pool_gateway::has_owner(std::string_view pool) const
+{
+    return claims_.find(pool) != nullptr ||
+           session_.holder_of(pool_role(pool)) != nullptr;
+}
+
+bool pool_gateway::is_unclaimed(std::string_view pool)
+{
+    try
+    {
+        return !store_.get(session::role_key(pool_role(pool)));
+    }
+    catch (const base::error&)
+    {
+        // The store does not answer, which its watches report.
+        return false;
+    }
+}
+
 pools::job_answer pool_gateway::cancel(const jobs::queue_policy& queue,
+                                       const peer::queue_assignment& assignment,
                                        std::string_view id,
                                        base::time_point deadline)
 {
+    const peer::cancel_job message{queue.pool, std::string(id),
+                                   time_left(deadline), assignment};
     if (const auto owner = claims_.find(queue.pool))
-        return certain(owner->cancel(id, deadline - reply_reserve));
+        return owned_.cancel(*owner, message, deadline - reply_reserve);
     const holder* current = session_.holder_of(pool_role(queue.pool));
     if (current == nullptr)
         return {job_kind::unavailable, {}};
     try
     {
-        return from_reply(send_to(
-            current->address,
-            peer::cancel_job{queue.pool, std::string(id), time_left(deadline)},
-            deadline));
+        return from_reply(send_to(current->address, message, deadline));
     }
     catch (const base::error&)
     {
@@ -386,18 +401,18 @@
 
 std::optional<std::int64_t>
 pool_gateway::pending(const jobs::queue_policy& queue,
+                      const peer::queue_assignment& assignment,
                       base::time_point deadline)
 {
+    const peer::count_pending message{queue.pool, queue.name, assignment};
     if (const auto owner = claims_.find(queue.pool))
-        return certain_pending(*owner, queue.name);
+        return owned_.pending(*owner, message);
     const holder* current = session_.holder_of(pool_role(queue.pool));
     if (current == nullptr)
         return std::nullopt;
     try
     {
-        const auto reply =
-            send_to(current->address,
-                    peer::count_pending{queue.pool, queue.name}, deadline);
+        const auto reply = send_to(current->address, message, deadline);
         if (reply.is_known)
             return reply.count;
     }
@@ -464,75 +479,14 @@
 
 void pool_gateway::add_handlers(peer::peer_server::builder& server)
 {
-    server.handle<peer::submit_job>(
-        [this](const peer::call_context&, const peer::submit_job& message)
-        {
-            const auto owner = claims_.find(message.pool);
-            if (owner == nullptr)
-                throw base::error(base::error_code::refused, "submit job",
-                                  message.pool, "the pool is not owned here");
-            jobs::job subject =
-                jobs::decode_record(message.job, message.record);
-            owner->add_policy(subject.policy);
-            const auto answer = owner->submit(
-                message.job, std::move(subject.spec), message.queue,
-                base::steady_now() + message.time_left);
-            if (!is_decided(*owner, message.job, answer))
-                throw base::error(base::error_code::refused, "submit job",
-                                  message.pool, answer.reason);
-            return to_reply(answer);
-        });
-    server.handle<peer::query_job>(
-        [this](const peer::call_context&, const peer::query_job& message)
-        {
-            const auto owner = claims_.find(message.pool);
-            if (owner == nullptr)
-                return to_reply({job_kind::unavailable, {}});
-            return to_reply(
-                certain(message.is_before_submission
-                            ? owner->status_before_submission(message.job)
-                            : owner->status(message.job)));
-        });
+    owned_.add_handlers(server);
     server.handle<peer::query_forwarded>(
         [this](const peer::call_context&, const peer::query_forwarded& message)
         {
             const base::time_point now = base::steady_now();
             return peer::forwarded_reply{
-                forwarded_.is_complete(now) &&
-                !forwarded_.contains(message.pool, message.job, now)};
-        });
-    server.handle<peer::cancel_job>(
-        [this](const peer::call_context&, const peer::cancel_job& message)
-        {
-            const auto owner = claims_.find(message.pool);
-            return to_reply(owner == nullptr
-                                ? pools::job_answer{job_kind::unavailable, {}}
-                                : certain(owner->cancel(
-                                      message.job,
-                                      base::steady_now() + message.time_left)));
-        });
-    server.handle<peer::count_pending>(
-        [this](const peer::call_context&, const peer::count_pending& message)
-        {
-            const auto owner = claims_.find(message.pool);
-            const auto count = owner == nullptr
-                                   ? std::nullopt
-                                   : certain_pending(*owner, message.queue);
-            return peer::pending_reply{count.has_value(), count.value_or(0)};
-        });
-    server.handle<peer::query_load>(
-        [this](const peer::call_context&, const peer::query_load& message)
-        {
-            const auto owner = claims_.find(message.pool);
-            return owner == nullptr ? peer::pool_load{}
-                                    : answer_load(*owner, message);
-        });
-    server.handle<peer::release_worker>(
-        [this](const peer::call_context&, const peer::release_worker& message)
-        {
-            const auto owner = claims_.find(message.pool);
-            return peer::release_worker_reply{owner != nullptr &&
-                                              apply_release(*owner, message)};
+                !message.queue.empty() && forwarded_.is_complete(now) &&
+                !forwarded_.contains(message.queue, message.job, now)};
         });
 }
 
--- a/src/node/queue_pools.cpp
+++ b/src/node/queue_pools.cpp
@@ -33,7 +33,7 @@
     const auto [found, is_new] =
         positions_.try_emplace(std::string(queue), entries_.size());
     if (is_new)
-        entries_.push_back({std::string(queue), {}});
+        entries_.push_back({std::string(queue), {}, {}, 0});
     auto& pools = entries_[found->second].pools;
     if (std::find(pools.begin(), pools.end(), pool) != pools.end())
         return false;
@@ -68,11 +68,34 @@
     return has_changed;
 }
 
+void queue_pools::assign(const platform::configuration& current)
+{
+    add(current);
+    for (const auto& route : current.queues)
+        if (is_reassigned(route, current.version))
+            adopt({key_of(route), route.policy.pool, current.version});
+}
+
 void queue_pools::merge(const queue_pools& other)
 {
     for (const entry& known : other.entries_)
+    {
         for (const std::string& pool : known.pools)
             add(known.queue, pool);
+        adopt(other.newest(known.queue));
+    }
+}
+
+void queue_pools::adopt(const peer::queue_assignment& stated)
+{
+    if (stated.pool.empty())
+        return;
+    add(stated.queue, stated.pool);
+    entry& known = entries_[positions_.find(stated.queue)->second];
+    if (!known.assigned_pool.empty() && known.since >= stated.since)
+        return;
+    known.assigned_pool = stated.pool;
+    known.since = stated.since;
 }
 
 bool queue_pools::add_for_all(const std::string& pool)
@@ -102,13 +125,48 @@
     return pools;
 }
 
+peer::queue_assignment queue_pools::newest(std::string_view queue) const
+{
+    const entry* known = find(queue);
+    if (known == nullptr)
+        return {std::string(queue), {}, 0};
+    return {known->queue, known->assigned_pool, known->since};
+}
+
+peer::queue_assignment
+queue_pools::newest(const platform::queue_route& route) const
+{
+    return newest(key_of(route));
+}
+
+bool queue_pools::is_reassigned(const platform::queue_route& route,
+                                std::int64_t version) const
+{
+    const peer::queue_assignment known = newest(route);
+    return known.pool.empty() ||
+           (known.pool != route.policy.pool && known.since < version);
+}
+
+bool queue_pools::is_newest(const peer::queue_assignment& stated) const
+{
+    return newest(stated.queue) == stated;
+}
+
 std::string queue_pools::encode() const
 {
     json::array rows;
     for (const entry& known : entries_)
-        rows.push_back(json::object{
+    {
+        json::object row{
             {"queue", known.queue},
-            {"pools", json::array(known.pools.begin(), known.pools.end())}});
+            {"pools", json::array(known.pools.begin(), known.pools.end())}};
+        if (!known.assigned_pool.empty())
+        {
+            row["assigned_pool"] = known.assigned_pool;
+            row["since"] = known.since;
+        }
+        rows.push_back(std::move(row));
+    }
     return json::serialize(json::object{{"queues", std::move(rows)}});
 }
 
@@ -123,6 +181,11 @@
             const std::string queue(row.at("queue").as_string());
             for (const json::value& pool : row.at("pools").as_array())
                 result.add(queue, std::string(pool.as_string()));
+            // Missing in records of versions before assignments were ordered.
+            if (const json::value* pool =
+                    row.as_object().if_contains("assigned_pool"))
+                result.adopt({queue, std::string(pool->as_string()),
+                              row.at("since").to_number<std::int64_t>()});
         }
         return result;
     }
--- a/src/node/queue_recorder.cpp
+++ b/src/node/queue_recorder.cpp
@@ -44,8 +44,7 @@
 
 void queue_recorder::set_configuration(const platform::configuration& current)
 {
-    configuration_ = current;
-    known_.add(current);
+    knowledge_.set_configuration(current);
     work_.notify();
 }
 
@@ -74,37 +73,26 @@
     is_failing_ = false;
     try
     {
-        stored_ = queue_pools::decode(item.value);
+        knowledge_.read_record(queue_pools::decode(item.value));
         is_unreadable_ = false;
     }
     catch (const base::error& failure)
     {
-        stored_ = {};
+        knowledge_.read_record({});
         is_unreadable_ = true;
         is_recovered_ = false;
         work_.notify();
         log::write(event_queues_invalid,
                    {{"key", item.key}, {"reason", failure.what()}});
     }
-    known_.merge(stored_);
     written_.notify();
 }
 
-bool queue_recorder::is_outdated() const
-{
-    return configuration_ &&
-           (is_unreadable_ ||
-            std::any_of(configuration_->queues.begin(),
-                        configuration_->queues.end(),
-                        [this](const platform::queue_route& route)
-                        { return !stored_.contains(route); }));
-}
-
 void queue_recorder::run()
 {
     while (!stop_.is_set())
     {
-        if (!is_listed_ || !is_outdated())
+        if (!is_listed_ || !(is_unreadable_ || knowledge_.is_record_outdated()))
         {
             work_.wait_until(base::steady_now() + idle_wait);
             continue;
@@ -130,10 +118,8 @@
 {
     if (is_unreadable_ && !is_recovered_)
         recover();
-    queue_pools wanted = is_unreadable_ ? known_ : stored_;
-    wanted.add(*configuration_);
     const std::string key(queues_key);
-    const std::string value = wanted.encode();
+    const std::string value = knowledge_.next_record().encode();
     const auto result =
         store_.commit_repeatedly({{{key, revision_}}, {{key, value, 0}}, {}});
     if (result.outcome == platform::commit_result::kind::committed)
@@ -145,7 +131,7 @@
     if (result.actual.empty())
     {
         revision_ = 0;
-        stored_ = {};
+        knowledge_.read_record({});
     }
     for (const platform::store_item& item : result.actual)
         if (item.key == key)
@@ -159,14 +145,21 @@
         throw base::error(base::error_code::invalid, "read rosters", "",
                           "an item of the listing is unreadable");
     for (const platform::store_item& item : rosters.items)
-        known_.add_for_all(item.key.substr(pools::roster_prefix.size()));
+        knowledge_.add_pool_for_all(
+            item.key.substr(pools::roster_prefix.size()));
     is_recovered_ = true;
 }
 
-bool queue_recorder::wait_stored(const platform::queue_route& route,
-                                 base::time_point deadline)
+std::optional<peer::queue_assignment>
+queue_recorder::wait_stored(const platform::queue_route& route,
+                            base::time_point deadline)
 {
-    while (!stored_.contains(route) && !is_failing_ && !stop_.is_set())
+    const auto is_newest = [&]
+    {
+        return knowledge_.newest(route).pool == route.policy.pool;
+    };
+    while (!is_newest() && !knowledge_.is_superseded(route) && !is_failing_ &&
+           !stop_.is_set())
     {
         const base::time_point now = base::steady_now();
         if (now >= deadline)
@@ -174,7 +167,18 @@
         written_.wait_until(
             std::min<base::time_point>(deadline, now + poll_interval));
     }
-    return stored_.contains(route);
+    if (!is_newest())
+        return std::nullopt;
+    return knowledge_.newest(route);
+}
+
+void queue_recorder::refresh()
+{
+    if (const auto item = store_.get(queues_key))
+        adopt(*item);
+    if (is_unreadable_ && !is_recovered_)
+        throw base::error(base::error_code::invalid, "read queues' pools", "",
+                          "the record cannot be read");
 }
 
 } // namespace pimentograde::node
--- a/src/node/queue_recorder.hpp
+++ b/src/node/queue_recorder.hpp
@@ -4,7 +4,7 @@
 #include "base/time.hpp"
 #include "net/task_group.hpp"
 #include "net/wakeup.hpp"
-#include "node/queue_pools.hpp"
+#include "node/queue_knowledge.hpp"
 #include "platform/store_client.hpp"
 
 #include <cstdint>
@@ -19,7 +19,8 @@
 
 /// Keeps the queues' pools in the store, for instances that start after a
 /// change of the configuration: they read the newest version only. An
-/// assignment is stored before the first job is accepted under it.
+/// assignment is stored before the first job is accepted under it, and an owner
+/// accepts new jobs only under the newest one.
 class queue_recorder
 {
 public:
@@ -42,16 +43,19 @@
     {
         return is_listed_ && (!is_unreadable_ || is_recovered_);
     }
-    [[nodiscard]] std::vector<std::string>
-    earlier_pools(const platform::queue_route& route) const
+    [[nodiscard]] const queue_knowledge& knowledge() const
     {
-        return known_.earlier_pools(route);
+        return knowledge_;
     }
+    [[nodiscard]] queue_knowledge& knowledge() { return knowledge_; }
     /// Waits until the route's assignment is stored, or until `deadline`;
-    /// returns at once while the store does not answer. Returns whether it is
-    /// stored.
-    bool wait_stored(const platform::queue_route& route,
-                     base::time_point deadline);
+    /// returns at once while the store does not answer, or if the assignment is
+    /// superseded. Returns it if it is the newest one.
+    std::optional<peer::queue_assignment>
+    wait_stored(const platform::queue_route& route, base::time_point deadline);
+    /// Reads the stored record. Throws `base::error` if it cannot be read,
+    /// unless the pools that it may name are known.
+    void refresh();
 
 private:
     void run();
@@ -60,13 +64,9 @@
     /// had. Throws `base::error`.
     void recover();
     void adopt(const platform::store_item& item);
-    [[nodiscard]] bool is_outdated() const;
 
     platform::store_client& store_;
-    std::optional<platform::configuration> configuration_;
-    /// All assignments that this instance has heard of.
-    queue_pools known_;
-    queue_pools stored_;
+    queue_knowledge knowledge_;
     std::int64_t revision_ = 0;
     bool is_listed_ = false;
     /// The store's record cannot be read.
--- a/src/peer/pool_messages.cpp
+++ b/src/peer/pool_messages.cpp
@@ -6,6 +6,44 @@
 namespace pimentograde::peer
 {
 
+namespace
+{
+
+constexpr const char* assignment_field = "assignment";
+
+void add_assignment(Json::Value& message,
+                    const std::optional<queue_assignment>& assignment)
+{
+    if (assignment)
+        message[assignment_field] = assignment->to_json();
+}
+
+std::optional<queue_assignment> read_assignment(const Json::Value& message)
+{
+    if (!message.isMember(assignment_field))
+        return std::nullopt;
+    return queue_assignment::from_json(
+        message_fields(message).object(assignment_field));
+}
+
+} // namespace
+
+Json::Value queue_assignment::to_json() const
+{
+    Json::Value value(Json::objectValue);
+    value["queue"] = text_value(queue);
+    value["pool"] = text_value(pool);
+    value["since"] = Json::Int64(since);
+    return value;
+}
+
+queue_assignment queue_assignment::from_json(const Json::Value& source)
+{
+    const message_fields fields(source);
+    return {fields.text("queue"), fields.text("pool"),
+            fields.signed_number("since")};
+}
+
 Json::Value submit_reply::to_json() const
 {
     Json::Value value(Json::objectValue);
@@ -30,14 +68,19 @@
     value["job"] = text_value(job);
     value["record"] = text_value(record);
     value["time_left_us"] = length_value(time_left);
+    add_assignment(value, assignment);
     return value;
 }
 
 submit_job submit_job::from_json(const Json::Value& source)
 {
     const message_fields fields(source);
-    return {fields.text("pool"), fields.text("queue"), fields.text("job"),
-            fields.text("record"), fields.length("time_left_us")};
+    return {fields.text("pool"),
+            fields.text("queue"),
+            fields.text("job"),
+            fields.text("record"),
+            fields.length("time_left_us"),
+            read_assignment(source)};
 }
 
 Json::Value forwarded_reply::to_json() const
@@ -57,13 +100,15 @@
     Json::Value value(Json::objectValue);
     value["pool"] = text_value(pool);
     value["job"] = text_value(job);
+    value["queue"] = text_value(queue);
     return value;
 }
 
 query_forwarded query_forwarded::from_json(const Json::Value& source)
 {
     const message_fields fields(source);
-    return {fields.text("pool"), fields.text("job")};
+    return {fields.text("pool"), fields.text("job"),
+            source.isMember("queue") ? fields.text("queue") : std::string{}};
 }
 
 Json::Value job_reply::to_json() const
@@ -87,6 +132,7 @@
     value["job"] = text_value(job);
     if (is_before_submission)
         value["before_submission"] = true;
+    add_assignment(value, assignment);
     return value;
 }
 
@@ -95,7 +141,8 @@
     const message_fields fields(source);
     return {fields.text("pool"), fields.text("job"),
             source.isMember("before_submission") &&
-                fields.flag("before_submission")};
+                fields.flag("before_submission"),
+            read_assignment(source)};
 }
 
 Json::Value cancel_job::to_json() const
@@ -104,6 +151,7 @@
     value["pool"] = text_value(pool);
     value["job"] = text_value(job);
     value["time_left_us"] = length_value(time_left);
+    add_assignment(value, assignment);
     return value;
 }
 
@@ -111,7 +159,7 @@
 {
     const message_fields fields(source);
     return {fields.text("pool"), fields.text("job"),
-            fields.length("time_left_us")};
+            fields.length("time_left_us"), read_assignment(source)};
 }
 
 Json::Value pending_reply::to_json() const
@@ -133,13 +181,14 @@
     Json::Value value(Json::objectValue);
     value["pool"] = text_value(pool);
     value["queue"] = text_value(queue);
+    add_assignment(value, assignment);
     return value;
 }
 
 count_pending count_pending::from_json(const Json::Value& source)
 {
     const message_fields fields(source);
-    return {fields.text("pool"), fields.text("queue")};
+    return {fields.text("pool"), fields.text("queue"), read_assignment(source)};
 }
 
 Json::Value worker_load::to_json() const
--- a/src/peer/pool_messages.hpp
+++ b/src/peer/pool_messages.hpp
@@ -6,12 +6,29 @@
 #include <jsoncpp/json/json.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace pimentograde::peer
 {
 
+/// The pool that accepts a queue's new jobs, as the store records it. Jobs that
+/// an earlier one has accepted stay there.
+struct queue_assignment
+{
+    /// Host and path prefix of the queue.
+    std::string queue;
+    /// Empty if no assignment is recorded.
+    std::string pool;
+    /// Version of the configuration that made it; orders a queue's assignments.
+    std::int64_t since = 0;
+
+    bool operator==(const queue_assignment&) const = default;
+    [[nodiscard]] Json::Value to_json() const;
+    static queue_assignment from_json(const Json::Value& source);
+};
+
 /// Outcome of a submission at the pool's owner.
 struct submit_reply
 {
@@ -37,6 +54,9 @@
     std::string record;
     /// Until the caller gives up.
     base::duration time_left{};
+    /// The newest one that the sender knows. It has asked the queue's other
+    /// pools for the job since. Empty if its version does not tell.
+    std::optional<queue_assignment> assignment{};
 
     [[nodiscard]] Json::Value to_json() const;
     static submit_job from_json(const Json::Value& source);
@@ -53,7 +73,7 @@
 };
 
 /// Asks an instance whether it may have forwarded a submission of the job to an
-/// owner of the pool.
+/// owner of one of its queue's pools.
 struct query_forwarded
 {
     static constexpr const char* method = "query_forwarded";
@@ -61,6 +81,8 @@
 
     std::string pool;
     std::string job;
+    /// Host and path prefix; empty if the sender's version does not tell.
+    std::string queue{};
 
     [[nodiscard]] Json::Value to_json() const;
     static query_forwarded from_json(const Json::Value& source);
@@ -88,6 +110,9 @@
     /// The job is accepted elsewhere if it is not known: no submission of it
     /// may be accepted after this answer. False if missing.
     bool is_before_submission = false;
+    /// See `submit_job`. A job is certainly absent only if the sender knows the
+    /// newest assignment.
+    std::optional<queue_assignment> assignment{};
 
     [[nodiscard]] Json::Value to_json() const;
     static query_job from_json(const Json::Value& source);
@@ -101,6 +126,8 @@
     std::string pool;
     std::string job;
     base::duration time_left{};
+    /// See `query_job`.
+    std::optional<queue_assignment> assignment{};
 
     [[nodiscard]] Json::Value to_json() const;
     static cancel_job from_json(const Json::Value& source);
@@ -124,6 +151,8 @@
 
     std::string pool;
     std::string queue;
+    /// See `query_job`.
+    std::optional<queue_assignment> assignment{};
 
     [[nodiscard]] Json::Value to_json() const;
     static count_pending from_json(const Json::Value& source);
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -50,7 +50,7 @@
         : pool(parts.pool_), fence(parts.revision_), order_fence(fence),
           store(*parts.store_), http(*parts.http_), lease(parts.lease_),
           may_order(parts.may_order_), holds_lease(parts.holds_lease_),
-          lost_hook(parts.lost_), state(parts.pool_),
+          lost_hook(parts.lost_), load_hook(parts.load_), state(parts.pool_),
           roster(parts.pool_, parts.key_, parts.revision_, *parts.store_),
           writer(parts.pool_, parts.key_, parts.revision_, state, *parts.store_,
                  roster,
@@ -77,6 +77,7 @@
     std::function<bool()> may_order;
     std::function<bool()> holds_lease;
     std::function<void(std::string_view)> lost_hook;
+    std::function<void()> load_hook;
     bool is_loaded = false;
     bool is_stopping = false;
     bool has_handed_over = false;
@@ -143,7 +144,7 @@
     std::optional<stored_pool> stored;
     while (!is_stopping && !stored)
     {
-        stored = read_stored_pool(pool, store, roster);
+        stored = read_stored_pool(pool, store, roster, load_hook);
         if (!stored)
             boost::this_fiber::sleep_for(load_retry_delay);
     }
@@ -414,21 +415,23 @@
 
 submission_answer pool_owner::submit(std::string_view id, jobs::job_spec spec,
                                      std::string_view queue,
-                                     base::time_point deadline)
+                                     base::time_point deadline,
+                                     admission admitted)
 {
     using kind = submission_answer::kind;
     submission_answer answer{kind::refused, outage_retry_after, {}};
     const base::time_point now = base::steady_now();
     jobs::submit_result result;
+    const bool is_new = impl_->state.find_job(id) == nullptr;
     if (!impl_->is_loaded || impl_->is_stopping)
         answer.reason = "the pool is not loaded";
     else if (impl_->state.is_unreadable(id))
         answer = {kind::unknown, {}, "the job's record cannot be read"};
-    else if (impl_->writer.is_failing() && impl_->state.find_job(id) == nullptr)
-        answer.reason = "the store is away";
-    else if (impl_->state.find_job(id) == nullptr &&
-             impl_->state.is_denied(id, now))
+    else if (is_new && (admitted == admission::known_jobs ||
+                        impl_->state.is_denied(id, now)))
         answer = {kind::unknown, {}, "the job may be in another pool"};
+    else if (is_new && impl_->writer.is_failing())
+        answer.reason = "the store is away";
     else
     {
         result = impl_->state.submit(id, std::move(spec), queue, now,
--- a/src/pools/pool_owner.hpp
+++ b/src/pools/pool_owner.hpp
@@ -34,6 +34,14 @@
     std::string reason;
 };
 
+/// Which jobs a submission may concern.
+enum class admission
+{
+    all_jobs,
+    /// The queue's new jobs may be accepted in another pool.
+    known_jobs
+};
+
 /// Answer to a status query or a cancellation of one job.
 struct job_answer
 {
@@ -77,6 +85,9 @@
         builder& holds_lease(std::function<bool()> check);
         /// Called once when the ownership ends.
         builder& on_lost(std::function<void(std::string_view reason)> hook);
+        /// Called while the pool is loaded, again after it has thrown. For what
+        /// has to be read after the claim, before a job is accepted or denied.
+        builder& on_load(std::function<void()> read);
         std::unique_ptr<pool_owner> build();
 
     private:
@@ -95,6 +106,8 @@
             return true;
         };
         std::function<void(std::string_view)> lost_;
+        std::function<void()> load_ = [] {
+        };
     };
 
     ~pool_owner();
@@ -115,7 +128,8 @@
     void set_workers(std::span<const jobs::worker_description> workers);
 
     submission_answer submit(std::string_view id, jobs::job_spec spec,
-                             std::string_view queue, base::time_point deadline);
+                             std::string_view queue, base::time_point deadline,
+                             admission admitted = admission::all_jobs);
     job_answer status(std::string_view id) const;
     /// The same; accepts no job for which it answers `absent`, since it is
     /// accepted in another pool then.
--- a/src/pools/pool_owner_builder.cpp
+++ b/src/pools/pool_owner_builder.cpp
@@ -69,4 +69,10 @@
     return *this;
 }
 
+pool_owner::builder& pool_owner::builder::on_load(std::function<void()> read)
+{
+    load_ = std::move(read);
+    return *this;
+}
+
 } // namespace pimentograde::pools
--- a/src/pools/stored_pool.cpp
+++ b/src/pools/stored_pool.cpp
@@ -45,9 +45,9 @@
 } // namespace
 
 // Reads side by side, since a slow store takes hundreds of milliseconds a call.
-std::optional<stored_pool> read_stored_pool(const std::string& pool,
-                                            platform::store_client& store,
-                                            roster_store& roster)
+std::optional<stored_pool>
+read_stored_pool(const std::string& pool, platform::store_client& store,
+                 roster_store& roster, const std::function<void()>& read_more)
 {
     stored_pool result;
     int missing = 0;
@@ -73,6 +73,7 @@
     read([&] { result.statistics = roster.load_statistics(); });
     read([&] { result.records = read_records(pool, store); });
     read([&] { result.roster = read_roster(roster); });
+    read(read_more);
     reads.join();
     if (missing > 0)
         return std::nullopt;
--- a/src/pools/stored_pool.hpp
+++ b/src/pools/stored_pool.hpp
@@ -8,6 +8,7 @@
 #include "platform/store_client.hpp"
 #include "pools/roster_store.hpp"
 
+#include <functional>
 #include <optional>
 #include <set>
 #include <span>
@@ -25,10 +26,11 @@
     std::vector<jobs::roster_entry> roster;
 };
 
-/// Returns nothing when a read failed, which is logged.
-std::optional<stored_pool> read_stored_pool(const std::string& pool,
-                                            platform::store_client& store,
-                                            roster_store& roster);
+/// Calls `read_more` beside the reads. Returns nothing when one of them has
+/// thrown, which is logged.
+std::optional<stored_pool> read_stored_pool(
+    const std::string& pool, platform::store_client& store,
+    roster_store& roster, const std::function<void()>& read_more = [] {});
 
 /// Adds the jobs of the records. Returns the ids of those that cannot be read,
 /// which are logged.
