--- a/tests/node/queue_world.hpp
+++ b/tests/node/queue_world.hpp
@@ -17,10 +17,10 @@
 {
 
 /// Instances that take in jobs of one queue while its pool changes, in steps
-/// drawn from a seed. Instances are cut off from the store and restarted, owners
-/// are replaced, and calls between instances arrive late or never. The decisions
-/// are those of `node::queue_knowledge`; the rest follows `pool_gateway`,
-/// `owned_pools` and `pools::pool_owner`.
+/// drawn from a seed. Instances are cut off from the store and restarted,
+/// owners are replaced, and calls between instances arrive late or never. The
+/// decisions are those of `node::queue_knowledge`; the rest follows
+/// `pool_gateway`, `owned_pools` and `pools::pool_owner`.
 class queue_world
 {
 public:
@@ -116,7 +116,8 @@
     void note_answer(call& one, answer result);
     void submit(call& one);
     owner* loaded_owner(const std::string& pool);
-    answer owner_answer(owner& one, const std::string& pool, const call& asking);
+    answer owner_answer(owner& one, const std::string& pool,
+                        const call& asking);
     void check();
 
     std::mt19937_64 random_;
