Give up no task for bursts of crashes under runs that outlived their start

Cause: such a crash counted half, since it was in a burst and since the run had outlived its start. Four of them made the task the cause of the crashes, however little each of them says.

Change: a crash for which both hold says nothing about the task. Those right after starts count as before, so a task that crashes each worker that starts it is found as early.

--- a/src/jobs/crash_history.cpp
+++ b/src/jobs/crash_history.cpp
@@ -125,8 +125,9 @@
 }
 
 // Two crashes after starts without an answer count as one confirmed crash, and
-// so do two under runs that had outlived their start, or in bursts. The
-// limit of crashes holds for those right after starts, in bursts or not.
+// so do two under runs that had outlived their start, or in bursts. Where both
+// hold, the task is not the cause. The limit of crashes holds for those right
+// after starts, in bursts or not.
 bool crash_history::is_cause(double chance) const
 {
     std::set<std::string_view> addresses;
@@ -140,6 +141,8 @@
             crash.evidence == crash_evidence::starting ||
             (is_unanswered && !crash.is_only_suspect))
             continue;
+        if (crash.is_in_burst && !crash.at_start)
+            continue;
         const bool is_confirmed_at_start = !is_unanswered && crash.at_start;
         half_crashes += is_confirmed_at_start && !crash.is_in_burst ? 2 : 1;
         crashes_at_start += is_confirmed_at_start ? 1 : 0;
--- a/tests/jobs/crash_test.cpp
+++ b/tests/jobs/crash_test.cpp
@@ -628,6 +628,46 @@
     CHECK(restored.steps.at(0).tasks.at(0).crashes.crashes() == crashes);
 }
 
+// Guards against a healthy job that is given up since its task can run in one
+// rack only, which goes dark several times while the task runs.
+TEST_CASE(
+    "bursts of crashes under runs that outlived their start show no cause")
+{
+    constexpr int bursts = 8;
+    crashing_pool pool;
+    for (int index = 0; index < 4; ++index)
+        pool.add("a:" + std::to_string(index));
+    pool.submit("j", make_job({make_step(1)}));
+    for (int burst = 0; burst < bursts; ++burst)
+    {
+        std::vector<start_order> orders;
+        const auto start = [&](std::size_t tasks)
+        {
+            for (int round = 0; round < 40 && orders.size() < tasks; ++round)
+            {
+                for (const start_order& order : pool.plan_and_start())
+                    orders.push_back(order);
+                pool.now += 250ms;
+            }
+        };
+        start(1);
+        REQUIRE_FALSE(worker_of(orders, "j").empty());
+        const std::string other = "other" + std::to_string(burst);
+        pool.submit(other, make_job({make_step(3, 8000)}));
+        start(4);
+        REQUIRE(orders.size() == 4);
+        for (int look = 0; look < 3; ++look)
+            for (const start_order& order : orders)
+                pool.report(order.worker, running({order}, 10 + look));
+        for (const start_order& order : orders)
+            pool.crash(order.worker);
+        pool.state.cancel(other, wall);
+        pool.store();
+        pool.now += 20s;
+        REQUIRE(pool.state.status_of("j") == reported_status::running);
+    }
+}
+
 // Guards against a crash that counts half although the next owner learns that
 // the run was on the worker.
 TEST_CASE("a run known to have been on its worker counts in full")
--- a/tests/node/queue_pools_test.cpp
+++ b/tests/node/queue_pools_test.cpp
@@ -68,7 +68,9 @@
     known.add(with({route_to("/q/", "b")}));
     CHECK(queue_pools::decode(known.encode()) == known);
     for (const char* text : {"", "{", "[]", "{}", R"({"queues":[{}]})",
-                             R"({"queues":[{"queue":1,"pools":[]}]})"})
+                             R"({"queues":[{"queue":1,"pools":[]}]})",
+                             R"({"queues":[{"queue":"q","pools":["a"],
+                                 "assigned_pool":"a"}]})"})
         CHECK_THROWS_AS(queue_pools::decode(text), base::error);
 }
 
