Test that a paused instance refuses no job that its owner is storing

What callers saw: after a pause of its process an instance looked a repeated request's job up in the store, found nothing and answered 503, "never runs", while the owner was storing the job for an earlier call.

--- a/tests/node/pause_test.cpp
+++ b/tests/node/pause_test.cpp
@@ -56,6 +56,32 @@
     CHECK(all.platform.starts_of(id_b + ".0.0.0") == 0);
 }
 
+// Guards against a refusal of a job that runs: after a pause an instance looked
+// it up in the store, while its owner was storing it for an earlier call.
+TEST_CASE("after a pause no job is refused that its owner is storing")
+{
+    cluster all(1);
+    auto& faults = all.platform.store.faults;
+    all.entries.push_back(std::make_unique<entry>(all.platform, "e1"));
+    const entry& paused = *all.entries[1];
+    REQUIRE(eventually(
+        [&] { return all.client.submit(paused, id_a, one_task) == 200; }));
+    REQUIRE(all.owner() == 0);
+    faults.commit_delay = 2s;
+    net::task_group calls;
+    calls.spawn([&] { all.client.submit(*all.entries[0], id_b, one_task); });
+    boost::this_fiber::sleep_for(50ms);
+    // The configuration is confirmed later than the request arrives.
+    faults.answer_delay = 60ms;
+    // The whole process stands still.
+    std::this_thread::sleep_for(1100ms);
+    CHECK(all.client.submit(paused, id_b, one_task) == 504);
+    calls.join();
+    faults.commit_delay = {};
+    faults.answer_delay = {};
+    CHECK(all.completes(0, id_b));
+}
+
 // Guards against a confirmation that was under way during the pause.
 TEST_CASE("what was asked for before a pause ended confirms nothing")
 {
