Count idle workers that vanish as losses of a burst

Cause: the owner's log shows one lost worker for each outage of four. Workers without runs are dropped when their entries are missing and counted as no loss, so the outage of the rack was not seen as a burst.

Change: a worker without runs that is no longer listed counts as lost, unless it drains or its machine is being moved or maintained. unlist_worker takes the time for that; the tests pass theirs.

--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace pimentograde::jobs
 {
@@ -81,10 +82,14 @@
                                             description.remaining))});
 }
 
-void pool_state::unlist_worker(std::string_view id)
+void pool_state::unlist_worker(std::string_view id, base::time_point now)
 {
-    if (worker_view* worker = find_worker(id))
-        worker->is_listed = false;
+    worker_view* worker = find_worker(id);
+    if (worker == nullptr || !std::exchange(worker->is_listed, false))
+        return;
+    // Where tasks run, the loss is noted with its suspects.
+    if (worker->runs.empty() && !worker->may_end_as_planned(now))
+        note_loss(*worker, {}, now);
 }
 
 void pool_state::forget_worker(std::string_view id)
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -182,7 +182,7 @@
 
     void update_worker(const worker_description& description);
     /// Marks a worker that the store no longer lists; its runs may continue.
-    void unlist_worker(std::string_view id);
+    void unlist_worker(std::string_view id, base::time_point now);
     /// Removes the worker's runs, which can no longer exist. Unless the
     /// worker's end was planned, its tasks are noted as possible causes of its
     /// crash; the job of a task that is found to be the cause of repeated
--- a/src/node/owned_pools.cpp
+++ b/src/node/owned_pools.cpp
@@ -29,7 +29,7 @@
 {
 }
 
-bool owned_pools::is_up_to_date(
+bool owned_pools::knows_newest(
     const std::optional<peer::queue_assignment>& stated)
 {
     return !stated || queues_.knowledge().adopt(*stated);
@@ -62,7 +62,7 @@
 pools::job_answer owned_pools::status(pools::pool_owner& owner,
                                       const peer::query_job& message)
 {
-    const bool is_up_to_date = this->is_up_to_date(message.assignment);
+    const bool is_up_to_date = knows_newest(message.assignment);
     // Otherwise the assignment keeps late submissions from being accepted.
     const bool must_deny =
         message.is_before_submission &&
@@ -78,7 +78,7 @@
                                       const peer::cancel_job& message,
                                       base::time_point deadline)
 {
-    const bool is_up_to_date = this->is_up_to_date(message.assignment);
+    const bool is_up_to_date = knows_newest(message.assignment);
     auto answer = owner.cancel(message.job, deadline);
     if (!is_up_to_date && answer.outcome == job_kind::absent)
         answer.outcome = job_kind::unavailable;
@@ -89,7 +89,7 @@
                                         const peer::count_pending& message)
 {
     // The next owner may have accepted and started jobs.
-    if (!is_up_to_date(message.assignment) ||
+    if (!knows_newest(message.assignment) ||
         !session_.holds_lease(base::suspend_aware_now()))
         return std::nullopt;
     return owner.pending(message.queue);
--- a/src/node/owned_pools.hpp
+++ b/src/node/owned_pools.hpp
@@ -51,7 +51,7 @@
 private:
     /// Whether the sender knows the queue's newest assignment, or belongs to a
     /// version that does not tell.
-    bool is_up_to_date(const std::optional<peer::queue_assignment>& stated);
+    bool knows_newest(const std::optional<peer::queue_assignment>& stated);
     [[nodiscard]] pools::admission
     admission_of(const pools::pool_owner& owner,
                  const peer::submit_job& message);
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -269,10 +269,11 @@
         state.update_worker(worker);
         link_of(worker).update(worker);
     }
+    const base::time_point now = base::steady_now();
     for (auto& [id, link] : links)
         if (!listed.contains(id))
-            state.unlist_worker(id);
-    std::erase_if(ended_workers, [now = base::steady_now()](const auto& entry)
+            state.unlist_worker(id, now);
+    std::erase_if(ended_workers, [now](const auto& entry)
                   { return now - entry.second > max_stale_listing_time; });
     remove_idle_links();
     changed();
--- a/tests/jobs/burst_test.cpp
+++ b/tests/jobs/burst_test.cpp
@@ -304,7 +304,7 @@
     spec.steps = {part};
     state.submit("first", spec, "queue", now, wall);
     for (int index = 1; index < 10; ++index)
-        state.unlist_worker("w" + std::to_string(index));
+        state.unlist_worker("w" + std::to_string(index), now);
     int accepted = 0;
     for (int index = 0; index < 40; ++index)
         accepted +=
--- a/tests/jobs/crash_test.cpp
+++ b/tests/jobs/crash_test.cpp
@@ -41,7 +41,7 @@
     void crash(const std::string& id)
     {
         const std::string address = state.workers().at(id).description.address;
-        state.unlist_worker(id);
+        state.unlist_worker(id, now);
         state.lose_runs(id, run_loss::ended, now, wall);
         state.forget_worker(id);
         store();
@@ -491,7 +491,7 @@
     part.is_long_running = true;
     pool.submit("suspect", make_job({part}));
     REQUIRE(worker_of(pool.plan_and_start(), "suspect") == "special");
-    pool.state.unlist_worker("special");
+    pool.state.unlist_worker("special", pool.now);
     pool.state.lose_runs("special", run_loss::ended, pool.now, wall);
     pool.state.forget_worker("special");
     pool.store();
@@ -668,6 +668,38 @@
     }
 }
 
+// Guards against the same where the other workers of the rack are idle, so that
+// only their missing entries tell of their loss.
+TEST_CASE("the loss of idle workers beside a crash shows a burst")
+{
+    constexpr int bursts = 8;
+    crashing_pool pool;
+    for (int index = 0; index < 4; ++index)
+        pool.add("a:" + std::to_string(index));
+    pool.submit("j", make_job({make_step(1)}));
+    for (int burst = 0; burst < bursts; ++burst)
+    {
+        std::vector<start_order> orders;
+        for (int round = 0; round < 40 && orders.empty(); ++round)
+        {
+            orders = pool.plan_and_start();
+            pool.now += 250ms;
+        }
+        REQUIRE(orders.size() == 1);
+        for (int look = 0; look < 3; ++look)
+            pool.report(orders[0].worker, running(orders, 10 + look));
+        std::vector<std::string> idle;
+        for (const auto& [id, worker] : pool.state.workers())
+            if (id != orders[0].worker)
+                idle.push_back(id);
+        pool.crash(orders[0].worker);
+        for (const std::string& id : idle)
+            pool.crash(id);
+        pool.now += 20s;
+        REQUIRE(pool.state.status_of("j") == reported_status::running);
+    }
+}
+
 // Guards against a crash that counts half although the next owner learns that
 // the run was on the worker.
 TEST_CASE("a run known to have been on its worker counts in full")
--- a/tests/jobs/leave_test.cpp
+++ b/tests/jobs/leave_test.cpp
@@ -148,8 +148,8 @@
     worker_report ends = ended(pool.orders[0], end_kind::stopped, 1);
     ends.ended.push_back({2, pool.orders[1].task, 1, end_kind::stopped, {}});
     pool.report("w1", ends);
-    pool.state.unlist_worker("w2");
-    pool.state.unlist_worker("w3");
+    pool.state.unlist_worker("w2", pool.now);
+    pool.state.unlist_worker("w3", pool.now);
     CHECK_FALSE(pool.state.prepare_leave("w1", until, pool.now));
     CHECK(pool.state.workers().at("w1").accepts_starts(pool.now));
 }
@@ -275,8 +275,8 @@
     REQUIRE(pool.orders[0].worker == "w1");
     const base::time_point until = pool.now + 3s;
     REQUIRE(pool.state.prepare_leave("w2", until, pool.now));
-    pool.state.unlist_worker("w1");
-    pool.state.unlist_worker("w3");
+    pool.state.unlist_worker("w1", pool.now);
+    pool.state.unlist_worker("w3", pool.now);
     CHECK_FALSE(pool.state.prepare_leave("w2", until, pool.now));
     CHECK_FALSE(pool.state.workers().at("w2").accepts_starts(pool.now));
     CHECK(pool.state.workers().at("w2").accepts_starts(until));
@@ -305,7 +305,7 @@
     pool_fixture pool({describe("w1"), describe("w2")});
     const base::time_point until = pool.now + 3s;
     REQUIRE(pool.state.prepare_leave("w2", until, pool.now));
-    pool.state.unlist_worker("w2");
+    pool.state.unlist_worker("w2", pool.now);
     REQUIRE(pool.state.can_forget("w2", pool.now));
     pool.state.forget_worker("w2");
     pool.state.update_worker(describe("w2"));
--- a/tests/jobs/pool_state_test.cpp
+++ b/tests/jobs/pool_state_test.cpp
@@ -196,7 +196,7 @@
 {
     pool_fixture pool({describe("w1"), describe("w2")});
     CHECK(pool.state.roster(pool.now).size() == 2);
-    pool.state.unlist_worker("w1");
+    pool.state.unlist_worker("w1", pool.now);
     pool.state.lose_runs("w1", run_loss::ended, pool.now, wall);
     pool.state.forget_worker("w1");
     CHECK(pool.state.roster(pool.now).size() == 1);
--- a/tests/jobs/pool_world.cpp
+++ b/tests/jobs/pool_world.cpp
@@ -484,7 +484,7 @@
     worker.is_listed = !worker.is_listed;
     if (!worker.is_listed)
     {
-        owner_.state->unlist_worker(worker.id);
+        owner_.state->unlist_worker(worker.id, now_);
         return;
     }
     list_worker(worker);
--- a/tests/jobs/pool_world_machines.cpp
+++ b/tests/jobs/pool_world_machines.cpp
@@ -88,7 +88,7 @@
         if (!worker.is_gone || !worker.is_listed || now_ < worker.listed_until)
             continue;
         worker.is_listed = false;
-        owner_.state->unlist_worker(worker.id);
+        owner_.state->unlist_worker(worker.id, now_);
     }
 }
 
--- a/tests/jobs/roster_test.cpp
+++ b/tests/jobs/roster_test.cpp
@@ -281,7 +281,7 @@
     pool.now += 100ms;
     pool.state.apply_report(worker, ended(orders[0], end_kind::done), pool.now,
                             pool.now, wall);
-    pool.state.unlist_worker(worker);
+    pool.state.unlist_worker(worker, pool.now);
     CHECK_FALSE(pool.state.can_forget(worker, pool.now));
     CHECK(pool.state.roster(pool.now).size() == 2);
     CHECK(pool.state.final_roster(pool.now).size() == 2);
@@ -300,7 +300,7 @@
     pool.now += 100ms;
     pool.state.apply_report("w1", ended(orders[0], end_kind::done), pool.now,
                             pool.now, wall);
-    pool.state.unlist_worker("w1");
+    pool.state.unlist_worker("w1", pool.now);
     pool.state.lose_runs("w1", run_loss::ended, pool.now, wall);
     CHECK(pool.state.can_forget("w1", pool.now));
 }
@@ -311,7 +311,7 @@
 TEST_CASE("a worker that the roster leaves out gets no runs until it is in it")
 {
     pool_fixture pool({describe("w1")});
-    pool.state.unlist_worker("w1");
+    pool.state.unlist_worker("w1", pool.now);
     const auto roster = pool.state.roster(pool.now);
     CHECK(roster.empty());
     pool.state.update_worker(describe("w1"));
@@ -422,7 +422,7 @@
 {
     pool_with_late_start before;
     pool_fixture& pool = before.pool;
-    pool.state.unlist_worker(before.worker);
+    pool.state.unlist_worker(before.worker, pool.now);
     CHECK_FALSE(pool.state.can_forget(before.worker, pool.now));
     CHECK(before.is_named(pool.state.roster(pool.now)));
     CHECK(before.is_named(pool.state.final_roster(pool.now)));
--- a/tests/jobs/takeover_test.cpp
+++ b/tests/jobs/takeover_test.cpp
@@ -33,7 +33,7 @@
     void lose(run_loss loss)
     {
         next->state.lose_runs(order.worker, loss, next->now, wall);
-        next->state.unlist_worker(order.worker);
+        next->state.unlist_worker(order.worker, next->now);
     }
 };
 
@@ -155,7 +155,7 @@
 {
     unheard_pool pool;
     pool_state& state = pool.next->state;
-    state.unlist_worker(pool.order.worker);
+    state.unlist_worker(pool.order.worker, pool.next->now);
     const base::time_point later = pool.next->now + unknown_lease;
     CHECK(state.plan(later, wall, ownership::contested).empty());
     // What `remove_idle_links` does right after the plan.
--- a/tests/node/queue_world.cpp
+++ b/tests/node/queue_world.cpp
@@ -236,7 +236,6 @@
         begin(one);
         return;
     case stage::asking:
-    case stage::answered:
         ask(one);
         return;
     case stage::unowned:
@@ -260,8 +259,6 @@
     one.left_to_ask = at.knowledge.earlier_pools(route);
     if (!one.is_submission)
         one.left_to_ask.push_back(at.pool);
-    else if (at.knowledge.is_superseded(route))
-        return;
     else if (one.stated.pool != at.pool)
         return;
     one.at = one.left_to_ask.empty() ? stage::submitting : stage::asking;
@@ -307,10 +304,8 @@
         one.at = stage::ended;
         return;
     }
-    // The store shows no claim.
-    if (!owners_[pool])
-        one.at = stage::unowned;
-    else if (!one.is_submission)
+    // A submission goes on once the store shows that the pool has no owner.
+    if (!owners_[pool] || !one.is_submission)
         one.at = stage::unowned;
 }
 
--- a/tests/node/queue_world.hpp
+++ b/tests/node/queue_world.hpp
@@ -35,8 +35,7 @@
 
     /// Empty if no rule has been broken.
     [[nodiscard]] const std::string& violation() const { return violation_; }
-    /// Jobs accepted, and of these the ones in a pool that is not the queue's
-    /// present one.
+    /// Number of jobs accepted so far.
     [[nodiscard]] std::size_t accepted() const;
     [[nodiscard]] std::size_t instances() const { return instances_.size(); }
 
@@ -65,8 +64,6 @@
     {
         begun,
         asking,
-        /// An owner's answer is on its way back, or lost.
-        answered,
         /// The store has shown that the pool has no owner.
         unowned,
         submitting,
@@ -84,7 +81,6 @@
         stage at = stage::begun;
         peer::queue_assignment stated;
         std::vector<std::string> left_to_ask;
-        bool has_result = false;
     };
     enum class answer
     {
@@ -104,7 +100,6 @@
 
     void move_queue();
     void disturb();
-    void replace_owner(const std::string& pool);
     void restart(std::size_t index);
     void synchronize(instance& one);
     void run_owners();
