Log when an instance learns that a queue has moved

What operators saw: a submission that an owner turns away with "the job may be in another pool" had no line that tells since when, and by which version, the owner knows of the move.

--- a/src/node/events.hpp
+++ b/src/node/events.hpp
@@ -66,6 +66,8 @@
 inline constexpr log::event event_paused{
     3327, log::severity::warning,
     "the process did not run for a while; confirming the configuration"};
+inline constexpr log::event event_queue_moved{
+    3328, log::severity::info, "new jobs of the queue go to another pool"};
 
 } // namespace pimentograde::node
 
--- a/src/node/queue_knowledge.cpp
+++ b/src/node/queue_knowledge.cpp
@@ -6,6 +6,12 @@
 namespace pimentograde::node
 {
 
+void queue_knowledge::on_move(
+    std::function<void(const peer::queue_assignment&)> hook)
+{
+    moved_ = std::move(hook);
+}
+
 void queue_knowledge::set_configuration(const platform::configuration& current)
 {
     configuration_ = current;
@@ -16,7 +22,17 @@
 {
     stored_ = std::move(stored);
     known_.merge(stored_);
-    stated_.merge(stored_);
+    for (const peer::queue_assignment& assignment : stored_.assignments())
+        note(assignment);
+}
+
+void queue_knowledge::note(const peer::queue_assignment& stated)
+{
+    const std::string before = stated_.newest(stated.queue).pool;
+    stated_.adopt(stated);
+    const peer::queue_assignment newest = stated_.newest(stated.queue);
+    if (!before.empty() && newest.pool != before)
+        moved_(newest);
 }
 
 void queue_knowledge::add_pool_for_all(const std::string& pool)
@@ -53,7 +69,7 @@
 
 bool queue_knowledge::adopt(const peer::queue_assignment& stated)
 {
-    stated_.adopt(stated);
+    note(stated);
     return stated_.is_newest(stated);
 }
 
--- a/src/node/queue_knowledge.hpp
+++ b/src/node/queue_knowledge.hpp
@@ -5,6 +5,7 @@
 #include "peer/pool_messages.hpp"
 #include "platform/configuration.hpp"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -24,6 +25,8 @@
 class queue_knowledge
 {
 public:
+    /// Called when this instance learns that a queue has moved to another pool.
+    void on_move(std::function<void(const peer::queue_assignment&)> hook);
     void set_configuration(const platform::configuration& current);
     /// The store holds this record.
     void read_record(queue_pools stored);
@@ -60,6 +63,11 @@
                      std::string_view queue_name, std::string_view pool);
 
 private:
+    void note(const peer::queue_assignment& stated);
+
+    std::function<void(const peer::queue_assignment&)> moved_ =
+        [](const peer::queue_assignment&) {
+        };
     std::optional<platform::configuration> configuration_;
     /// The pools of all configurations and records that this instance has read,
     /// and the newest assignments of the records.
--- a/src/node/queue_pools.cpp
+++ b/src/node/queue_pools.cpp
@@ -139,6 +139,15 @@
     return newest(key_of(route));
 }
 
+std::vector<peer::queue_assignment> queue_pools::assignments() const
+{
+    std::vector<peer::queue_assignment> result;
+    for (const entry& known : entries_)
+        if (!known.assigned_pool.empty())
+            result.push_back({known.queue, known.assigned_pool, known.since});
+    return result;
+}
+
 bool queue_pools::is_reassigned(const platform::queue_route& route,
                                 std::int64_t version) const
 {
--- a/src/node/queue_pools.hpp
+++ b/src/node/queue_pools.hpp
@@ -36,9 +36,13 @@
     /// The queue's pools without the one that the route names.
     [[nodiscard]] std::vector<std::string>
     earlier_pools(const platform::queue_route& route) const;
-    /// The newest assignment; names no pool if none is known.
+    /// The newest assignment; names no pool if none is known. `queue` is the
+    /// queue's host and path prefix.
+    [[nodiscard]] peer::queue_assignment newest(std::string_view queue) const;
     [[nodiscard]] peer::queue_assignment
     newest(const platform::queue_route& route) const;
+    /// The newest assignments of all queues that have one.
+    [[nodiscard]] std::vector<peer::queue_assignment> assignments() const;
     /// Whether the configuration of that version, which has the route, makes an
     /// assignment newer than the known ones.
     [[nodiscard]] bool is_reassigned(const platform::queue_route& route,
@@ -70,7 +74,6 @@
     static constexpr std::string_view all_queues{};
 
     [[nodiscard]] const entry* find(std::string_view queue) const;
-    [[nodiscard]] peer::queue_assignment newest(std::string_view queue) const;
     bool add(std::string_view queue, const std::string& pool);
 
     /// In the order in which the queues were added.
--- a/src/node/queue_recorder.cpp
+++ b/src/node/queue_recorder.cpp
@@ -23,7 +23,16 @@
 
 } // namespace
 
-queue_recorder::queue_recorder(platform::store_client& store) : store_(store) {}
+queue_recorder::queue_recorder(platform::store_client& store) : store_(store)
+{
+    knowledge_.on_move(
+        [](const peer::queue_assignment& newest)
+        {
+            log::write(event_queue_moved, {{"queue", newest.queue},
+                                           {"pool", newest.pool},
+                                           {"since", newest.since}});
+        });
+}
 
 queue_recorder::~queue_recorder()
 {
--- a/tests/node/queue_knowledge_test.cpp
+++ b/tests/node/queue_knowledge_test.cpp
@@ -100,6 +100,24 @@
           std::vector<std::string>{"a", "b"});
 }
 
+// Guards against a log that does not show since when an owner turns away what
+// it has accepted before.
+TEST_CASE("a queue's move is told once")
+{
+    std::vector<peer::queue_assignment> told;
+    queue_knowledge known;
+    known.on_move([&](const peer::queue_assignment& newest)
+                  { told.push_back(newest); });
+    auto writer = knowledge_after({configuration(3, "a")});
+    known.read_record(writer.next_record());
+    CHECK(told.empty());
+    known.adopt({queue, "b", 7});
+    known.adopt({queue, "a", 3});
+    writer.set_configuration(configuration(7, "b"));
+    known.read_record(writer.next_record());
+    CHECK(told == std::vector<peer::queue_assignment>{{queue, "b", 7}});
+}
+
 // Guards against an instance that submits to, or records, a pool from which the
 // queue has been moved away.
 TEST_CASE("an assignment of an older configuration is superseded")
