Let a job that was refused after a pause be handed in again

Cause: since the owner is asked in place of the store, the question made it deny the job, as one that is accepted elsewhere.

Change: the owner is asked for the job's state, and the instances whether they have forwarded it, which covers one that the owner is storing.

--- a/src/node/owned_pools.cpp
+++ b/src/node/owned_pools.cpp
@@ -64,9 +64,7 @@
 {
     const bool is_up_to_date = knows_newest(message.assignment);
     // Otherwise the assignment keeps late submissions from being accepted.
-    const bool must_deny =
-        message.is_before_submission &&
-        (!message.assignment || message.assignment->pool == owner.pool());
+    const bool must_deny = message.is_before_submission && !message.assignment;
     auto answer = must_deny ? owner.status_before_submission(message.job)
                             : owner.status(message.job);
     if (!is_up_to_date && answer.outcome == job_kind::absent)
--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -154,11 +154,16 @@
     const jobs::queue_policy& queue, const peer::queue_assignment& assignment,
     std::string_view id, std::string reason, base::time_point deadline)
 {
-    const auto known =
-        status_before_submission(queue, assignment, id, deadline);
+    const auto known = status(queue, assignment, id, deadline);
     if (known.outcome == job_kind::found)
         return {submission_kind::accepted, {}, "accepted before"};
-    if (known.outcome == job_kind::absent)
+    // The caller comes back, so the owner must go on to accept the job. An
+    // earlier call may have forwarded it, and the owner may be storing it.
+    const bool is_excluded =
+        known.outcome == job_kind::absent &&
+        !forwarded_.contains(assignment.queue, id, base::steady_now()) &&
+        no_member_has_forwarded(assignment, id);
+    if (is_excluded)
         return {submission_kind::refused, takeover_retry, std::move(reason)};
     return {submission_kind::unknown, takeover_retry,
             reason.append("; an earlier call may have handed the job in")};
--- a/tests/node/pause_test.cpp
+++ b/tests/node/pause_test.cpp
@@ -82,6 +82,28 @@
     CHECK(all.completes(0, id_b));
 }
 
+// Guards against a caller who is told to come back and is then turned away for
+// longer than the pause.
+TEST_CASE("a job that was refused after a pause is accepted soon")
+{
+    cluster all(1);
+    platform_standin::relay to_store(all.platform.store_address());
+    all.entries.push_back(std::make_unique<entry>(all.platform, "e1", 1.0,
+                                                  to_store.local_endpoint()));
+    const entry& paused = *all.entries[1];
+    REQUIRE(eventually(
+        [&] { return all.client.submit(paused, id_a, one_task) == 200; }));
+    REQUIRE(all.owner() == 0);
+    to_store.holds_answers = true;
+    // The whole process stands still.
+    std::this_thread::sleep_for(1500ms);
+    CHECK(all.client.submit(paused, id_b, one_task) == 503);
+    to_store.holds_answers = false;
+    CHECK(eventually(
+        [&] { return all.client.submit(paused, id_b, one_task) == 200; }, 3s));
+    CHECK(all.completes(1, id_b));
+}
+
 // Guards against a confirmation that was under way during the pause.
 TEST_CASE("what was asked for before a pause ended confirms nothing")
 {
