Read tenants from the configuration and carry them with jobs

Callers saw: nothing yet. The configuration's tenants, with weight, cap and keys, were ignored, so every key was accepted and no quota applied.

Cause: nothing read `Tenants`, `Public` or the contracts in force.

A job carries its tenant, in its record and in peer messages; earlier versions ignore the field. Owners get the tenants with the policies.

--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -33,6 +33,23 @@
     return log::severity::error;
 }
 
+// `auto` asks for it where the deployment's callers press for more than there
+// is room for.
+bool is_enabled(const setting_values& values, std::string_view flag,
+                const platform::node_settings& settings)
+{
+    const std::string& word = values.find(flag)->second;
+    return word == "on" || (word == "auto" && settings.expects_pressure);
+}
+
+node::node_options read_options(const setting_values& values,
+                                const platform::node_settings& settings)
+{
+    return {is_enabled(values, "worker-speed", settings),
+            is_enabled(values, "near-wait", settings),
+            is_enabled(values, "store-relay", settings)};
+}
+
 exit_code run_node(command_input& input)
 {
     // The settings may change, with SIGHUP, while they are read.
@@ -47,7 +64,8 @@
                    severity_of(input.settings.find("log-level")->second),
                    settings.name);
     log::use_bounded_standard_output();
-    node::node_instance instance(settings, read);
+    node::node_instance instance(settings, read,
+                                 read_options(input.settings, settings));
     instance.run();
     return exit_code::ok;
 }
--- a/src/cli/setting.cpp
+++ b/src/cli/setting.cpp
@@ -211,13 +211,23 @@
 
 std::span<const setting> node_settings()
 {
-    static const std::array<setting, 2> settings{{
+    static const std::array<setting, 5> settings{{
         {"settings", "PIMENTOGRADE_NODE_FILE", "",
          "Settings file of the platform, as JSON.", "path of a readable file",
          [](const std::string& text) { return !text.empty(); }, false, true},
         {"log-level", "PIMENTOGRADE_LOG_LEVEL", "info", "Lowest level to log.",
          "debug, info, warning or error",
          one_of({"debug", "info", "warning", "error"})},
+        {"worker-speed", "PIMENTOGRADE_WORKER_SPEED", "auto",
+         "Places tasks by the observed speed of the workers.",
+         "auto, on or off", one_of({"auto", "on", "off"})},
+        {"near-wait", "PIMENTOGRADE_NEAR_WAIT", "auto",
+         "Lets a task wait for a worker near its data while that pays.",
+         "auto, on or off", one_of({"auto", "on", "off"})},
+        {"store-relay", "PIMENTOGRADE_STORE_RELAY", "auto",
+         "Sends store calls through another instance while the store refuses "
+         "this one.",
+         "auto, on or off", one_of({"auto", "on", "off"})},
     }};
     return settings;
 }
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -144,6 +144,8 @@
 {
     std::string id;
     std::string queue;
+    /// Tenant that submitted the job; empty if the queue asks for none.
+    std::string tenant;
     /// The queue's policy at the submission, for owners that start when the
     /// queue is no longer configured; without a name if it is not known.
     queue_policy policy;
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -218,6 +218,7 @@
     job subject;
     subject.id = std::string(id);
     subject.queue = text_of(source, "queue");
+    subject.tenant = text_of(source, "tenant");
     subject.status = static_cast<job_status>(small_number_of(source, "status"));
     subject.accepted_wall = base::from_millis(number_of(source, "accepted_ms"));
     subject.ended_wall = base::from_millis(number_of(source, "ended_ms"));
@@ -248,6 +249,8 @@
     json::object value{{"queue", subject.queue},
                        {"status", static_cast<int>(subject.status)},
                        {"accepted_ms", base::to_millis(subject.accepted_wall)}};
+    if (!subject.tenant.empty())
+        value["tenant"] = subject.tenant;
     // Callers can only query the status of an ended job.
     if (subject.status != job_status::open)
     {
--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -72,6 +72,13 @@
         policies_.try_emplace(policy.name, policy);
 }
 
+void pool_state::set_tenants(std::span<const tenant_policy> tenants)
+{
+    tenants_.clear();
+    for (const tenant_policy& entry : tenants)
+        tenants_.emplace(entry.name, entry);
+}
+
 const queue_policy& pool_state::policy_of(const job& subject) const
 {
     static const queue_policy unknown_queue;
@@ -157,7 +164,7 @@
 
 submit_result pool_state::submit(std::string_view id, job_spec spec,
                                  std::string_view queue, base::time_point now,
-                                 base::wall_time wall)
+                                 base::wall_time wall, std::string_view tenant)
 {
     submit_result result;
     if (find(id) != nullptr)
@@ -168,6 +175,7 @@
     job subject;
     subject.id = std::string(id);
     subject.queue = std::string(queue);
+    subject.tenant = std::string(tenant);
     subject.spec = std::move(spec);
     subject.accepted_at = first_submitted_at(id, now);
     subject.accepted_wall = wall;
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -8,6 +8,7 @@
 #include "jobs/lasting_places.hpp"
 #include "jobs/ordering.hpp"
 #include "jobs/roster.hpp"
+#include "jobs/tenant.hpp"
 #include "jobs/worker_report.hpp"
 #include "jobs/worker_view.hpp"
 
@@ -115,6 +116,9 @@
     /// Adds the policy of a queue that has none yet.
     void add_policy(const queue_policy& policy);
 
+    /// Replaces the tenants of the configuration.
+    void set_tenants(std::span<const tenant_policy> tenants);
+
     /// How many times as long a gang runs on more than one rack.
     void set_remote_factor(double factor) { remote_factor_ = factor; }
 
@@ -133,9 +137,10 @@
         statistics_ = std::move(table);
     }
 
+    /// `tenant` is empty for a queue that asks for none.
     submit_result submit(std::string_view id, job_spec spec,
                          std::string_view queue, base::time_point now,
-                         base::wall_time wall);
+                         base::wall_time wall, std::string_view tenant = {});
     /// Adds a job that an earlier owner of the pool stored.
     void restore(job subject, base::time_point now, base::wall_time wall);
     /// Sets the jobs whose records this owner cannot read. Their runs go on,
@@ -520,6 +525,7 @@
     /// they were released.
     std::map<std::string, base::time_point, std::less<>> held_unknown_;
     std::map<std::string, queue_policy, std::less<>> policies_;
+    tenant_table tenants_;
     statistics_table statistics_;
     /// Time of the first submission of each refused job. Its objective counts
     /// from there when the caller submits the job again.
--- a/src/node/node_instance.cpp
+++ b/src/node/node_instance.cpp
@@ -51,10 +51,11 @@
 
 struct node_instance::impl
 {
-    explicit impl(platform::node_settings own)
-        : settings(std::move(own)), store(platform::store_client::builder{}
-                                              .connect_to(settings.store)
-                                              .build()),
+    impl(platform::node_settings own, node_options chosen)
+        : settings(std::move(own)), options(chosen),
+          store(platform::store_client::builder{}
+                    .connect_to(settings.store)
+                    .build()),
           worker_http(net::http_client::builder{}.max_idle(2).build()),
           directory(
               [this] {
@@ -101,6 +102,7 @@
     impl& operator=(const impl&) = delete;
 
     platform::node_settings settings;
+    node_options options;
     metrics::registry metrics;
     std::unique_ptr<platform::store_client> store;
     std::unique_ptr<net::http_client> worker_http;
@@ -399,8 +401,8 @@
 }
 
 node_instance::node_instance(platform::node_settings settings,
-                             settings_reader reader)
-    : impl_(std::make_unique<impl>(std::move(settings)))
+                             settings_reader reader, node_options options)
+    : impl_(std::make_unique<impl>(std::move(settings), options))
 {
     impl_->read_settings = std::move(reader);
 }
--- a/src/node/node_instance.hpp
+++ b/src/node/node_instance.hpp
@@ -1,6 +1,7 @@
 #ifndef PIMENTOGRADE_NODE_NODE_INSTANCE_HPP
 #define PIMENTOGRADE_NODE_NODE_INSTANCE_HPP
 
+#include "node/node_options.hpp"
 #include "platform/node_settings.hpp"
 
 #include <functional>
@@ -16,7 +17,8 @@
     /// Reloads the settings after SIGHUP; throws `base::error`.
     using settings_reader = std::function<platform::node_settings()>;
 
-    node_instance(platform::node_settings settings, settings_reader reader);
+    node_instance(platform::node_settings settings, settings_reader reader,
+                  node_options options = {});
     ~node_instance();
     node_instance(const node_instance&) = delete;
     node_instance& operator=(const node_instance&) = delete;
--- a/src/node/pool_claims.cpp
+++ b/src/node/pool_claims.cpp
@@ -82,6 +82,9 @@
     policies_.clear();
     for (const auto& route : current.queues)
         policies_.push_back(route.policy);
+    tenants_.clear();
+    for (const auto& tenant : current.tenants)
+        tenants_.push_back(tenant.policy);
     pools_.clear();
     for (const auto& pool : current.pools)
         if (!pool.is_standby)
@@ -279,6 +282,7 @@
                 })
             .build();
     owner->set_policies(policies_);
+    owner->set_tenants(tenants_);
     if (directory_.is_listed())
         owner->set_workers(directory_.workers_of(pool));
     owner->start();
@@ -290,6 +294,7 @@
     for (auto& [pool, owner] : owners_)
     {
         owner->set_policies(policies_);
+        owner->set_tenants(tenants_);
         if (directory_.is_listed())
             owner->set_workers(directory_.workers_of(pool));
     }
--- a/src/node/pool_claims.hpp
+++ b/src/node/pool_claims.hpp
@@ -86,6 +86,7 @@
     base::duration stop_time_;
     std::function<void(bool)> needs_workers_;
     std::vector<jobs::queue_policy> policies_;
+    std::vector<jobs::tenant_policy> tenants_;
     std::set<std::string> pools_;
     std::vector<std::string> roles_;
     std::map<std::string, std::shared_ptr<pools::pool_owner>, std::less<>>
--- a/src/peer/pool_messages.cpp
+++ b/src/peer/pool_messages.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr const char* assignment_field = "assignment";
+constexpr const char* tenant_field = "tenant";
 
 void add_assignment(Json::Value& message,
                     const std::optional<queue_assignment>& assignment)
@@ -26,6 +27,19 @@
         message_fields(message).object(assignment_field));
 }
 
+void add_tenant(Json::Value& message, const std::string& tenant)
+{
+    if (!tenant.empty())
+        message[tenant_field] = text_value(tenant);
+}
+
+std::string read_tenant(const Json::Value& message)
+{
+    return message.isMember(tenant_field)
+               ? message_fields(message).text(tenant_field)
+               : std::string{};
+}
+
 } // namespace
 
 Json::Value queue_assignment::to_json() const
@@ -69,6 +83,7 @@
     value["record"] = text_value(record);
     value["time_left_us"] = length_value(time_left);
     add_assignment(value, assignment);
+    add_tenant(value, tenant);
     return value;
 }
 
@@ -80,7 +95,8 @@
             fields.text("job"),
             fields.text("record"),
             fields.length("time_left_us"),
-            read_assignment(source)};
+            read_assignment(source),
+            read_tenant(source)};
 }
 
 Json::Value forwarded_reply::to_json() const
@@ -133,6 +149,7 @@
     if (is_before_submission)
         value["before_submission"] = true;
     add_assignment(value, assignment);
+    add_tenant(value, tenant);
     return value;
 }
 
@@ -142,7 +159,7 @@
     return {fields.text("pool"), fields.text("job"),
             source.isMember("before_submission") &&
                 fields.flag("before_submission"),
-            read_assignment(source)};
+            read_assignment(source), read_tenant(source)};
 }
 
 Json::Value cancel_job::to_json() const
@@ -152,6 +169,7 @@
     value["job"] = text_value(job);
     value["time_left_us"] = length_value(time_left);
     add_assignment(value, assignment);
+    add_tenant(value, tenant);
     return value;
 }
 
@@ -159,7 +177,8 @@
 {
     const message_fields fields(source);
     return {fields.text("pool"), fields.text("job"),
-            fields.length("time_left_us"), read_assignment(source)};
+            fields.length("time_left_us"), read_assignment(source),
+            read_tenant(source)};
 }
 
 Json::Value pending_reply::to_json() const
--- a/src/peer/pool_messages.hpp
+++ b/src/peer/pool_messages.hpp
@@ -57,6 +57,9 @@
     /// The newest one that the sender knows. It has asked the queue's other
     /// pools for the job since. Empty if its version does not tell.
     std::optional<queue_assignment> assignment{};
+    /// Tenant of the caller; empty if the queue asks for none, or if the
+    /// sender's version does not tell.
+    std::string tenant{};
 
     [[nodiscard]] Json::Value to_json() const;
     static submit_job from_json(const Json::Value& source);
@@ -113,6 +116,8 @@
     /// See `submit_job`. A job is certainly absent only if the sender knows the
     /// newest assignment.
     std::optional<queue_assignment> assignment{};
+    /// See `submit_job`.
+    std::string tenant{};
 
     [[nodiscard]] Json::Value to_json() const;
     static query_job from_json(const Json::Value& source);
@@ -128,6 +133,8 @@
     base::duration time_left{};
     /// See `query_job`.
     std::optional<queue_assignment> assignment{};
+    /// See `submit_job`.
+    std::string tenant{};
 
     [[nodiscard]] Json::Value to_json() const;
     static cancel_job from_json(const Json::Value& source);
--- a/src/platform/configuration.cpp
+++ b/src/platform/configuration.cpp
@@ -1,8 +1,10 @@
 #include "platform/configuration.hpp"
 
+#include "base/digest.hpp"
 #include "platform/json_call.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace pimentograde::platform
 {
@@ -16,6 +18,8 @@
 constexpr std::chrono::hours max_time{24 * 365};
 // Machines, attempts, ranks.
 constexpr std::int64_t max_count = 1'000'000;
+// Jobs per second.
+constexpr double max_weight = 1e9;
 
 json::object parse_object(std::string_view text, std::string_view step)
 {
@@ -64,9 +68,37 @@
         static_cast<int>(read_clamped(source, "MaxAttempts", 1, max_count, 1));
     route.policy.stretch = read_number(source, "Stretch", 1.0);
     route.policy.target = read_time(source, "TargetDurationMs");
+    route.is_public = read_flag(source, "Public");
     return route;
 }
 
+jobs::resource_amount read_cap(const json::object& source)
+{
+    const auto amount = [&](std::string_view name)
+    {
+        return read_clamped(source, name, 0,
+                            std::numeric_limits<std::int64_t>::max() / 2, 0);
+    };
+    return {amount("Cpu"), amount("MemMb"), amount("Gpu")};
+}
+
+tenant_settings read_tenant(const json::object& source)
+{
+    tenant_settings tenant;
+    tenant.policy.name = read_text(source, "Name");
+    tenant.policy.weight =
+        std::clamp(read_number(source, "Weight", 0.0), 0.0, max_weight);
+    tenant.policy.cap = read_cap(read_object(source, "Cap"));
+    for (const json::value& key : read_array(source, "ApiKeys"))
+    {
+        if (!key.is_string())
+            throw base::error(base::error_code::invalid, "read configuration",
+                              "", "a tenant's key is not a string");
+        tenant.key_digests.push_back(base::sha256_hex(key.get_string()));
+    }
+    return tenant;
+}
+
 } // namespace
 
 bool configuration::has_active_pool(std::string_view pool) const
@@ -102,6 +134,9 @@
                                 read_flag(entry, "Standby"),
                                 read_flag(entry, "EnforcesCapacity")});
     }
+    result.has_tenants = source.contains("Tenants");
+    for (const json::value& row : read_array(source, "Tenants"))
+        result.tenants.push_back(read_tenant(to_object(row)));
     const json::object& limits = read_object(source, "Limits");
     result.max_body_bytes = static_cast<std::size_t>(
         read_integer(limits, "MaxBodyBytes",
--- a/src/platform/configuration.hpp
+++ b/src/platform/configuration.hpp
@@ -4,6 +4,7 @@
 #include "base/time.hpp"
 #include "fleet/machine.hpp"
 #include "jobs/job_spec.hpp"
+#include "jobs/tenant.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -22,6 +23,8 @@
     std::string path_prefix;
     base::duration timeout{};
     jobs::queue_policy policy;
+    /// Its calls need no key.
+    bool is_public = false;
 };
 
 /// A pool of workers.
@@ -34,12 +37,24 @@
     bool enforces_capacity = false;
 };
 
+/// A tenant and the keys of its callers.
+struct tenant_settings
+{
+    jobs::tenant_policy policy;
+    /// SHA-256 of each key, see `base::sha256_hex`. The keys themselves are not
+    /// kept.
+    std::vector<std::string> key_digests;
+};
+
 /// The operators' configuration in full.
 struct configuration
 {
     std::int64_t version = 0;
     std::vector<queue_route> queues;
     std::vector<pool_settings> pools;
+    std::vector<tenant_settings> tenants;
+    /// The configuration names tenants, so that calls need a key.
+    bool has_tenants = false;
     std::size_t max_body_bytes = 262'144;
 
     /// Whether the pool is configured with machines that are on, so that an
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -2,6 +2,8 @@
 
 #include "platform/json_call.hpp"
 
+#include <algorithm>
+
 namespace pimentograde::platform
 {
 
@@ -76,6 +78,7 @@
     settings.status_retention = read_seconds(bounds, "status_s", 120.0);
     settings.unavailability_notice = read_millis(bounds, "NoticeMs", 4500);
     settings.remote_factor = read_number(bounds, "RemoteFactor", 1.5);
+    settings.quota_excess = read_number(bounds, "QuotaExcess", 0.1);
     settings.fencing_enforced = read_flag(bounds, "FencingEnforced");
 }
 
@@ -108,6 +111,9 @@
     if (!read_text(source, "Advice").empty())
         settings.advice_service = read_endpoint(source, "Advice");
     settings.is_first_start = read_flag(source, "Bootstrap");
+    const json::array& contracts = read_array(source, "Contracts");
+    settings.expects_pressure = std::find(contracts.begin(), contracts.end(),
+                                          "pressure") != contracts.end();
     read_bounds(read_object(source, "Bounds"), settings);
     const json::object& limits = read_object(source, "Limits");
     settings.memory_mb =
--- a/src/platform/node_settings.hpp
+++ b/src/platform/node_settings.hpp
@@ -42,6 +42,11 @@
     base::duration unavailability_notice{};
     /// How many times as long a gang runs on more than one rack.
     double remote_factor = 1.5;
+    /// By how much of its cap a tenant may exceed it.
+    double quota_excess = 0.1;
+    /// The deployment states that its callers press for more than there is
+    /// room for.
+    bool expects_pressure = false;
     bool fencing_enforced = false;
     /// The whole system starts for the first time: no instance has run before.
     bool is_first_start = false;
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -406,6 +406,11 @@
     impl_->state.add_policy(policy);
 }
 
+void pool_owner::set_tenants(std::span<const jobs::tenant_policy> tenants)
+{
+    impl_->state.set_tenants(tenants);
+}
+
 void pool_owner::set_workers(std::span<const jobs::worker_description> workers)
 {
     impl_->workers.assign(workers.begin(), workers.end());
@@ -417,7 +422,8 @@
 submission_answer pool_owner::submit(std::string_view id, jobs::job_spec spec,
                                      std::string_view queue,
                                      base::time_point deadline,
-                                     admission admitted)
+                                     admission admitted,
+                                     std::string_view tenant)
 {
     using kind = submission_answer::kind;
     submission_answer answer{kind::refused, outage_retry_after, {}};
@@ -436,7 +442,7 @@
     else
     {
         result = impl_->state.submit(id, std::move(spec), queue, now,
-                                     base::wall_now());
+                                     base::wall_now(), tenant);
         if (result.outcome == jobs::submit_result::kind::refused)
             answer = {kind::refused, result.admission.retry_after,
                       "the backlog is too long"};
@@ -449,6 +455,7 @@
     log::write(event_submission,
                {{"job", id},
                 {"queue", queue},
+                {"tenant", tenant},
                 {"pool", impl_->pool},
                 {"outcome", to_string(answer.outcome)},
                 {"reason", answer.reason},
--- a/src/pools/pool_owner.hpp
+++ b/src/pools/pool_owner.hpp
@@ -124,12 +124,15 @@
     void set_policies(std::span<const jobs::queue_policy> policies);
     /// Sets the policy of a queue that this owner does not know yet.
     void add_policy(const jobs::queue_policy& policy);
+    /// See `jobs::pool_state::set_tenants`.
+    void set_tenants(std::span<const jobs::tenant_policy> tenants);
     /// Sets all workers of the pool that the store lists.
     void set_workers(std::span<const jobs::worker_description> workers);
 
     submission_answer submit(std::string_view id, jobs::job_spec spec,
                              std::string_view queue, base::time_point deadline,
-                             admission admitted = admission::all_jobs);
+                             admission admitted = admission::all_jobs,
+                             std::string_view tenant = {});
     job_answer status(std::string_view id) const;
     /// The same; accepts no job for which it answers `absent`, since it is
     /// accepted in another pool then.
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -1,3 +1,4 @@
+#include "base/digest.hpp"
 #include "base/error.hpp"
 #include "platform/caller_protocol.hpp"
 #include "platform/configuration.hpp"
@@ -309,3 +310,43 @@
     call.headers.back().second = "soon";
     CHECK_FALSE(caller_time_left(call));
 }
+
+TEST_CASE("a configuration's tenants are read without their keys")
+{
+    const auto current = read_configuration(
+        R"({"Version":3,"Routes":[{"Name":"q","Host":"h","Prefix":"/q/",
+        "Service":"p"},{"Name":"r","Host":"h","Prefix":"/r/","Service":"p",
+        "Public":true}],"Services":[],"Tenants":[{"Name":"t",
+        "ApiKeys":["first","second"],"Priority":1,"Weight":2.5,
+        "Cap":{"Cpu":4000,"MemMb":0}}]})");
+    CHECK_FALSE(current.queues[0].is_public);
+    CHECK(current.queues[1].is_public);
+    REQUIRE(current.has_tenants);
+    REQUIRE(current.tenants.size() == 1);
+    CHECK(current.tenants[0].policy ==
+          jobs::tenant_policy{"t", 2.5, {4000, 0, 0}});
+    CHECK(current.tenants[0].key_digests ==
+          std::vector<std::string>{base::sha256_hex("first"),
+                                   base::sha256_hex("second")});
+}
+
+// Guards against deployments without tenants whose callers would need a key.
+TEST_CASE("only a configuration that names tenants asks for keys")
+{
+    CHECK_FALSE(read_configuration(R"({"Version":1})").has_tenants);
+    CHECK(read_configuration(R"({"Version":1,"Tenants":[]})").has_tenants);
+}
+
+TEST_CASE("a deployment states that its callers press for room")
+{
+    const std::string head =
+        R"({"NodeName":"n","Zone":"z","Ip":"10.0.0.1","InternalPorts":[1,9],
+        "ListenAddrs":{"Front":"10.0.0.1:2","ReadyAddr":"10.0.0.1:3"},
+        "platform":{"Address":"10.0.0.2:4"},"CloudApi":
+        {"Address":"10.0.0.2:5"})";
+    CHECK_FALSE(read_node_settings(head + "}").expects_pressure);
+    CHECK_FALSE(read_node_settings(head + R"(,"Contracts":["base","quota"]})")
+                    .expects_pressure);
+    CHECK(read_node_settings(head + R"(,"Contracts":["base","pressure"]})")
+              .expects_pressure);
+}
