Relay store calls of a refused instance through a peer

Callers saw: while the store refuses some instances for seconds (429, 503, resets or silence) and serves the others, the pools of refused owners start nothing and their callers get 503 or 504 for about 2.4 s, until the lease has lapsed and another instance has claimed the pool.

Cause: an owner that the store refuses cannot renew its lease or store jobs, although its peers and workers reach it.

--- a/src/node/events.hpp
+++ b/src/node/events.hpp
@@ -68,6 +68,11 @@
     "the process did not run for a while; confirming the configuration"};
 inline constexpr log::event event_queue_moved{
     3328, log::severity::info, "new jobs of the queue go to another pool"};
+inline constexpr log::event event_relay_begun{
+    3340, log::severity::warning,
+    "the store does not serve this instance; calls go through a peer"};
+inline constexpr log::event event_relay_ended{
+    3341, log::severity::info, "the store serves this instance again"};
 
 } // namespace pimentograde::node
 
--- a/src/node/node_instance.cpp
+++ b/src/node/node_instance.cpp
@@ -17,6 +17,7 @@
 #include "node/queue_recorder.hpp"
 #include "node/session.hpp"
 #include "node/state_dump.hpp"
+#include "node/store_relay.hpp"
 #include "node/worker_directory.hpp"
 #include "platform/keys.hpp"
 
@@ -52,10 +53,7 @@
 struct node_instance::impl
 {
     impl(platform::node_settings own, node_options chosen)
-        : settings(std::move(own)), options(chosen),
-          store(platform::store_client::builder{}
-                    .connect_to(settings.store)
-                    .build()),
+        : settings(std::move(own)), options(chosen), store(make_store_client()),
           worker_http(net::http_client::builder{}.max_idle(2).build()),
           directory(
               [this] {
@@ -76,7 +74,7 @@
                    {
                        gateway.note_member_present(entry);
                    }}),
-          queues(*store),
+          relay(members, metrics, members.own().incarnation), queues(*store),
           claims(members, directory, queues, *store, *worker_http,
                  settings.longest_worker_lease, settings.remote_factor,
                  settings.stop_time,
@@ -108,6 +106,7 @@
     std::unique_ptr<net::http_client> worker_http;
     worker_directory directory;
     session members;
+    store_relay relay;
     queue_recorder queues;
     pool_claims claims;
     pool_gateway gateway;
@@ -127,6 +126,7 @@
     bool store_answers = true;
     std::int64_t version = 0;
 
+    std::unique_ptr<platform::store_client> make_store_client();
     prefix_watch::hooks member_hooks();
     prefix_watch::hooks operator_hooks();
     prefix_watch::hooks worker_hooks();
@@ -145,6 +145,24 @@
     void stop();
 };
 
+// Calls the relay, which does not exist yet, only after the start.
+std::unique_ptr<platform::store_client> node_instance::impl::make_store_client()
+{
+    platform::store_client::builder builder;
+    builder.connect_to(settings.store);
+    if (options.relays_store_calls)
+        builder.detour({[this](base::time_point now)
+                        { return relay.is_active(now); },
+                        [this](const platform::raw_store_call& call,
+                               base::time_point deadline)
+                        { return relay.send(call, deadline); },
+                        [this](store_outcome outcome, base::time_point now)
+                        {
+                            relay.note_direct(outcome, now);
+                        }});
+    return builder.build();
+}
+
 prefix_watch::hooks node_instance::impl::member_hooks()
 {
     return {[this](std::span<const platform::store_item> items)
@@ -333,6 +351,8 @@
             {{base::member_id(settings.name), members.own().incarnation},
              members.peer_secret()});
     gateway.add_handlers(builder);
+    if (options.relays_store_calls)
+        relay.add_handlers(builder, *store);
     peers = builder.build();
 }
 
--- a/src/node/session.cpp
+++ b/src/node/session.cpp
@@ -275,6 +275,8 @@
 
 std::optional<std::int64_t> session::claim(std::string_view role)
 {
+    if (store_.is_detoured())
+        return std::nullopt;
     const std::string key = role_key(role);
     const holder* current = holder_of(role);
     const std::int64_t revision = current == nullptr ? 0 : current->revision;
--- a/src/platform/json_call.cpp
+++ b/src/platform/json_call.cpp
@@ -32,10 +32,15 @@
     message.may_send = request.may_send;
     const net::http_response reply =
         client.send(where, message, deadline, step);
+    return parse_response(reply.status, reply.body);
+}
+
+json_response parse_response(unsigned status, std::string_view body)
+{
     json_response response;
-    response.status = reply.status;
+    response.status = status;
     boost::system::error_code failure;
-    json::value parsed = json::parse(reply.body, failure);
+    json::value parsed = json::parse(body, failure);
     if (!failure && parsed.is_object())
         response.body = std::move(parsed.as_object());
     return response;
@@ -53,14 +58,18 @@
                               "the answer lacks " + std::string(name));
 }
 
-base::error unexpected_status(unsigned status, const net::endpoint& where,
-                              std::string_view step)
+bool is_refusal(unsigned status)
 {
     constexpr unsigned too_many_requests = 429;
     constexpr unsigned service_unavailable = 503;
-    const bool is_refusal =
-        status == too_many_requests || status == service_unavailable;
-    return {is_refusal ? base::error_code::refused : base::error_code::cut_off,
+    return status == too_many_requests || status == service_unavailable;
+}
+
+base::error unexpected_status(unsigned status, const net::endpoint& where,
+                              std::string_view step)
+{
+    return {is_refusal(status) ? base::error_code::refused
+                               : base::error_code::cut_off,
             std::string(step), net::to_string(where),
             "unexpected status " + std::to_string(status)};
 }
--- a/src/platform/json_call.hpp
+++ b/src/platform/json_call.hpp
@@ -44,6 +44,9 @@
                         const json_request& request, base::time_point deadline,
                         std::string_view step);
 
+/// The response with its body parsed.
+json_response parse_response(unsigned status, std::string_view body);
+
 /// Throws `cut_off` unless the response's body has all the members, and none is
 /// null: an answer that is cut short or not the protocol's says nothing of the
 /// call's effect.
@@ -51,8 +54,11 @@
                      std::initializer_list<std::string_view> names,
                      const net::endpoint& where, std::string_view step);
 
-/// The error for a status that the call does not expect. 429 and 503 become
-/// `refused`: the server has done nothing.
+/// Whether the status says that the server has done nothing: 429 or 503.
+bool is_refusal(unsigned status);
+
+/// The error for a status that the call does not expect; `refused` for a
+/// refusal.
 base::error unexpected_status(unsigned status, const net::endpoint& where,
                               std::string_view step);
 
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -104,6 +104,16 @@
     }
 }
 
+// Not lists and watches, see `store_client::builder::detour`.
+bool may_take_detour(std::string_view method, std::string_view target)
+{
+    return (method == "GET" && target.starts_with("/-/kv-key?")) ||
+           (method == "POST" &&
+            (target == "/-/kv-txn" || target == "/-/kv-lease" ||
+             target.starts_with("/-/kv-keep/"))) ||
+           (method == "DELETE" && target.starts_with("/-/kv-lease-end/"));
+}
+
 json::object to_body(const store_transaction& change)
 {
     json::array conditions;
@@ -133,22 +143,59 @@
 
     answer_watch answers;
     call_hook called;
+    store_detour detour;
     std::unique_ptr<net::http_client> http;
     /// Calls that another try has made needless.
     net::task_group tries;
 
     json_response call(const json_request& request, base::duration limit,
                        std::string_view step)
+    {
+        const base::time_point begin = base::steady_now();
+        const base::time_point deadline = begin + limit;
+        const bool can_detour =
+            detour.send && may_take_detour(request.method, request.target);
+        if (can_detour && detour.is_preferred(begin))
+            return call_by_detour(request, deadline);
+        try
+        {
+            json_response response = call_directly(request, deadline, step);
+            if (!is_refusal(response.status) || !can_detour ||
+                !detour.is_preferred(base::steady_now()))
+                return response;
+        }
+        catch (const base::error& failure)
+        {
+            if (failure.effect_unknown() || !can_detour ||
+                !detour.is_preferred(base::steady_now()))
+                throw;
+        }
+        return call_by_detour(request, deadline);
+    }
+    json_response call_by_detour(const json_request& request,
+                                 base::time_point deadline)
+    {
+        const raw_store_response response = detour.send(
+            {request.method, request.target,
+             request.body.is_null() ? std::string{}
+                                    : json::serialize(request.body)},
+            deadline);
+        return parse_response(response.status, response.body);
+    }
+    json_response call_directly(const json_request& request,
+                                base::time_point deadline,
+                                std::string_view step)
     {
         const base::time_point begin = base::steady_now();
         bool is_ok = false;
         try
         {
             json_response response =
-                call_json(*http, where, request, begin + limit, step);
+                call_json(*http, where, request, deadline, step);
             is_ok = !is_turned_away(response);
             answers.note_answer(base::steady_now());
             report(step, is_ok, base::steady_now() - begin);
+            note_direct(is_ok ? store_outcome::served : store_outcome::refused);
             return response;
         }
         catch (const base::error& failure)
@@ -156,9 +203,17 @@
             if (failure.code() == base::error_code::timeout)
                 answers.note_timeout(begin);
             report(step, false, base::steady_now() - begin);
+            note_direct(failure.code() == base::error_code::timeout
+                            ? store_outcome::silent
+                            : store_outcome::refused);
             throw;
         }
     }
+    void note_direct(store_outcome outcome) const
+    {
+        if (detour.ended)
+            detour.ended(outcome, base::steady_now());
+    }
     json_response call_repeatedly(json_request request, int max_tries,
                                   std::string_view step)
     {
@@ -213,11 +268,18 @@
     return *this;
 }
 
+store_client::builder& store_client::builder::detour(store_detour way)
+{
+    detour_ = std::move(way);
+    return *this;
+}
+
 std::unique_ptr<store_client> store_client::builder::build()
 {
     auto state = std::make_unique<impl>(timeout_);
     state->where = where_;
     state->called = called_;
+    state->detour = detour_;
     constexpr std::size_t max_response_bytes = std::size_t{4} << 20;
     net::http_limits limits;
     limits.max_body_bytes = max_response_bytes;
@@ -404,11 +466,37 @@
         throw impl_->unexpected(response, "end lease");
 }
 
+raw_store_response store_client::send_for_peer(const raw_store_call& call,
+                                               base::time_point deadline)
+{
+    const std::string step = "relay store call";
+    if (!may_take_detour(call.method, call.target))
+        throw base::error(base::error_code::invalid, step,
+                          net::to_string(impl_->where),
+                          "not a call that may be relayed: " + call.target);
+    json_request request{call.method, call.target, nullptr, {}};
+    boost::system::error_code failure;
+    if (!call.body.empty())
+        request.body = json::parse(call.body, failure);
+    if (failure)
+        throw base::error(base::error_code::invalid, step,
+                          net::to_string(impl_->where),
+                          "the body is no JSON: " + failure.message());
+    const json_response response =
+        impl_->call_directly(request, deadline, step);
+    return {response.status, json::serialize(response.body)};
+}
+
 void store_client::cancel()
 {
     impl_->http->cancel();
 }
 
+bool store_client::is_detoured() const
+{
+    return impl_->detour.send && impl_->detour.is_preferred(base::steady_now());
+}
+
 bool store_client::is_silent() const
 {
     return impl_->answers.is_silent();
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -88,6 +88,44 @@
     std::vector<store_item> actual;
 };
 
+/// A call to the store and its response, as its protocol has them.
+struct raw_store_call
+{
+    std::string method;
+    /// Path and query.
+    std::string target;
+    std::string body;
+};
+
+struct raw_store_response
+{
+    unsigned status = 0;
+    std::string body;
+};
+
+/// Outcome of one try to reach the store.
+enum class store_outcome
+{
+    served,
+    /// Nothing was done, or the connection broke.
+    refused,
+    /// No answer in time.
+    silent
+};
+
+/// Another way to the store for an instance that it does not serve. A hook
+/// throws `base::error` as calls to the store do.
+struct store_detour
+{
+    /// Whether the next call goes this way.
+    std::function<bool(base::time_point now)> is_preferred;
+    std::function<raw_store_response(const raw_store_call& call,
+                                     base::time_point deadline)>
+        send;
+    /// A direct call has ended.
+    std::function<void(store_outcome outcome, base::time_point now)> ended;
+};
+
 /// Client of the platform's metadata store. Each call throws `base::error`:
 /// `refused` or `unavailable` when nothing was done, `timeout` or `cut_off`
 /// when the effect is unknown.
@@ -104,12 +142,17 @@
         builder& connect_to(net::endpoint where);
         builder& call_timeout(base::duration length);
         builder& on_call(call_hook hook);
+        /// Reads of single keys, transactions and calls about leases take this
+        /// way while it is preferred. Lists and watches never do: their answers
+        /// are large, and show when the store serves this instance again.
+        builder& detour(store_detour way);
         std::unique_ptr<store_client> build();
 
     private:
         net::endpoint where_;
         base::duration timeout_ = std::chrono::milliseconds(1000);
         call_hook called_;
+        store_detour detour_;
     };
 
     ~store_client();
@@ -134,8 +177,15 @@
     /// try when no answer comes, as a renewal may be repeated at will.
     bool renew_lease(std::int64_t lease);
     void end_lease(std::int64_t lease);
+    /// Sends a call for another instance, directly. Throws `base::error` with
+    /// `invalid` if its body is no JSON, or unless it is a call that may take a
+    /// detour.
+    raw_store_response send_for_peer(const raw_store_call& call,
+                                     base::time_point deadline);
     /// Ends all calls in progress.
     void cancel();
+    /// Whether calls take the detour at present.
+    [[nodiscard]] bool is_detoured() const;
     /// Whether calls have been without an answer since the last one that got
     /// one.
     [[nodiscard]] bool is_silent() const;
--- a/tests/node/cluster.hpp
+++ b/tests/node/cluster.hpp
@@ -49,7 +49,8 @@
 
     entry(const platform_double& platform, const std::string& name,
           double cores = 1.0, std::optional<net::endpoint> way_to_store = {},
-          std::optional<std::uint16_t> internal_port = {})
+          std::optional<std::uint16_t> internal_port = {},
+          node::node_options options = {})
     {
         auto& ports = test_ports::of_this_process();
         settings.cores = cores;
@@ -68,8 +69,8 @@
         settings.maintenance_time = 200ms;
         settings.machine_holder_pause = 300ms;
         settings.is_first_start = true;
-        instance = std::make_unique<node::node_instance>(settings, [this]
-                                                         { return settings; });
+        instance = std::make_unique<node::node_instance>(
+            settings, [this] { return settings; }, options);
         instance->start();
     }
 };
