Give pool owners the metrics and the flags of their instance

Callers saw: nothing.

Cause: owners of pools had no access to the instance's counters, and each of their settings was a parameter of pool_claims of its own.

--- a/src/node/node_instance.cpp
+++ b/src/node/node_instance.cpp
@@ -75,9 +75,9 @@
                        gateway.note_member_present(entry);
                    }}),
           relay(members, metrics, members.own().incarnation), queues(*store),
-          claims(members, directory, queues, *store, *worker_http,
-                 settings.longest_worker_lease, settings.remote_factor,
-                 settings.stop_time,
+          claims(members, directory, queues, *store, *worker_http, metrics,
+                 {settings.longest_worker_lease, settings.remote_factor,
+                  settings.stop_time, settings.quota_excess, options},
                  [this](bool is_needed) { set_worker_watch(is_needed); }),
           gateway(members, claims, queues, *store, !settings.is_first_start),
           caller_requests(gateway, queues, metrics,
--- a/src/node/pool_claims.cpp
+++ b/src/node/pool_claims.cpp
@@ -38,12 +38,12 @@
 
 pool_claims::pool_claims(session& members, worker_directory& directory,
                          queue_recorder& queues, platform::store_client& store,
-                         net::http_client& http, base::duration worker_lease,
-                         double remote_factor, base::duration stop_time,
+                         net::http_client& http, metrics::registry& metrics,
+                         const owner_settings& settings,
                          std::function<void(bool)> needs_workers)
     : session_(members), directory_(directory), queues_(queues), store_(store),
-      http_(http), worker_lease_(worker_lease), remote_factor_(remote_factor),
-      stop_time_(stop_time), needs_workers_(std::move(needs_workers))
+      http_(http), metrics_(metrics), settings_(settings),
+      needs_workers_(std::move(needs_workers))
 {
 }
 
@@ -258,9 +258,10 @@
             .ownership(session::role_key(pool_role(pool)), revision)
             .store(store_)
             .http(http_)
-            .worker_lease(worker_lease_)
-            .remote_factor(remote_factor_)
-            .stop_time(stop_time_)
+            .worker_lease(settings_.worker_lease)
+            .remote_factor(settings_.remote_factor)
+            .stop_time(settings_.stop_time)
+            .counters(metrics_)
             .may_order(
                 [this, role = pool_role(pool), revision] {
                     return session_.may_order(role, revision,
--- a/src/node/pool_claims.hpp
+++ b/src/node/pool_claims.hpp
@@ -2,9 +2,11 @@
 #define PIMENTOGRADE_NODE_POOL_CLAIMS_HPP
 
 #include "base/time.hpp"
+#include "metrics/registry.hpp"
 #include "net/http_client.hpp"
 #include "net/task_group.hpp"
 #include "net/wakeup.hpp"
+#include "node/node_options.hpp"
 #include "node/queue_recorder.hpp"
 #include "node/session.hpp"
 #include "node/worker_directory.hpp"
@@ -33,6 +35,18 @@
 /// All roles of the configuration, in an order common to all instances.
 std::vector<std::string> roles_of(const platform::configuration& current);
 
+/// What all owners of an instance are built with.
+struct owner_settings
+{
+    /// Longest lease that a worker grants.
+    base::duration worker_lease{};
+    /// See `platform::node_settings`.
+    double remote_factor = 1.0;
+    base::duration stop_time{};
+    double quota_excess = 0.0;
+    node_options options;
+};
+
 /// Claims pools without an owner and runs the owners of this instance.
 class pool_claims
 {
@@ -41,8 +55,8 @@
     /// only owners need the worker directory.
     pool_claims(session& members, worker_directory& directory,
                 queue_recorder& queues, platform::store_client& store,
-                net::http_client& http, base::duration worker_lease,
-                double remote_factor, base::duration stop_time,
+                net::http_client& http, metrics::registry& metrics,
+                const owner_settings& settings,
                 std::function<void(bool)> needs_workers);
     ~pool_claims();
     pool_claims(const pool_claims&) = delete;
@@ -81,9 +95,8 @@
     queue_recorder& queues_;
     platform::store_client& store_;
     net::http_client& http_;
-    base::duration worker_lease_;
-    double remote_factor_;
-    base::duration stop_time_;
+    metrics::registry& metrics_;
+    owner_settings settings_;
     std::function<void(bool)> needs_workers_;
     std::vector<jobs::queue_policy> policies_;
     std::vector<jobs::tenant_policy> tenants_;
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -50,7 +50,8 @@
         : pool(parts.pool_), fence(parts.revision_), order_fence(fence),
           store(*parts.store_), http(*parts.http_), lease(parts.lease_),
           may_order(parts.may_order_), holds_lease(parts.holds_lease_),
-          lost_hook(parts.lost_), load_hook(parts.load_), state(parts.pool_),
+          counters(parts.counters_), lost_hook(parts.lost_),
+          load_hook(parts.load_), state(parts.pool_),
           roster(parts.pool_, parts.key_, parts.revision_, *parts.store_),
           writer(parts.pool_, parts.key_, parts.revision_, state, *parts.store_,
                  roster,
@@ -76,6 +77,8 @@
     base::duration lease;
     std::function<bool()> may_order;
     std::function<bool()> holds_lease;
+    /// Null if nobody counts.
+    metrics::registry* counters;
     std::function<void(std::string_view)> lost_hook;
     std::function<void()> load_hook;
     bool is_loaded = false;
--- a/src/pools/pool_owner.hpp
+++ b/src/pools/pool_owner.hpp
@@ -3,6 +3,7 @@
 
 #include "base/time.hpp"
 #include "jobs/pool_state.hpp"
+#include "metrics/registry.hpp"
 #include "net/http_client.hpp"
 #include "platform/store_client.hpp"
 
@@ -78,6 +79,8 @@
         builder& remote_factor(double factor);
         /// How long a worker may take to stop a run.
         builder& stop_time(base::duration longest);
+        /// Where the owner counts its decisions; nowhere if not set.
+        builder& counters(metrics::registry& registry);
         /// Returns whether the instance's lease still allows orders.
         builder& may_order(std::function<bool()> check);
         /// Returns whether no other instance can own the pool at present. If
@@ -100,6 +103,7 @@
         base::duration lease_{};
         double remote_factor_ = 1.0;
         base::duration stop_time_{};
+        metrics::registry* counters_ = nullptr;
         std::function<bool()> may_order_;
         std::function<bool()> holds_lease_ = []
         {
--- a/src/pools/pool_owner_builder.cpp
+++ b/src/pools/pool_owner_builder.cpp
@@ -49,6 +49,12 @@
     return *this;
 }
 
+pool_owner::builder& pool_owner::builder::metrics(metrics::registry& counters)
+{
+    counters_ = &registry;
+    return *this;
+}
+
 pool_owner::builder& pool_owner::builder::may_order(std::function<bool()> check)
 {
     may_order_ = std::move(check);
