Fix the name of the builder's counter registry

Cause: the definition kept the name that the declaration had before.

Change: the definition has the name of the declaration.

--- a/src/pools/pool_owner_builder.cpp
+++ b/src/pools/pool_owner_builder.cpp
@@ -49,7 +49,7 @@
     return *this;
 }
 
-pool_owner::builder& pool_owner::builder::metrics(metrics::registry& counters)
+pool_owner::builder& pool_owner::builder::counters(metrics::registry& registry)
 {
     counters_ = &registry;
     return *this;
