Share the connections to peers between gateway and relay

Callers saw: nothing.

Cause: the relay had a copy of the gateway's table of peer clients.

Change: node/peer_clients holds the connections of both kinds.

--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -45,7 +45,7 @@
                            queue_recorder& queues,
                            platform::store_client& store, bool has_predecessor)
     : session_(members), claims_(claims), queues_(queues), store_(store),
-      owned_(members, claims, queues),
+      owned_(members, claims, queues), clients_(members),
       forwarded_(has_predecessor, base::steady_now())
 {
 }
@@ -60,26 +60,13 @@
     forwarded_.note_member_present(entry.name, entry.incarnation);
 }
 
-peer::peer_client& pool_gateway::client_of(const net::endpoint& address)
-{
-    auto& client = clients_[address];
-    if (!client)
-        client = peer::peer_client::builder{}
-                     .connect_to(address)
-                     .authenticate_as({{base::member_id(session_.own().name),
-                                        session_.own().incarnation},
-                                       session_.peer_secret()})
-                     .build();
-    return *client;
-}
-
 template <class Message>
 typename Message::reply_type pool_gateway::send_to(const net::endpoint& where,
                                                    const Message& message,
                                                    base::time_point deadline)
 {
     // The holder that `where` belongs to may change during the call.
-    peer::peer_client& client = client_of(where);
+    peer::peer_client& client = clients_.at(where);
     peer_liveness& liveness = liveness_[where];
     liveness.begin_call(base::steady_now());
     try
@@ -246,7 +233,7 @@
 {
     try
     {
-        return client_of(address).send(message, deadline).is_excluded;
+        return clients_.at(address).send(message, deadline).is_excluded;
     }
     catch (const base::error&)
     {
--- a/src/node/pool_gateway.hpp
+++ b/src/node/pool_gateway.hpp
@@ -5,11 +5,11 @@
 #include "net/task_group.hpp"
 #include "node/forwarded_jobs.hpp"
 #include "node/owned_pools.hpp"
+#include "node/peer_clients.hpp"
 #include "node/peer_liveness.hpp"
 #include "node/pool_claims.hpp"
 #include "node/queue_recorder.hpp"
 #include "node/session.hpp"
-#include "peer/peer_client.hpp"
 #include "peer/peer_server.hpp"
 #include "peer/pool_messages.hpp"
 
@@ -84,7 +84,6 @@
 private:
     bool send_release(const peer::release_worker& message,
                       base::time_point deadline);
-    peer::peer_client& client_of(const net::endpoint& address);
     /// Throws `base::error`.
     template <class Message>
     typename Message::reply_type send_to(const net::endpoint& where,
@@ -134,7 +133,7 @@
     queue_recorder& queues_;
     platform::store_client& store_;
     owned_pools owned_;
-    std::map<net::endpoint, std::unique_ptr<peer::peer_client>> clients_;
+    peer_clients clients_;
     std::map<net::endpoint, peer_liveness> liveness_;
     forwarded_jobs forwarded_;
     std::size_t open_inquiries_ = 0;
--- a/src/node/store_relay.cpp
+++ b/src/node/store_relay.cpp
@@ -24,7 +24,7 @@
 
 store_relay::store_relay(const session& members, metrics::registry& metrics,
                          std::uint64_t seed)
-    : session_(members), metrics_(metrics), choice_(seed)
+    : session_(members), metrics_(metrics), choice_(seed), clients_(members)
 {
 }
 
@@ -71,7 +71,7 @@
     try
     {
         const peer::relayed_response reply =
-            client_of(found->second.address)
+            clients_.at(found->second.address)
                 .send(peer::relay_store_call{call.method, call.target,
                                              call.body, until - begin},
                       until);
@@ -94,19 +94,6 @@
     }
 }
 
-peer::peer_client& store_relay::client_of(const net::endpoint& address)
-{
-    auto& client = clients_[address];
-    if (!client)
-        client = peer::peer_client::builder{}
-                     .connect_to(address)
-                     .authenticate_as({{base::member_id(session_.own().name),
-                                        session_.own().incarnation},
-                                       session_.peer_secret()})
-                     .build();
-    return *client;
-}
-
 void store_relay::count(std::string_view outcome)
 {
     metrics_
--- a/src/node/store_relay.hpp
+++ b/src/node/store_relay.hpp
@@ -2,15 +2,16 @@
 #define PIMENTOGRADE_NODE_STORE_RELAY_HPP
 
 #include "metrics/registry.hpp"
+#include "node/peer_clients.hpp"
 #include "node/relay_choice.hpp"
 #include "node/session.hpp"
-#include "peer/peer_client.hpp"
 #include "peer/peer_server.hpp"
 #include "peer/store_messages.hpp"
 #include "platform/store_client.hpp"
 
-#include <map>
-#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
 
 namespace pimentograde::node
 {
@@ -46,13 +47,12 @@
     std::optional<platform::raw_store_response>
     send_through(const std::string& peer, const platform::raw_store_call& call,
                  base::time_point deadline);
-    peer::peer_client& client_of(const net::endpoint& address);
     void count(std::string_view outcome);
 
     const session& session_;
     metrics::registry& metrics_;
     relay_choice choice_;
-    std::map<net::endpoint, std::unique_ptr<peer::peer_client>> clients_;
+    peer_clients clients_;
 };
 
 } // namespace pimentograde::node
