Keep the excess of one tenant from delaying the others

What callers saw: a tenant that sent seven times its usual load made the jobs of all other tenants of the pool wait or miss their objectives.

Cause: admission counts the backlog of all jobs alike, and the order of waiting jobs does not look at the tenant.

Change: each pool's owner holds a token bucket for each tenant (jobs/tenant_shares). A job beyond the bucket is an excess job: it is refused at once when it would have to wait, goes after the jobs within the shares, and its backlog does not count for their admission. Refused excess callers get spread return times.

--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -13,8 +13,6 @@
 // A result later than this multiple of the objective is useless to callers.
 // The users' requirements count a job as late up to three times its objective.
 constexpr double useful_objective_multiple = 6.0;
-constexpr std::chrono::seconds min_retry_after{1};
-constexpr std::chrono::seconds max_retry_after{20};
 
 } // namespace
 
@@ -30,6 +28,15 @@
         return decision;
     }
     decision.expected_wait = inputs.backlog / inputs.cores;
+    if (inputs.is_excess && !inputs.has_room)
+    {
+        decision.is_accepted = false;
+        decision.exceeds_share = true;
+        decision.retry_after =
+            std::clamp<base::duration>(from_seconds(decision.expected_wait),
+                                       min_retry_after, max_retry_after);
+        return decision;
+    }
     const double latest_wait =
         std::max(0.0, useful_objective_multiple * inputs.objective -
                           inputs.critical_path);
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -146,6 +146,9 @@
     std::string queue;
     /// Tenant that submitted the job; empty if the queue asks for none.
     std::string tenant;
+    /// It exceeded its tenant's share when it was submitted. Not stored: a
+    /// restored job counts as within the share.
+    bool is_excess = false;
     /// The queue's policy at the submission, for owners that start when the
     /// queue is no longer configured; without a name if it is not known.
     queue_policy policy;
--- a/src/jobs/ordering.cpp
+++ b/src/jobs/ordering.cpp
@@ -28,6 +28,10 @@
         return is_long_running;
     if (can_meet_objective != other.can_meet_objective)
         return can_meet_objective;
+    if (is_excess != other.is_excess)
+        return !is_excess;
+    if (is_above_part != other.is_above_part)
+        return !is_above_part;
     if (priority != other.priority)
         return priority < other.priority;
     if (yield != other.yield)
@@ -57,6 +61,7 @@
     rank.can_meet_objective =
         now + from_seconds(subject.estimates.critical_path_left) <=
         objective_of(subject, policy);
+    rank.is_excess = subject.is_excess;
     rank.yield = value / left;
     rank.accepted_at = subject.accepted_at;
     return rank;
--- a/src/jobs/ordering.hpp
+++ b/src/jobs/ordering.hpp
@@ -18,6 +18,12 @@
     /// Long-running jobs go first: they serve users of their own.
     bool is_long_running = false;
     bool can_meet_objective = true;
+    /// Exceeds its tenant's share: what callers send beyond it is of no use to
+    /// them while it delays the jobs of others.
+    bool is_excess = false;
+    /// Its tenant uses more of the pool than its weighted part, see
+    /// `weighted_use`.
+    bool is_above_part = false;
     /// Value of the job per remaining core-second.
     double yield = 0.0;
     base::time_point accepted_at{};
--- a/src/jobs/pool_planner.cpp
+++ b/src/jobs/pool_planner.cpp
@@ -151,6 +151,7 @@
                          base::wall_time wall)
 {
     std::vector<waiting_job> waiting;
+    const weighted_use use = tenant_use();
     const bool knows_all_runs = are_inherited_runs_known(now);
     for (job* subject : open_)
     {
@@ -169,6 +170,7 @@
             continue;
         entry.rank = rank_of(*subject, policy_of(*subject),
                              statistics_of(*subject), now);
+        entry.rank.is_above_part = use.is_above_part(subject->tenant);
         waiting.push_back(std::move(entry));
     }
     std::sort(waiting.begin(), waiting.end(),
--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -77,6 +77,7 @@
     tenants_.clear();
     for (const tenant_policy& entry : tenants)
         tenants_.emplace(entry.name, entry);
+    shares_.set_tenants(tenants);
 }
 
 const queue_policy& pool_state::policy_of(const job& subject) const
@@ -167,9 +168,10 @@
                                  base::wall_time wall, std::string_view tenant)
 {
     submit_result result;
-    if (find(id) != nullptr)
+    if (const job* known = find(id))
     {
         result.outcome = submit_result::kind::known;
+        result.is_excess = known->is_excess;
         return result;
     }
     job subject;
@@ -185,17 +187,29 @@
     queue_statistics& statistics = statistics_of(subject);
     subject.refresh_estimates(statistics.run_times);
     admission_inputs inputs;
-    inputs.backlog = backlog();
+    inputs.is_excess = !subject.spec.is_long_running() &&
+                       shares_.take(tenant, id, now) == share_use::excess;
+    inputs.has_room = !inputs.is_excess || has_room_for(subject, now, wall);
+    subject.is_excess = result.is_excess = inputs.is_excess;
+    inputs.backlog =
+        inputs.is_excess ? backlog() : backlog() - excess_backlog();
     inputs.cores = peak_usable_cores(now);
     inputs.critical_path = subject.estimates.critical_path;
     inputs.objective = base::count_seconds(objective_of(subject, policy) - now);
     inputs.is_long_running = subject.spec.is_long_running();
-    if (!inputs.is_long_running && !first_refused_at_.contains(subject.id))
-        arrivals_.add_work(subject.estimates.work, now);
     result.admission = decide_admission(inputs);
+    // Work that is refused since its tenant exceeds its share moves no machines
+    // away from other pools.
+    if (!inputs.is_long_running && !result.admission.exceeds_share &&
+        !first_refused_at_.contains(subject.id))
+        arrivals_.add_work(subject.estimates.work, now);
     if (!result.admission.is_accepted)
     {
         result.outcome = submit_result::kind::refused;
+        shares_.note_refused(tenant, id, inputs.is_excess, now);
+        if (result.admission.exceeds_share)
+            result.admission.retry_after =
+                shares_.return_delay(tenant, result.admission.retry_after, now);
         first_refused_at_.emplace(subject.id, subject.accepted_at);
         return result;
     }
@@ -282,6 +296,8 @@
     if (subject == nullptr || subject->is_stored || subject->may_be_stored ||
         is_being_written(*subject) || subject->status != job_status::open)
         return false;
+    shares_.note_refused(subject->tenant, id, subject->is_excess,
+                         subject->accepted_at);
     erase_job(id);
     return true;
 }
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -9,6 +9,8 @@
 #include "jobs/ordering.hpp"
 #include "jobs/roster.hpp"
 #include "jobs/tenant.hpp"
+#include "jobs/tenant_shares.hpp"
+#include "jobs/weighted_use.hpp"
 #include "jobs/worker_report.hpp"
 #include "jobs/worker_view.hpp"
 
@@ -41,6 +43,8 @@
     };
     kind outcome = kind::accepted;
     admission_decision admission;
+    /// The job exceeds its tenant's share.
+    bool is_excess = false;
 };
 
 /// Status of a job as reported to callers.
@@ -118,6 +122,8 @@
 
     /// Replaces the tenants of the configuration.
     void set_tenants(std::span<const tenant_policy> tenants);
+    /// Whether tenants below their weighted part of the used cores go first.
+    void set_weighted_order(bool is_on) { has_weighted_order_ = is_on; }
 
     /// How many times as long a gang runs on more than one rack.
     void set_remote_factor(double factor) { remote_factor_ = factor; }
@@ -315,6 +321,8 @@
     [[nodiscard]] std::size_t job_count() const { return jobs_.size(); }
     /// Remaining work of the open jobs that are not long-running, core-seconds.
     [[nodiscard]] double backlog() const;
+    /// The part of `backlog` that excess jobs hold.
+    [[nodiscard]] double excess_backlog() const;
     /// Work of the tasks that are ready but wait for resources, of jobs that
     /// can still meet their objectives, core-seconds.
     [[nodiscard]] double waiting_work(base::time_point now,
@@ -339,6 +347,11 @@
     base::time_point first_submitted_at(std::string_view id,
                                         base::time_point now);
     double peak_usable_cores(base::time_point now);
+    /// Whether the new job's first tasks could start now, after the tasks that
+    /// wait already.
+    [[nodiscard]] bool has_room_for(const job& subject, base::time_point now,
+                                    base::wall_time wall) const;
+    [[nodiscard]] weighted_use tenant_use() const;
     [[nodiscard]] double expected_cores() const;
     worker_view* find_worker(std::string_view id);
     [[nodiscard]] const queue_policy& policy_of(const job& subject) const;
@@ -526,6 +539,8 @@
     std::map<std::string, base::time_point, std::less<>> held_unknown_;
     std::map<std::string, queue_policy, std::less<>> policies_;
     tenant_table tenants_;
+    tenant_shares shares_;
+    bool has_weighted_order_ = is_weighted_order_on;
     statistics_table statistics_;
     /// Time of the first submission of each refused job. Its objective counts
     /// from there when the caller submits the job again.
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -448,7 +448,9 @@
                                      base::wall_now(), tenant);
         if (result.outcome == jobs::submit_result::kind::refused)
             answer = {kind::refused, result.admission.retry_after,
-                      "the backlog is too long"};
+                      result.admission.exceeds_share
+                          ? "the tenant exceeds its share"
+                          : "the backlog is too long"};
         else
         {
             impl_->changed();
@@ -459,6 +461,7 @@
                {{"job", id},
                 {"queue", queue},
                 {"tenant", tenant},
+                {"is_excess", result.is_excess ? 1 : 0},
                 {"pool", impl_->pool},
                 {"outcome", to_string(answer.outcome)},
                 {"reason", answer.reason},
