Preview where a job would go, without submitting it

Operators saw: no way to tell where a job would go now but to submit it.

Cause: only the planner of a pool's owner knows, and only for jobs that it has.

Change: pool_state::preview decides admission and placement for a job that is not added, with the functions that submissions and plans use; any instance answers POST /placement/PATH at its metrics address, by asking the owner over the peer protocol; `pimentograde placement` prints it. Admission's inputs are computed in one function for both.

--- a/src/cli/client_commands.cpp
+++ b/src/cli/client_commands.cpp
@@ -2,6 +2,7 @@
 #include "base/random_source.hpp"
 #include "cli/command.hpp"
 #include "cli/explain_command.hpp"
+#include "cli/placement_command.hpp"
 #include "cli/plain_printer.hpp"
 #include "cli/remote_call.hpp"
 #include "config/bundle_checker.hpp"
@@ -366,6 +367,7 @@
     add_fleet_commands(all);
     add_work_commands(all);
     all.push_back(explain_command());
+    all.push_back(placement_command());
     all.push_back({"settings",
                    {},
                    "Print the table of all settings in Markdown",
--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -149,7 +149,7 @@
 
 // Recent peak of the usable cores: machines that were lent to other pools
 // return to a pool that needs them.
-double pool_state::peak_usable_cores(base::time_point now)
+void pool_state::note_usable_cores(base::time_point now)
 {
     const double cores = usable_cores(now);
     if (cores >= peak_cores_ || now - peak_at_ > peak_retention)
@@ -157,10 +157,33 @@
         peak_cores_ = cores;
         peak_at_ = now;
     }
-    if (cores > 0.0)
-        return peak_cores_;
+}
+
+double pool_state::known_peak_cores(base::time_point now) const
+{
+    const double cores = usable_cores(now);
     // A new owner accepts jobs before its workers have reported.
-    return expected_cores();
+    if (cores <= 0.0)
+        return expected_cores();
+    return now - peak_at_ > peak_retention ? cores
+                                           : std::max(cores, peak_cores_);
+}
+
+admission_inputs pool_state::inputs_for(const job& subject,
+                                        base::time_point now,
+                                        base::wall_time wall) const
+{
+    admission_inputs inputs;
+    inputs.is_excess = subject.is_excess;
+    inputs.has_room = !inputs.is_excess || has_room_for(subject, now, wall);
+    inputs.backlog =
+        inputs.is_excess ? backlog() : backlog() - excess_backlog();
+    inputs.cores = known_peak_cores(now);
+    inputs.critical_path = subject.estimates.critical_path;
+    inputs.objective =
+        base::count_seconds(objective_of(subject, policy_of(subject)) - now);
+    inputs.is_long_running = subject.spec.is_long_running();
+    return inputs;
 }
 
 submit_result pool_state::submit(std::string_view id, job_spec spec,
@@ -186,17 +209,11 @@
     subject.policy = policy;
     queue_statistics& statistics = statistics_of(subject);
     subject.refresh_estimates(statistics.run_times);
-    admission_inputs inputs;
-    inputs.is_excess = !subject.spec.is_long_running() &&
-                       shares_.take(tenant, id, now) == share_use::excess;
-    inputs.has_room = !inputs.is_excess || has_room_for(subject, now, wall);
-    subject.is_excess = result.is_excess = inputs.is_excess;
-    inputs.backlog =
-        inputs.is_excess ? backlog() : backlog() - excess_backlog();
-    inputs.cores = peak_usable_cores(now);
-    inputs.critical_path = subject.estimates.critical_path;
-    inputs.objective = base::count_seconds(objective_of(subject, policy) - now);
-    inputs.is_long_running = subject.spec.is_long_running();
+    subject.is_excess = result.is_excess =
+        !subject.spec.is_long_running() &&
+        shares_.take(tenant, id, now) == share_use::excess;
+    note_usable_cores(now);
+    const admission_inputs inputs = inputs_for(subject, now, wall);
     result.admission = decide_admission(inputs);
     // Work that is refused since its tenant exceeds its share moves no machines
     // away from other pools.
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -5,6 +5,7 @@
 #include "jobs/admission.hpp"
 #include "jobs/arrival_rate.hpp"
 #include "jobs/job.hpp"
+#include "jobs/job_preview.hpp"
 #include "jobs/lasting_places.hpp"
 #include "jobs/ordering.hpp"
 #include "jobs/roster.hpp"
@@ -29,8 +30,6 @@
 namespace pimentograde::jobs
 {
 
-struct placement_request;
-
 /// Outcome of submitting a job.
 struct submit_result
 {
@@ -147,6 +146,12 @@
     submit_result submit(std::string_view id, job_spec spec,
                          std::string_view queue, base::time_point now,
                          base::wall_time wall, std::string_view tenant = {});
+    /// What would happen to the job if it were submitted now; changes nothing.
+    [[nodiscard]] job_preview preview(const job_spec& spec,
+                                      std::string_view queue,
+                                      std::string_view tenant,
+                                      base::time_point now,
+                                      base::wall_time wall) const;
     /// Adds a job that an earlier owner of the pool stored.
     void restore(job subject, base::time_point now, base::wall_time wall);
     /// Sets the jobs whose records this owner cannot read. Their runs go on,
@@ -346,7 +351,11 @@
     job* find(std::string_view id);
     base::time_point first_submitted_at(std::string_view id,
                                         base::time_point now);
-    double peak_usable_cores(base::time_point now);
+    void note_usable_cores(base::time_point now);
+    [[nodiscard]] double known_peak_cores(base::time_point now) const;
+    [[nodiscard]] admission_inputs inputs_for(const job& subject,
+                                              base::time_point now,
+                                              base::wall_time wall) const;
     /// Whether the new job's first tasks could start now, after the tasks that
     /// wait already.
     [[nodiscard]] bool has_room_for(const job& subject, base::time_point now,
--- a/src/jobs/tenant_shares.cpp
+++ b/src/jobs/tenant_shares.cpp
@@ -126,6 +126,16 @@
                : share_use::excess;
 }
 
+bool tenant_shares::would_exceed(std::string_view tenant,
+                                 base::time_point now) const
+{
+    const auto bucket = tenant.empty() ? buckets_.end() : buckets_.find(tenant);
+    if (bucket == buckets_.end())
+        return false;
+    share_bucket copy = bucket->second;
+    return !copy.take(0.0, now);
+}
+
 void tenant_shares::note_refused(std::string_view tenant, std::string_view job,
                                  bool is_excess, base::time_point now)
 {
--- a/src/jobs/tenant_shares.hpp
+++ b/src/jobs/tenant_shares.hpp
@@ -62,6 +62,9 @@
     /// left for new jobs, whose objectives are still whole.
     share_use take(std::string_view tenant, std::string_view job,
                    base::time_point now);
+    /// Whether a new job of the tenant would exceed its share; takes nothing.
+    [[nodiscard]] bool would_exceed(std::string_view tenant,
+                                    base::time_point now) const;
     /// The job was refused or withdrawn; it may be submitted again.
     void note_refused(std::string_view tenant, std::string_view job,
                       bool is_excess, base::time_point now);
--- a/src/node/node_instance.cpp
+++ b/src/node/node_instance.cpp
@@ -10,6 +10,7 @@
 #include "node/caller_api.hpp"
 #include "node/events.hpp"
 #include "node/fleet_manager.hpp"
+#include "node/job_previews.hpp"
 #include "node/pause_watch.hpp"
 #include "node/pool_claims.hpp"
 #include "node/pool_gateway.hpp"
@@ -46,6 +47,8 @@
 constexpr std::chrono::milliseconds operator_batching{50};
 constexpr std::chrono::milliseconds pause_check_interval{200};
 constexpr std::chrono::seconds caller_idle_timeout{60};
+// Before the queue's own path on the metrics address.
+constexpr std::string_view preview_path = "/placement";
 constexpr std::size_t max_caller_connections = 3000;
 
 } // namespace
@@ -82,6 +85,7 @@
           gateway(members, claims, queues, *store, !settings.is_first_start),
           caller_requests(gateway, queues, metrics,
                           [this] { return is_configuration_current(); }),
+          previews(members, claims),
           fleet(members, gateway, *store, *worker_http,
                 settings.machine_service,
                 {settings.move_time, settings.maintenance_time,
@@ -111,6 +115,7 @@
     pool_claims claims;
     pool_gateway gateway;
     caller_api caller_requests;
+    job_previews previews;
     fleet_manager fleet;
     prefix_watch member_watch;
     prefix_watch operator_watch;
@@ -253,6 +258,7 @@
     version = current.version;
     queues.set_configuration(current);
     caller_requests.set_configuration(current);
+    previews.set_configuration(current);
     claims.set_configuration(current);
     fleet.set_configuration(current);
     log::write(event_configuration_adopted, {{"version", version},
@@ -333,6 +339,10 @@
                     if (request.target == "/state")
                         return net::http_response{
                             200, dump_state(members, claims, version)};
+                    if (request.target.starts_with(preview_path))
+                        return previews.handle(
+                            request, std::string_view(request.target)
+                                         .substr(preview_path.size()));
                     return net::http_response{200, metrics.expose(),
                                               "text/plain; version=0.0.4"};
                 })
@@ -351,6 +361,7 @@
             {{base::member_id(settings.name), members.own().incarnation},
              members.peer_secret()});
     gateway.add_handlers(builder);
+    previews.add_handlers(builder);
     if (options.relays_store_calls)
         relay.add_handlers(builder, *store);
     peers = builder.build();
