Count what each tenant gets and show why a job was refused

What callers saw: a refusal for the tenant's own excess looked like one for the backlog, and operators could not tell which tenant sends too much.

Cause: neither the counters nor the submission's log event named the tenant's part in the decision.

--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -8,6 +8,7 @@
 #include "pools/events.hpp"
 #include "pools/job_writer.hpp"
 #include "pools/stored_pool.hpp"
+#include "pools/tenant_counters.hpp"
 #include "pools/worker_link.hpp"
 
 #include <boost/fiber/operations.hpp>
@@ -50,8 +51,8 @@
         : pool(parts.pool_), fence(parts.revision_), order_fence(fence),
           store(*parts.store_), http(*parts.http_), lease(parts.lease_),
           may_order(parts.may_order_), holds_lease(parts.holds_lease_),
-          counters(parts.counters_), lost_hook(parts.lost_),
-          load_hook(parts.load_), state(parts.pool_),
+          counters(parts.counters_), by_tenant(parts.counters_),
+          lost_hook(parts.lost_), load_hook(parts.load_), state(parts.pool_),
           roster(parts.pool_, parts.key_, parts.revision_, *parts.store_),
           writer(parts.pool_, parts.key_, parts.revision_, state, *parts.store_,
                  roster,
@@ -79,6 +80,7 @@
     std::function<bool()> holds_lease;
     /// Null if nobody counts.
     metrics::registry* counters;
+    tenant_counters by_tenant;
     std::function<void(std::string_view)> lost_hook;
     std::function<void()> load_hook;
     bool is_loaded = false;
@@ -412,6 +414,7 @@
 void pool_owner::set_tenants(std::span<const jobs::tenant_policy> tenants)
 {
     impl_->state.set_tenants(tenants);
+    impl_->by_tenant.set_tenants(tenants);
 }
 
 void pool_owner::set_workers(std::span<const jobs::worker_description> workers)
@@ -456,6 +459,10 @@
             impl_->changed();
             answer = impl_->answer_submission(id, deadline);
         }
+        if (is_new && answer.outcome == kind::accepted)
+            impl_->by_tenant.note_accepted(tenant, result.is_excess);
+        else if (is_new && answer.outcome == kind::refused)
+            impl_->by_tenant.note_refused(tenant, result.is_excess);
     }
     log::write(event_submission,
                {{"job", id},
--- a/tests/pools/owned_pool.hpp
+++ b/tests/pools/owned_pool.hpp
@@ -27,6 +27,7 @@
             .build();
     std::unique_ptr<net::http_client> http =
         net::http_client::builder{}.max_idle(2).build();
+    metrics::registry counters;
     std::unique_ptr<pools::pool_owner> owner;
 
     /// `stored` is what earlier owners have left in the store.
@@ -45,6 +46,7 @@
                     .store(*store)
                     .http(*http)
                     .worker_lease(lease)
+                    .counters(counters)
                     .may_order([] { return true; })
                     .on_lost([](std::string_view) {})
                     .build();
