Remember refused submissions without a pass over all of them

What callers saw: nothing yet; the owner's processor time for a refusal grew with the number of refusals of the last 20 s.

Cause: each submission went over the times of all refused jobs to forget old ones. Shares refuse hundreds a second of a noisy tenant.

Change: old entries are removed once a second, and an old one that is found counts as forgotten. The decisions are the same.

--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -24,6 +24,7 @@
 constexpr int max_unstored_starts = 100;
 // A submission this long after its first refusal counts as a new one.
 constexpr std::chrono::seconds refusal_retention{20};
+constexpr std::chrono::seconds refusal_removal_interval{1};
 // A submission may be under way for this long; calls take 10 s at most.
 constexpr std::chrono::seconds denial_retention{20};
 constexpr std::chrono::seconds denial_removal_interval{1};
@@ -141,10 +142,24 @@
 base::time_point pool_state::first_submitted_at(std::string_view id,
                                                 base::time_point now)
 {
-    std::erase_if(first_refused_at_, [&](const auto& entry)
-                  { return now - entry.second > refusal_retention; });
+    const auto is_old = [now](const auto& entry)
+    {
+        return now - entry.second > refusal_retention;
+    };
+    // A tenant beyond its share leaves thousands of entries: a pass over them
+    // for each submission takes longer than the decision.
+    if (now >= next_refusal_removal_)
+    {
+        next_refusal_removal_ = now + refusal_removal_interval;
+        std::erase_if(first_refused_at_, is_old);
+    }
     const auto found = first_refused_at_.find(id);
-    return found == first_refused_at_.end() ? now : found->second;
+    if (found == first_refused_at_.end())
+        return now;
+    if (!is_old(*found))
+        return found->second;
+    first_refused_at_.erase(found);
+    return now;
 }
 
 // Recent peak of the usable cores: machines that were lent to other pools
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -545,6 +545,7 @@
     /// Time of the first submission of each refused job. Its objective counts
     /// from there when the caller submits the job again.
     std::map<std::string, base::time_point, std::less<>> first_refused_at_;
+    base::time_point next_refusal_removal_{};
     /// Jobs that callers were told do not exist, with the time.
     std::map<std::string, base::time_point, std::less<>> denied_at_;
     base::time_point next_denial_removal_{};
