Relay lists and watches of the store too

Cause: the owner's watch of workers did not take the relay, so it did not know the workers that had joined.

Change: all calls of the store's protocol are relayed; a direct read every 500 ms shows when the store serves the instance again.

--- a/src/node/session.hpp
+++ b/src/node/session.hpp
@@ -123,8 +123,8 @@
 
     /// Claims a role that is free or was held by a previous process of this
     /// instance. Returns the claim's revision, or nothing when another instance
-    /// claimed it first, or while store calls take a detour: what a new holder
-    /// has to list does not.
+    /// claimed it first, or while store calls take a detour: an instance that
+    /// the store serves is the better holder.
     std::optional<std::int64_t> claim(std::string_view role);
     /// Whether this instance should give up one of its roles, see
     /// `node::should_hand_over`.
--- a/src/node/store_relay.cpp
+++ b/src/node/store_relay.cpp
@@ -67,7 +67,7 @@
         return std::nullopt;
     const base::time_point begin = base::steady_now();
     const base::time_point until =
-        std::min<base::time_point>(deadline, begin + peer_limit);
+        std::min<base::time_point>(deadline, begin + peer_limit + call.wait);
     try
     {
         const peer::relayed_response reply =
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -32,6 +32,8 @@
 // A write that gets no answer is known to have failed only after the full time;
 // two of five lost: four times in a thousand.
 constexpr int max_commit_tries = 6;
+// How often a detoured instance asks the store directly.
+constexpr std::chrono::milliseconds probe_interval{500};
 
 store_item to_item(const json::object& source)
 {
@@ -104,10 +106,11 @@
     }
 }
 
-// Not lists and watches, see `store_client::builder::detour`.
-bool may_take_detour(std::string_view method, std::string_view target)
+bool is_store_call(std::string_view method, std::string_view target)
 {
-    return (method == "GET" && target.starts_with("/-/kv-key?")) ||
+    return (method == "GET" && (target.starts_with("/-/kv-key?") ||
+                                target.starts_with("/-/kv-range?") ||
+                                target.starts_with("/-/kv-watch?"))) ||
            (method == "POST" &&
             (target == "/-/kv-txn" || target == "/-/kv-lease" ||
              target.starts_with("/-/kv-keep/"))) ||
@@ -144,42 +147,71 @@
     answer_watch answers;
     call_hook called;
     store_detour detour;
+    base::time_point next_probe{};
     std::unique_ptr<net::http_client> http;
     /// Calls that another try has made needless.
     net::task_group tries;
 
+    /// `wait` is how long the store may hold its answer back.
     json_response call(const json_request& request, base::duration limit,
-                       std::string_view step)
+                       std::string_view step, base::duration wait = {})
     {
         const base::time_point begin = base::steady_now();
         const base::time_point deadline = begin + limit;
-        const bool can_detour =
-            detour.send && may_take_detour(request.method, request.target);
-        if (can_detour && detour.is_preferred(begin))
-            return call_by_detour(request, deadline);
+        if (prefers_detour(begin))
+        {
+            probe(begin);
+            return call_by_detour(request, deadline, wait);
+        }
         try
         {
             json_response response = call_directly(request, deadline, step);
-            if (!is_refusal(response.status) || !can_detour ||
-                !detour.is_preferred(base::steady_now()))
+            if (!is_refusal(response.status) ||
+                !prefers_detour(base::steady_now()))
                 return response;
         }
         catch (const base::error& failure)
         {
-            if (failure.effect_unknown() || !can_detour ||
-                !detour.is_preferred(base::steady_now()))
+            if (failure.effect_unknown() || !prefers_detour(base::steady_now()))
                 throw;
         }
-        return call_by_detour(request, deadline);
+        return call_by_detour(request, deadline, wait);
+    }
+    [[nodiscard]] bool prefers_detour(base::time_point now) const
+    {
+        return detour.send && detour.is_preferred(now);
+    }
+    /// Reads a key directly, beside other calls, to learn whether the store
+    /// serves this instance again.
+    void probe(base::time_point now)
+    {
+        if (now < next_probe)
+            return;
+        next_probe = now + probe_interval;
+        tries.spawn(
+            [this, deadline = now + probe_interval]
+            {
+                try
+                {
+                    call_directly({"GET", "/-/kv-key?Key=probe", nullptr, {}},
+                                  deadline, "probe store");
+                }
+                catch (const base::error&)
+                {
+                    // The detour has been told of the outcome.
+                    return;
+                }
+            });
     }
     json_response call_by_detour(const json_request& request,
-                                 base::time_point deadline)
+                                 base::time_point deadline, base::duration wait)
     {
-        const raw_store_response response = detour.send(
-            {request.method, request.target,
-             request.body.is_null() ? std::string{}
-                                    : json::serialize(request.body)},
-            deadline);
+        const raw_store_response response =
+            detour.send({request.method, request.target,
+                         request.body.is_null() ? std::string{}
+                                                : json::serialize(request.body),
+                         wait},
+                        deadline);
         return parse_response(response.status, response.body);
     }
     json_response call_directly(const json_request& request,
@@ -349,8 +381,8 @@
         "/-/kv-watch?Prefix=" + encode_query(prefix) +
         "&After=" + std::to_string(revision) +
         "&WaitMs=" + std::to_string(base::count_millis(wait));
-    const json_response response =
-        impl_->call({"GET", target, nullptr, {}}, wait + watch_slack, "watch");
+    const json_response response = impl_->call(
+        {"GET", target, nullptr, {}}, wait + watch_slack, "watch", wait);
     store_changes changes;
     if (response.status == gone)
     {
@@ -470,10 +502,10 @@
                                                base::time_point deadline)
 {
     const std::string step = "relay store call";
-    if (!may_take_detour(call.method, call.target))
+    if (!is_store_call(call.method, call.target))
         throw base::error(base::error_code::invalid, step,
                           net::to_string(impl_->where),
-                          "not a call that may be relayed: " + call.target);
+                          "not a call of the store: " + call.target);
     json_request request{call.method, call.target, nullptr, {}};
     boost::system::error_code failure;
     if (!call.body.empty())
@@ -499,7 +531,7 @@
 
 bool store_client::is_silent() const
 {
-    return impl_->answers.is_silent();
+    return impl_->answers.is_silent() && !is_detoured();
 }
 
 std::string encode_base64(std::string_view bytes)
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -95,6 +95,8 @@
     /// Path and query.
     std::string target;
     std::string body;
+    /// How long the store may hold its answer back, for a watch.
+    base::duration wait{};
 };
 
 struct raw_store_response
@@ -142,9 +144,8 @@
         builder& connect_to(net::endpoint where);
         builder& call_timeout(base::duration length);
         builder& on_call(call_hook hook);
-        /// Reads of single keys, transactions and calls about leases take this
-        /// way while it is preferred. Lists and watches never do: their answers
-        /// are large, and show when the store serves this instance again.
+        /// The way that calls take while it is preferred. Reads beside them
+        /// show when the store serves this instance again.
         builder& detour(store_detour way);
         std::unique_ptr<store_client> build();
 
@@ -178,8 +179,8 @@
     bool renew_lease(std::int64_t lease);
     void end_lease(std::int64_t lease);
     /// Sends a call for another instance, directly. Throws `base::error` with
-    /// `invalid` if its body is no JSON, or unless it is a call that may take a
-    /// detour.
+    /// `invalid` if its body is no JSON, or unless it is a call of the store's
+    /// protocol.
     raw_store_response send_for_peer(const raw_store_call& call,
                                      base::time_point deadline);
     /// Ends all calls in progress.
