Answer too large header fields with 431

Callers saw: 413 for header fields over the server's limit, which stands for a body that is too large.

Cause: the HTTP server answered both limits alike. No test stated the status for header fields.

Change: 431 for header fields; 413 stays for bodies. After either answer the server reads what the client still sends, up to 1 MB or 1 s, before it closes: closing with unread bytes resets the connection, and the client may lose the answer. Clients of this program read 431 like 413.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 
+#include <array>
 #include <set>
 #include <utility>
 
@@ -29,6 +30,10 @@
 
 // A response that the client does not read must not hold the fiber for ever.
 constexpr std::chrono::seconds write_timeout{10};
+// Bounds of what is read of a refused request; the client of one that is larger
+// may see the connection reset instead of the response.
+constexpr std::chrono::seconds discard_timeout{1};
+constexpr std::size_t max_discarded_bytes = 1024 * 1024;
 // Pause after accept fails, for example because descriptors ran out.
 constexpr std::chrono::milliseconds accept_retry_delay{50};
 
@@ -70,6 +75,8 @@
                    const std::string& peer);
     bool respond(connection& client, http_response response, bool keep_alive,
                  unsigned version);
+    /// Reads what the client still sends of a request that was refused.
+    static void discard_rest(connection& client);
     http_response call_handler(const http_request& request);
     void close(bool only_idle);
     void stop_accepting();
@@ -139,11 +146,19 @@
         [&](auto done)
         { http::async_read(client.stream, buffer, parser, std::move(done)); });
     client.idle = false;
-    if (read.failure == http::error::body_limit ||
-        read.failure == http::error::header_limit)
+    if (read.failure == http::error::header_limit)
+    {
+        respond(client,
+                error_response(431, "too_large", "header fields too large"),
+                false, 11);
+        discard_rest(client);
+        return false;
+    }
+    if (read.failure == http::error::body_limit)
     {
         respond(client, error_response(413, "too_large", "request too large"),
                 false, 11);
+        discard_rest(client);
         return false;
     }
     if (read.failure.category() ==
@@ -179,6 +194,29 @@
            keep_alive;
 }
 
+// Closing a socket with unread bytes resets the connection, and the client may
+// lose the response.
+void http_server::impl::discard_rest(connection& client)
+{
+    boost::system::error_code ignored;
+    client.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    client.stream.expires_after(discard_timeout);
+    std::array<char, 4096> bytes{};
+    std::size_t discarded = 0;
+    while (discarded < max_discarded_bytes)
+    {
+        const auto read = await_io(
+            [&](auto done)
+            {
+                client.stream.async_read_some(
+                    asio::buffer(bytes.data(), bytes.size()), std::move(done));
+            });
+        if (read.failure)
+            return;
+        discarded += read.value;
+    }
+}
+
 http_response http_server::impl::call_handler(const http_request& request)
 {
     try
--- a/src/net/http_status.cpp
+++ b/src/net/http_status.cpp
@@ -43,6 +43,7 @@
     case 409:
         return base::error_code::conflict;
     case 413:
+    case 431:
         return base::error_code::too_large;
     case 429:
     case 503:
