--- a/src/entry/access_control.cpp
+++ b/src/entry/access_control.cpp
@@ -1,6 +1,6 @@
 #include "entry/access_control.hpp"
 
-#include "base/digest.hpp"
+#include <algorithm>
 
 namespace pimentograde::entry
 {
@@ -23,7 +23,7 @@
     std::span<const config::operator_entry> bootstrap)
 {
     for (const auto& entry : bootstrap)
-        operators_[entry.token_sha256] = {entry.name, entry.role};
+        operators_.add(entry.token_sha256, {entry.name, entry.role});
 }
 
 void access_control::use(const config::bundle& in_force)
@@ -32,32 +32,23 @@
     operators_.clear();
     for (const auto& department : in_force.departments)
         for (const auto& caller : department.callers)
-            callers_[caller.token_sha256] = {department.name, caller.name};
+            callers_.add(caller.token_sha256, {department.name, caller.name});
     for (const auto& entry : in_force.operators)
-        operators_[entry.token_sha256] = {entry.name, entry.role};
+        operators_.add(entry.token_sha256, {entry.name, entry.role});
 }
 
 std::optional<caller_identity>
 access_control::find_caller(std::string_view token) const
 {
-    if (token.empty())
-        return std::nullopt;
-    // Looking up a digest leaks no timing that helps to guess a token.
-    const auto found = callers_.find(base::sha256_hex(token));
-    if (found == callers_.end())
-        return std::nullopt;
-    return found->second;
+    const caller_identity* found = callers_.find(token);
+    return found == nullptr ? std::nullopt : std::optional(*found);
 }
 
 std::optional<operator_identity>
 access_control::find_operator(std::string_view token) const
 {
-    if (token.empty())
-        return std::nullopt;
-    const auto found = operators_.find(base::sha256_hex(token));
-    if (found == operators_.end())
-        return std::nullopt;
-    return found->second;
+    const operator_identity* found = operators_.find(token);
+    return found == nullptr ? std::nullopt : std::optional(*found);
 }
 
 std::vector<config::operator_entry>
--- a/src/entry/access_control.hpp
+++ b/src/entry/access_control.hpp
@@ -1,6 +1,7 @@
 #ifndef PIMENTOGRADE_ENTRY_ACCESS_CONTROL_HPP
 #define PIMENTOGRADE_ENTRY_ACCESS_CONTROL_HPP
 
+#include "base/key_table.hpp"
 #include "base/strong_id.hpp"
 #include "config/bundle.hpp"
 
@@ -8,7 +9,6 @@
 #include <span>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace pimentograde::entry
@@ -42,8 +42,8 @@
     find_operator(std::string_view token) const;
 
 private:
-    std::unordered_map<std::string, caller_identity> callers_;
-    std::unordered_map<std::string, operator_identity> operators_;
+    base::key_table<caller_identity> callers_;
+    base::key_table<operator_identity> operators_;
 };
 
 /// Parses the setting `bootstrap-operators`, which is checked already:
