Require the tenants' keys and keep tenants' jobs apart

Callers saw: on deployments whose configuration has tenants, calls without a key, or with an unknown or removed one, succeeded, and every caller could query and cancel the jobs of all tenants. A submission under the id of another tenant's job was answered as accepted (200).

Cause: the instance read the tenants from the configuration but checked no header, and no message stated the caller's tenant.

The tenant goes with the calls to the pool's owner, which records it with the job. A job of another tenant is absent (410) to queries and cancellations, and its id is taken (409) for submissions. The lookups in the store and the memory of forwarded jobs tell tenants apart, too. After a pause of the process no call that needs a key succeeds, and none gets 401, until the configuration is confirmed: 503, or 504 for a submission whose job may have been accepted, since a 503 says that it never runs. Public queues and deployments without tenants are served as before.

--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -154,4 +154,9 @@
                        [](const step& entry) { return entry.is_done(); });
 }
 
+bool job::is_accessible_to(std::string_view caller_tenant) const
+{
+    return caller_tenant.empty() || tenant.empty() || tenant == caller_tenant;
+}
+
 } // namespace pimentograde::jobs
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -206,6 +206,10 @@
     [[nodiscard]] bool is_step_ready(std::size_t position,
                                      base::wall_time now) const;
     [[nodiscard]] bool all_done() const;
+    /// Whether a caller of the tenant may see and cancel the job. A caller
+    /// without a tenant (of a public queue or an earlier version) may, and so
+    /// may all callers if the job's record names no tenant.
+    [[nodiscard]] bool is_accessible_to(std::string_view caller_tenant) const;
 };
 
 } // namespace pimentograde::jobs
--- a/src/node/caller_api.cpp
+++ b/src/node/caller_api.cpp
@@ -3,6 +3,7 @@
 #include "base/error.hpp"
 #include "log/event.hpp"
 #include "node/events.hpp"
+#include "platform/caller_key.hpp"
 #include "platform/caller_protocol.hpp"
 #include "platform/job_document.hpp"
 
@@ -35,8 +36,10 @@
 
 constexpr unsigned ok = 200;
 constexpr unsigned bad_request = 400;
+constexpr unsigned unauthorized = 401;
 constexpr unsigned not_found = 404;
 constexpr unsigned method_not_allowed = 405;
+constexpr unsigned conflict = 409;
 constexpr unsigned gone = 410;
 constexpr unsigned too_large = 413;
 constexpr unsigned service_unavailable = 503;
@@ -54,18 +57,31 @@
     return response;
 }
 
+net::http_response refuse_other_tenant(std::string& reason)
+{
+    reason = "the id belongs to another tenant's job";
+    return {conflict, platform::write_reason(reason)};
+}
+
 } // namespace
 
 struct caller_api::call
 {
     const net::http_request& request;
-    std::string_view path;
+    std::string_view path{};
     const platform::queue_route* route = nullptr;
     /// Path after the queue's prefix.
-    std::string_view job;
+    std::string_view job{};
     base::time_point deadline{};
+    /// Name of the caller's tenant; empty if the call needs no key.
+    std::string tenant{};
+    /// The call needs a key, and the configuration could not be relied on when
+    /// the key was checked.
+    bool is_unverified = false;
     /// Reason for the response, for the log.
-    std::string reason;
+    std::string reason{};
+
+    [[nodiscard]] named_job named() const { return {job, tenant}; }
 };
 
 caller_api::caller_api(pool_gateway& gateway, queue_recorder& queues,
@@ -79,12 +95,21 @@
 void caller_api::set_configuration(const platform::configuration& current)
 {
     configuration_ = current;
+    tenants_.clear();
+    for (const platform::tenant_settings& tenant : current.tenants)
+    {
+        // A caller without a tenant's name would see the jobs of all tenants.
+        if (tenant.policy.name.empty())
+            continue;
+        for (const std::string& digest : tenant.key_digests)
+            tenants_.add(digest, tenant.policy.name);
+    }
 }
 
 net::http_response caller_api::handle(const net::http_request& request)
 {
     const base::time_point begin = base::steady_now();
-    call current{request, request.target, nullptr, {}, {}, {}};
+    call current{request, request.target};
     current.path = current.path.substr(0, current.path.find('?'));
     const base::duration time_left = std::clamp<base::duration>(
         platform::caller_time_left(request).value_or(default_time_left),
@@ -99,7 +124,8 @@
 net::http_response caller_api::answer(call& current)
 {
     net::http_response response = answer_by_configuration(current);
-    const bool depends = response.status == not_found ||
+    const bool depends = response.status == unauthorized ||
+                         response.status == not_found ||
                          response.status == gone ||
                          (current.job.empty() && response.status == ok);
     if (!depends || is_current_())
@@ -125,6 +151,8 @@
     }
     current.job = current.path.substr(current.route->path_prefix.size());
     const std::string& method = current.request.method;
+    if (auto refusal = check_key(current))
+        return std::move(*refusal);
     if (current.job.empty() && method == "GET")
         return pending_count(current);
     if (!platform::is_job_id(current.job))
@@ -142,6 +170,57 @@
     return {method_not_allowed, platform::write_reason(current.reason)};
 }
 
+std::optional<net::http_response> caller_api::check_key(call& current)
+{
+    current.tenant.clear();
+    current.is_unverified = false;
+    if (!configuration_->has_tenants || current.route->is_public)
+        return std::nullopt;
+    if (!is_current_())
+    {
+        current.is_unverified = true;
+        // Looked up first: a 503 says that the job never runs, and an earlier
+        // call may have handed it in.
+        if (current.request.method == "POST" &&
+            platform::is_job_id(current.job))
+            return std::nullopt;
+        current.reason = outdated_reason;
+        return retry_later(outage_retry_after, current.reason);
+    }
+    using kind = platform::caller_key::kind;
+    const platform::caller_key key = platform::read_key(current.request);
+    if (key.outcome == kind::repeated || key.outcome == kind::malformed)
+        return refuse_key(current, to_string(key.outcome), bad_request);
+    if (key.outcome != kind::present)
+        return refuse_key(current, to_string(key.outcome), unauthorized);
+    const std::string* tenant = tenants_.find(key.text);
+    if (tenant == nullptr)
+        return refuse_key(current, "unknown", unauthorized);
+    current.tenant = *tenant;
+    return std::nullopt;
+}
+
+net::http_response caller_api::refuse_key(call& current, std::string_view cause,
+                                          unsigned status)
+{
+    metrics_
+        .get_counter("pimentograde_key_refusals_total",
+                     metrics::label("reason", cause))
+        .add();
+    log::write(event_key_refused,
+               {{"job", current.job},
+                {"reason", cause},
+                {"queue", current.route->policy.name},
+                {"host", current.route->host},
+                {"prefix", current.route->path_prefix},
+                {"config_version", configuration_->version}});
+    current.reason = std::string("the key is refused: ").append(cause);
+    net::http_response response{status, platform::write_reason(current.reason)};
+    if (status == unauthorized)
+        response.headers.emplace_back("WWW-Authenticate", "Token");
+    return response;
+}
+
 net::http_response caller_api::submit(call& current)
 {
     if (current.request.body.size() > configuration_->max_body_bytes)
@@ -170,21 +249,23 @@
     if (auto known = find_in_earlier_pools(
             current, route,
             assignment.value_or(queues_.knowledge().newest(route))))
-        return *known;
+        return std::move(*known);
     if (!assignment)
     {
         current.reason = "the queue's pool is not stored yet";
         return retry_later(outage_retry_after, current.reason, gateway_timeout);
     }
     const auto reply =
-        is_current_()
-            ? gateway_.submit(route.policy, *assignment, current.job,
+        !current.is_unverified && is_current_()
+            ? gateway_.submit(route.policy, *assignment, current.named(),
                               std::move(spec), current.deadline)
-            : gateway_.refuse(route.policy, *assignment, current.job,
+            : gateway_.refuse(route.policy, *assignment, current.named(),
                               std::string(outdated_reason), current.deadline);
     current.reason = reply.reason;
     if (reply.outcome == submission_kind::accepted)
-        return {ok, "{}"};
+        return answer_accepted(current);
+    if (reply.outcome == submission_kind::other_tenant)
+        return refuse_other_tenant(current.reason);
     if (reply.outcome == submission_kind::refused)
         return retry_later(reply.retry_after, reply.reason);
     // A caller that has waited already may ask again at once.
@@ -193,6 +274,14 @@
     return retry_later(reply.retry_after, reply.reason, gateway_timeout);
 }
 
+net::http_response caller_api::answer_accepted(call& current)
+{
+    if (!current.is_unverified)
+        return {ok, "{}"};
+    current.reason = outdated_reason;
+    return retry_later(outage_retry_after, current.reason, gateway_timeout);
+}
+
 net::http_response caller_api::submit_reassigned(call& current)
 {
     const std::int64_t version = configuration_->version;
@@ -218,12 +307,14 @@
     for (std::size_t index = 1; index < policies.size(); ++index)
     {
         const auto reply = gateway_.status_before_submission(
-            policies[index], assignment, current.job, current.deadline);
+            policies[index], assignment, current.named(), current.deadline);
         if (reply.outcome == job_kind::found)
         {
             current.reason = "accepted before";
-            return net::http_response{ok, "{}"};
+            return answer_accepted(current);
         }
+        if (reply.outcome == job_kind::other_tenant)
+            return refuse_other_tenant(current.reason);
         if (reply.outcome == job_kind::absent)
             continue;
         current.reason = "an earlier pool of the queue does not answer";
@@ -251,8 +342,8 @@
     const auto assignment = queues_.knowledge().newest(*current.route);
     for (const auto& queue : policies_of(*current.route))
     {
-        const auto reply =
-            gateway_.status(queue, assignment, current.job, current.deadline);
+        const auto reply = gateway_.status(queue, assignment, current.named(),
+                                           current.deadline);
         if (reply.outcome == job_kind::found)
             return {ok, platform::write_status(reply.status)};
         is_certain = is_certain && reply.outcome == job_kind::absent;
@@ -272,8 +363,8 @@
     const auto assignment = queues_.knowledge().newest(*current.route);
     for (const auto& queue : policies_of(*current.route))
     {
-        const auto reply =
-            gateway_.cancel(queue, assignment, current.job, current.deadline);
+        const auto reply = gateway_.cancel(queue, assignment, current.named(),
+                                           current.deadline);
         if (reply.outcome == job_kind::found)
             return {ok, "{}"};
         is_certain = is_certain && reply.outcome == job_kind::absent;
--- a/src/node/caller_api.hpp
+++ b/src/node/caller_api.hpp
@@ -1,6 +1,7 @@
 #ifndef PIMENTOGRADE_NODE_CALLER_API_HPP
 #define PIMENTOGRADE_NODE_CALLER_API_HPP
 
+#include "base/key_table.hpp"
 #include "metrics/registry.hpp"
 #include "net/http_message.hpp"
 #include "node/pool_gateway.hpp"
@@ -16,8 +17,9 @@
 namespace pimentograde::node
 {
 
-/// Handles the callers' HTTP requests: finds the queue of a request and
-/// forwards it to the owner of the queue's pool.
+/// Handles the callers' HTTP requests: finds the queue of a request and the
+/// tenant of its key, and forwards it to the owner of the queue's pool. Keys
+/// are needed where the configuration has tenants, except on public queues.
 class caller_api
 {
 public:
@@ -39,7 +41,15 @@
 
     net::http_response answer(call& current);
     net::http_response answer_by_configuration(call& current);
+    /// Finds the tenant of the call's key. Otherwise, the refusal of the call;
+    /// if the configuration may be outdated, a submission goes on unverified.
+    std::optional<net::http_response> check_key(call& current);
+    net::http_response refuse_key(call& current, std::string_view cause,
+                                  unsigned status);
     net::http_response submit(call& current);
+    /// No success for a call whose key could not be verified, and no refusal,
+    /// since the job runs.
+    static net::http_response answer_accepted(call& current);
     /// Waits until this instance has the configuration that has assigned the
     /// queue to another pool, and submits the job by it.
     net::http_response submit_reassigned(call& current);
@@ -62,6 +72,8 @@
     metrics::registry& metrics_;
     std::function<bool()> is_current_;
     std::optional<platform::configuration> configuration_;
+    /// Names of the configuration's tenants.
+    base::key_table<std::string> tenants_;
 };
 
 } // namespace pimentograde::node
--- a/src/node/events.hpp
+++ b/src/node/events.hpp
@@ -68,6 +68,10 @@
     "the process did not run for a while; confirming the configuration"};
 inline constexpr log::event event_queue_moved{
     3328, log::severity::info, "new jobs of the queue go to another pool"};
+inline constexpr log::event event_key_refused{3330, log::severity::info,
+                                              "a call's key was refused"};
+inline constexpr log::event event_other_tenant{
+    3331, log::severity::info, "a call named a job of another tenant"};
 inline constexpr log::event event_relay_begun{
     3340, log::severity::warning,
     "the store does not serve this instance; calls go through a peer"};
--- a/src/node/forwarded_jobs.cpp
+++ b/src/node/forwarded_jobs.cpp
@@ -44,11 +44,12 @@
         jobs_.erase(found);
 }
 
-void forwarded_jobs::note_accepted(std::string_view queue, std::string_view job)
+void forwarded_jobs::note_accepted(std::string_view queue, std::string_view job,
+                                   std::string_view tenant)
 {
     const auto found = jobs_.find(key_of(queue, job));
     if (found != jobs_.end())
-        found->second.is_accepted = true;
+        found->second.accepted_for.emplace(tenant);
 }
 
 void forwarded_jobs::note_member_left(const std::string& name,
@@ -86,10 +87,11 @@
 }
 
 bool forwarded_jobs::is_accepted(std::string_view queue, std::string_view job,
+                                 std::string_view tenant,
                                  base::time_point now) const
 {
     const entry* known = find(queue, job, now);
-    return known != nullptr && known->is_accepted;
+    return known != nullptr && known->accepted_for.contains(tenant);
 }
 
 bool forwarded_jobs::is_complete(base::time_point now) const
--- a/src/node/forwarded_jobs.hpp
+++ b/src/node/forwarded_jobs.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -28,7 +29,9 @@
                         base::time_point now);
     /// It had no effect. To be called once for each `note_forwarded`.
     void note_refused(std::string_view queue, std::string_view job);
-    void note_accepted(std::string_view queue, std::string_view job);
+    /// `tenant` is the caller's; empty where none applies.
+    void note_accepted(std::string_view queue, std::string_view job,
+                       std::string_view tenant);
     /// Another instance has left, with what it remembered.
     void note_member_left(const std::string& name, std::uint64_t incarnation,
                           base::time_point now);
@@ -39,7 +42,9 @@
 
     [[nodiscard]] bool contains(std::string_view queue, std::string_view job,
                                 base::time_point now) const;
+    /// Whether a submission by a caller of the tenant was accepted.
     [[nodiscard]] bool is_accepted(std::string_view queue, std::string_view job,
+                                   std::string_view tenant,
                                    base::time_point now) const;
     /// Whether nothing has been forgotten that instances which have ended, or
     /// this one, have forwarded.
@@ -54,7 +59,7 @@
     {
         /// Submissions that have been forwarded and may have had an effect.
         int forwarded = 0;
-        bool is_accepted = false;
+        std::set<std::string, std::less<>> accepted_for;
         base::time_point latest{};
     };
 
--- a/src/node/owned_pools.cpp
+++ b/src/node/owned_pools.cpp
@@ -2,6 +2,8 @@
 
 #include "base/error.hpp"
 #include "jobs/job_record.hpp"
+#include "log/event.hpp"
+#include "node/events.hpp"
 #include "node/pool_replies.hpp"
 
 #include <utility>
@@ -21,6 +23,13 @@
            status != jobs::reported_status::running;
 }
 
+void log_other_tenant(std::string_view job, std::string_view tenant,
+                      std::string_view pool)
+{
+    log::write(event_other_tenant,
+               {{"job", job}, {"tenant", tenant}, {"pool", pool}});
+}
+
 } // namespace
 
 owned_pools::owned_pools(session& members, pool_claims& claims,
@@ -51,8 +60,11 @@
 owned_pools::submit(pools::pool_owner& owner, const peer::submit_job& message,
                     jobs::job_spec spec, base::time_point deadline)
 {
-    auto answer = owner.submit(message.job, std::move(spec), message.queue,
-                               deadline, admission_of(owner, message));
+    auto answer =
+        owner.submit(message.job, std::move(spec), message.queue, deadline,
+                     admission_of(owner, message), message.tenant);
+    if (answer.outcome == submission_kind::other_tenant)
+        log_other_tenant(message.job, message.tenant, owner.pool());
     const bool is_decided =
         answer.outcome != submission_kind::refused ||
         certain(owner.status(message.job)).outcome == job_kind::absent;
@@ -63,10 +75,16 @@
                                       const peer::query_job& message)
 {
     const bool is_up_to_date = knows_newest(message.assignment);
+    const bool is_hidden =
+        is_of_other_tenant(owner, message.job, message.tenant);
+    if (is_hidden && message.is_before_submission)
+        return {job_kind::other_tenant, {}};
     // Otherwise the assignment keeps late submissions from being accepted.
     const bool must_deny = message.is_before_submission && !message.assignment;
     auto answer = must_deny ? owner.status_before_submission(message.job)
                             : owner.status(message.job);
+    if (is_hidden)
+        answer = {job_kind::absent, {}};
     if (!is_up_to_date && answer.outcome == job_kind::absent)
         answer.outcome = job_kind::unavailable;
     return certain(answer);
@@ -77,7 +95,9 @@
                                       base::time_point deadline)
 {
     const bool is_up_to_date = knows_newest(message.assignment);
-    auto answer = owner.cancel(message.job, deadline);
+    auto answer = is_of_other_tenant(owner, message.job, message.tenant)
+                      ? pools::job_answer{job_kind::absent, {}}
+                      : owner.cancel(message.job, deadline);
     if (!is_up_to_date && answer.outcome == job_kind::absent)
         answer.outcome = job_kind::unavailable;
     return certain(answer);
@@ -93,6 +113,18 @@
     return owner.pending(message.queue);
 }
 
+bool owned_pools::is_of_other_tenant(const pools::pool_owner& owner,
+                                     std::string_view job,
+                                     std::string_view tenant)
+{
+    const jobs::job* known =
+        owner.answers_callers() ? owner.state().find_job(job) : nullptr;
+    if (known == nullptr || known->is_accessible_to(tenant))
+        return false;
+    log_other_tenant(job, tenant, owner.pool());
+    return true;
+}
+
 pools::job_answer owned_pools::certain(pools::job_answer answer) const
 {
     const base::time_point now = base::suspend_aware_now();
--- a/src/node/owned_pools.hpp
+++ b/src/node/owned_pools.hpp
@@ -55,6 +55,11 @@
     [[nodiscard]] pools::admission
     admission_of(const pools::pool_owner& owner,
                  const peer::submit_job& message);
+    /// Whether the pool has a job of that id that a caller of the tenant may
+    /// not see; logged.
+    [[nodiscard]] static bool is_of_other_tenant(const pools::pool_owner& owner,
+                                                 std::string_view job,
+                                                 std::string_view tenant);
     /// An answer of an owner here. Once its lease may have ended, it denies no
     /// job, as the next owner may have accepted it; once it may send no more
     /// orders, it knows only the states of jobs that have ended.
--- a/src/node/pool_gateway.cpp
+++ b/src/node/pool_gateway.cpp
@@ -2,6 +2,8 @@
 
 #include "base/error.hpp"
 #include "jobs/job_record.hpp"
+#include "log/event.hpp"
+#include "node/events.hpp"
 #include "node/pool_replies.hpp"
 #include "pools/job_writer.hpp"
 
@@ -39,6 +41,12 @@
         deadline - reply_reserve - base::steady_now(), base::duration::zero());
 }
 
+pools::submission_answer other_tenant_answer()
+{
+    return {
+        submission_kind::other_tenant, {}, "another tenant's job has the id"};
+}
+
 } // namespace
 
 pool_gateway::pool_gateway(session& members, pool_claims& claims,
@@ -98,36 +106,38 @@
 
 pools::submission_answer pool_gateway::submit(
     const jobs::queue_policy& queue, const peer::queue_assignment& assignment,
-    std::string_view id, jobs::job_spec spec, base::time_point deadline)
+    const named_job& job, jobs::job_spec spec, base::time_point deadline)
 {
     if (claims_.find(queue.pool) == nullptr)
     {
         const holder* current = session_.holder_of(pool_role(queue.pool));
         if (current == nullptr)
-            return refuse_unless_stored(assignment, id,
+            return refuse_unless_stored(assignment, job,
                                         "the pool has no owner");
         if (!liveness_[current->address].should_submit(base::steady_now()))
-            return refuse_unless_stored(assignment, id,
+            return refuse_unless_stored(assignment, job,
                                         "the pool's owner does not answer");
     }
-    forwarded_.note_forwarded(assignment.queue, id, base::steady_now());
+    forwarded_.note_forwarded(assignment.queue, job.id, base::steady_now());
     const owned_pools::submission_decision decision =
-        forward(queue, assignment, id, std::move(spec), deadline);
+        forward(queue, assignment, job, std::move(spec), deadline);
     if (decision.answer.outcome == submission_kind::accepted)
-        forwarded_.note_accepted(assignment.queue, id);
-    if (decision.answer.outcome == submission_kind::refused)
-        forwarded_.note_refused(assignment.queue, id);
+        forwarded_.note_accepted(assignment.queue, job.id, job.tenant);
+    if (decision.answer.outcome == submission_kind::refused ||
+        decision.answer.outcome == submission_kind::other_tenant)
+        forwarded_.note_refused(assignment.queue, job.id);
     if (decision.is_final)
         return decision.answer;
-    return refuse_unless_stored(assignment, id, decision.answer.reason);
+    return refuse_unless_stored(assignment, job, decision.answer.reason);
 }
 
 owned_pools::submission_decision pool_gateway::forward(
     const jobs::queue_policy& queue, const peer::queue_assignment& assignment,
-    std::string_view id, jobs::job_spec spec, base::time_point deadline)
+    const named_job& job, jobs::job_spec spec, base::time_point deadline)
 {
-    peer::submit_job message{queue.pool, queue.name,          std::string(id),
-                             {},         time_left(deadline), assignment};
+    peer::submit_job message{
+        queue.pool,          queue.name, std::string(job.id),    {},
+        time_left(deadline), assignment, std::string(job.tenant)};
     if (const auto owner = claims_.find(queue.pool))
         return owned_.submit(*owner, message, std::move(spec),
                              deadline - reply_reserve);
@@ -152,17 +162,24 @@
 
 pools::submission_answer pool_gateway::refuse(
     const jobs::queue_policy& queue, const peer::queue_assignment& assignment,
-    std::string_view id, std::string reason, base::time_point deadline)
+    const named_job& job, std::string reason, base::time_point deadline)
 {
-    const auto known = status(queue, assignment, id, deadline);
+    // Only such a query tells another tenant's job from an absent one.
+    const bool is_before_submission = !job.tenant.empty();
+    auto known =
+        owner_status(queue, assignment, job, deadline, is_before_submission);
+    if (known.outcome == job_kind::unavailable)
+        known = stored_status(queue.pool, assignment, job);
+    if (known.outcome == job_kind::other_tenant)
+        return other_tenant_answer();
     if (known.outcome == job_kind::found)
         return {submission_kind::accepted, {}, "accepted before"};
     // The caller comes back, so the owner must go on to accept the job. An
     // earlier call may have forwarded it, and the owner may be storing it.
     const bool is_excluded =
         known.outcome == job_kind::absent &&
-        !forwarded_.contains(assignment.queue, id, base::steady_now()) &&
-        no_member_has_forwarded(assignment, id);
+        !forwarded_.contains(assignment.queue, job.id, base::steady_now()) &&
+        no_member_has_forwarded(assignment, job.id);
     if (is_excluded)
         return {submission_kind::refused, takeover_retry, std::move(reason)};
     return {submission_kind::unknown, takeover_retry,
@@ -171,19 +188,22 @@
 
 pools::submission_answer
 pool_gateway::refuse_unless_stored(const peer::queue_assignment& assignment,
-                                   std::string_view id, std::string reason)
+                                   const named_job& job, std::string reason)
 {
     pools::submission_answer accepted{
         submission_kind::accepted, {}, "accepted before"};
-    if (forwarded_.is_accepted(assignment.queue, id, base::steady_now()))
+    if (forwarded_.is_accepted(assignment.queue, job.id, job.tenant,
+                               base::steady_now()))
         return accepted;
-    const auto stored = look_up(assignment, id);
+    const auto stored = look_up(assignment, job);
     if (stored && stored->outcome == job_kind::found)
         return accepted;
+    if (stored && stored->outcome == job_kind::other_tenant)
+        return other_tenant_answer();
     const bool is_excluded =
-        !forwarded_.contains(assignment.queue, id, base::steady_now()) &&
+        !forwarded_.contains(assignment.queue, job.id, base::steady_now()) &&
         (stored ? stored->outcome == job_kind::absent
-                : no_member_has_forwarded(assignment, id));
+                : no_member_has_forwarded(assignment, job.id));
     if (is_excluded)
         return {submission_kind::refused, takeover_retry, std::move(reason)};
     return {submission_kind::unknown, takeover_retry,
@@ -192,7 +212,7 @@
 
 std::optional<pools::job_answer>
 pool_gateway::look_up(const peer::queue_assignment& assignment,
-                      std::string_view id)
+                      const named_job& job)
 {
     using answer = std::optional<pools::job_answer>;
     if (lookups_.size() >= max_lookups || store_.is_silent())
@@ -200,8 +220,10 @@
     const auto lookup = std::make_shared<boost::fibers::promise<answer>>();
     auto stored = lookup->get_future();
     lookups_.spawn(
-        [this, lookup, assignment, key_id = std::string(id)] {
-            lookup->set_value(read_stored(assignment.pool, assignment, key_id));
+        [this, lookup, assignment, id = std::string(job.id),
+         tenant = std::string(job.tenant)] {
+            lookup->set_value(
+                read_stored(assignment.pool, assignment, {id, tenant}));
         });
     if (stored.wait_for(lookup_limit) != boost::fibers::future_status::ready)
         return std::nullopt;
@@ -258,7 +280,7 @@
 std::optional<pools::job_answer>
 pool_gateway::read_stored(std::string_view pool,
                           const peer::queue_assignment& assignment,
-                          std::string_view id)
+                          const named_job& job)
 {
     // Returns whether the store has answered; its watches report that it does
     // not.
@@ -278,22 +300,30 @@
     net::task_group reads;
     reads.spawn([&] { is_refreshed = succeeds([&] { queues_.refresh(); }); });
     std::optional<platform::store_item> item;
-    const std::string key = pools::record_prefix(pool) + std::string(id);
+    const std::string key = pools::record_prefix(pool) + std::string(job.id);
     const bool is_read = succeeds([&] { item = store_.get(key); });
     reads.join();
-    if (!is_read || (!item && !is_refreshed))
+    if (!is_read)
         return std::nullopt;
-    if (!item)
-        return pools::job_answer{queues_.knowledge().adopt(assignment)
-                                     ? job_kind::absent
-                                     : job_kind::unavailable,
-                                 {}};
     try
     {
-        const jobs::job subject = jobs::decode_record(id, item->value);
+        std::optional<jobs::job> stored;
+        if (item)
+            stored = jobs::decode_record(job.id, item->value);
+        if (stored && stored->is_accessible_to(job.tenant))
+            return pools::job_answer{
+                job_kind::found,
+                jobs::to_reported(stored->status, stored->has_started)};
+        if (stored)
+            log::write(
+                event_other_tenant,
+                {{"job", job.id}, {"tenant", job.tenant}, {"pool", pool}});
+        if (!is_refreshed)
+            return std::nullopt;
+        if (!queues_.knowledge().adopt(assignment))
+            return pools::job_answer{job_kind::unavailable, {}};
         return pools::job_answer{
-            job_kind::found,
-            jobs::to_reported(subject.status, subject.has_started)};
+            stored ? job_kind::other_tenant : job_kind::absent, {}};
     }
     catch (const base::error&)
     {
@@ -305,18 +335,19 @@
 pools::job_answer
 pool_gateway::stored_status(std::string_view pool,
                             const peer::queue_assignment& assignment,
-                            std::string_view id)
+                            const named_job& job)
 {
-    return read_stored(pool, assignment, id)
+    return read_stored(pool, assignment, job)
         .value_or(pools::job_answer{job_kind::unavailable, {}});
 }
 
 pools::job_answer pool_gateway::owner_status(
     const jobs::queue_policy& queue, const peer::queue_assignment& assignment,
-    std::string_view id, base::time_point deadline, bool is_before_submission)
+    const named_job& job, base::time_point deadline, bool is_before_submission)
 {
-    const peer::query_job message{queue.pool, std::string(id),
-                                  is_before_submission, assignment};
+    const peer::query_job message{queue.pool, std::string(job.id),
+                                  is_before_submission, assignment,
+                                  std::string(job.tenant)};
     if (const auto owner = claims_.find(queue.pool))
         return owned_.status(*owner, message);
     const holder* current = session_.holder_of(pool_role(queue.pool));
@@ -335,28 +366,30 @@
 
 pools::job_answer pool_gateway::status(const jobs::queue_policy& queue,
                                        const peer::queue_assignment& assignment,
-                                       std::string_view id,
+                                       const named_job& job,
                                        base::time_point deadline)
 {
-    const pools::job_answer answer =
-        owner_status(queue, assignment, id, deadline, false);
+    pools::job_answer answer =
+        owner_status(queue, assignment, job, deadline, false);
     if (answer.outcome == job_kind::unavailable)
-        return stored_status(queue.pool, assignment, id);
+        answer = stored_status(queue.pool, assignment, job);
+    if (answer.outcome == job_kind::other_tenant)
+        answer.outcome = job_kind::absent;
     return answer;
 }
 
 pools::job_answer pool_gateway::status_before_submission(
     const jobs::queue_policy& queue, const peer::queue_assignment& assignment,
-    std::string_view id, base::time_point deadline)
+    const named_job& job, base::time_point deadline)
 {
     pools::job_answer answer =
-        owner_status(queue, assignment, id, deadline, true);
+        owner_status(queue, assignment, job, deadline, true);
     if (answer.outcome != job_kind::unavailable)
         return answer;
     // An owner may be storing the job. One that this instance has not heard of
     // may also have begun before the assignment was stored.
     const bool is_unowned = !has_owner(queue.pool) && is_unclaimed(queue.pool);
-    answer = stored_status(queue.pool, assignment, id);
+    answer = stored_status(queue.pool, assignment, job);
     if (!is_unowned && answer.outcome == job_kind::absent)
         answer.outcome = job_kind::unavailable;
     return answer;
@@ -383,11 +416,12 @@
 
 pools::job_answer pool_gateway::cancel(const jobs::queue_policy& queue,
                                        const peer::queue_assignment& assignment,
-                                       std::string_view id,
+                                       const named_job& job,
                                        base::time_point deadline)
 {
-    const peer::cancel_job message{queue.pool, std::string(id),
-                                   time_left(deadline), assignment};
+    const peer::cancel_job message{queue.pool, std::string(job.id),
+                                   time_left(deadline), assignment,
+                                   std::string(job.tenant)};
     if (const auto owner = claims_.find(queue.pool))
         return owned_.cancel(*owner, message, deadline - reply_reserve);
     const holder* current = session_.holder_of(pool_role(queue.pool));
--- a/src/node/pool_gateway.hpp
+++ b/src/node/pool_gateway.hpp
@@ -22,6 +22,15 @@
 namespace pimentograde::node
 {
 
+/// A job as a caller names it. A job of another tenant is `absent` for the
+/// caller, or `other_tenant` when it submits a job of that id.
+struct named_job
+{
+    std::string_view id;
+    /// The caller's tenant; empty where none applies.
+    std::string_view tenant{};
+};
+
 /// Forwards requests for a pool to its owner, on this instance or another one.
 /// Answers status queries from the store when the owner cannot be reached. With
 /// each request of a queue goes its newest assignment that the caller knows.
@@ -40,26 +49,26 @@
     /// pools must have been asked before, see `status_before_submission`.
     pools::submission_answer submit(const jobs::queue_policy& queue,
                                     const peer::queue_assignment& assignment,
-                                    std::string_view id, jobs::job_spec spec,
+                                    const named_job& job, jobs::job_spec spec,
                                     base::time_point deadline);
     /// Refuses a submission that must not be forwarded, if the owner can
     /// exclude that an earlier call has handed the job in or still does.
     pools::submission_answer refuse(const jobs::queue_policy& queue,
                                     const peer::queue_assignment& assignment,
-                                    std::string_view id, std::string reason,
+                                    const named_job& job, std::string reason,
                                     base::time_point deadline);
     pools::job_answer status(const jobs::queue_policy& queue,
                              const peer::queue_assignment& assignment,
-                             std::string_view id, base::time_point deadline);
+                             const named_job& job, base::time_point deadline);
     /// `absent` only if the pool does not have the job, is not storing it, and
     /// will not accept it under an earlier assignment of the queue.
     pools::job_answer
     status_before_submission(const jobs::queue_policy& queue,
                              const peer::queue_assignment& assignment,
-                             std::string_view id, base::time_point deadline);
+                             const named_job& job, base::time_point deadline);
     pools::job_answer cancel(const jobs::queue_policy& queue,
                              const peer::queue_assignment& assignment,
-                             std::string_view id, base::time_point deadline);
+                             const named_job& job, base::time_point deadline);
     /// Empty when the owner cannot be reached.
     std::optional<std::int64_t>
     pending(const jobs::queue_policy& queue,
@@ -93,23 +102,23 @@
     /// `unavailable` when there is no owner or it does not answer.
     pools::job_answer owner_status(const jobs::queue_policy& queue,
                                    const peer::queue_assignment& assignment,
-                                   std::string_view id,
+                                   const named_job& job,
                                    base::time_point deadline,
                                    bool is_before_submission);
     /// Sends the submission to the owner, which must be known.
     owned_pools::submission_decision
     forward(const jobs::queue_policy& queue,
-            const peer::queue_assignment& assignment, std::string_view id,
+            const peer::queue_assignment& assignment, const named_job& job,
             jobs::job_spec spec, base::time_point deadline);
     /// For a submission that no owner has decided on: an earlier call, whose
     /// answer was lost, may have handed the job in. A refusal does not wait for
     /// a slow store: the job is refused if no instance has forwarded it before.
     pools::submission_answer
     refuse_unless_stored(const peer::queue_assignment& assignment,
-                         std::string_view id, std::string reason);
+                         const named_job& job, std::string reason);
     /// `read_stored`, but empty also if the store does not answer soon.
     std::optional<pools::job_answer>
-    look_up(const peer::queue_assignment& assignment, std::string_view id);
+    look_up(const peer::queue_assignment& assignment, const named_job& job);
     /// Whether all instances answer that they have not forwarded the job.
     bool no_member_has_forwarded(const peer::queue_assignment& assignment,
                                  std::string_view id);
@@ -120,14 +129,14 @@
     /// Whether the store answers that no instance owns the pool.
     bool is_unclaimed(std::string_view pool);
     /// The job's state in the store; empty if the store does not answer.
-    /// `unavailable` if its record cannot be read, or if the job is absent and
-    /// the assignment is not the newest one.
+    /// `unavailable` if its record cannot be read, or if the job is absent or
+    /// of another tenant and the assignment is not the newest one.
     std::optional<pools::job_answer>
     read_stored(std::string_view pool, const peer::queue_assignment& assignment,
-                std::string_view id);
+                const named_job& job);
     pools::job_answer stored_status(std::string_view pool,
                                     const peer::queue_assignment& assignment,
-                                    std::string_view id);
+                                    const named_job& job);
 
     session& session_;
     pool_claims& claims_;
--- a/src/node/pool_replies.cpp
+++ b/src/node/pool_replies.cpp
@@ -14,8 +14,10 @@
 using submission_kind = pools::submission_answer::kind;
 using job_kind = pools::job_answer::kind;
 
-constexpr std::array submission_names{"accepted", "refused", "unknown"};
-constexpr std::array job_names{"found", "absent", "unavailable"};
+constexpr std::array submission_names{"accepted", "refused", "unknown",
+                                      "other_tenant"};
+constexpr std::array job_names{"found", "absent", "unavailable",
+                               "other_tenant"};
 constexpr std::array status_names{"queued", "running", "completed", "failed",
                                   "cancelled"};
 
--- a/src/peer/pool_messages.hpp
+++ b/src/peer/pool_messages.hpp
@@ -32,7 +32,8 @@
 /// Outcome of a submission at the pool's owner.
 struct submit_reply
 {
-    /// `accepted`, `refused` (it never runs) or `unknown`.
+    /// `accepted`, `refused` (it never runs), `unknown` or `other_tenant` (the
+    /// id belongs to a job of another tenant).
     std::string outcome;
     base::duration retry_after{};
     std::string reason;
@@ -94,7 +95,8 @@
 /// State of a job at the pool's owner.
 struct job_reply
 {
-    /// `found`, `absent` or `unavailable`.
+    /// `found`, `absent`, `unavailable`, or before a submission `other_tenant`
+    /// (the id belongs to a job of another tenant).
     std::string outcome;
     /// Meaningful when found.
     std::string status;
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -37,9 +37,18 @@
 
 std::string_view to_string(submission_answer::kind outcome)
 {
-    if (outcome == submission_answer::kind::accepted)
+    switch (outcome)
+    {
+    case submission_answer::kind::accepted:
         return "accepted";
-    return outcome == submission_answer::kind::refused ? "refused" : "unknown";
+    case submission_answer::kind::refused:
+        return "refused";
+    case submission_answer::kind::other_tenant:
+        return "other_tenant";
+    case submission_answer::kind::unknown:
+        break;
+    }
+    return "unknown";
 }
 
 } // namespace
@@ -432,9 +441,12 @@
     submission_answer answer{kind::refused, outage_retry_after, {}};
     const base::time_point now = base::steady_now();
     jobs::submit_result result;
-    const bool is_new = impl_->state.find_job(id) == nullptr;
+    const jobs::job* known = impl_->state.find_job(id);
+    const bool is_new = known == nullptr;
     if (!impl_->is_loaded || impl_->is_stopping)
         answer.reason = "the pool is not loaded";
+    else if (!is_new && !known->is_accessible_to(tenant))
+        answer = {kind::other_tenant, {}, "another tenant's job has the id"};
     else if (impl_->state.is_unreadable(id))
         answer = {kind::unknown, {}, "the job's record cannot be read"};
     else if (is_new && (admitted == admission::known_jobs ||
@@ -559,6 +571,11 @@
     return impl_->is_loaded;
 }
 
+bool pool_owner::answers_callers() const
+{
+    return impl_->is_loaded && !impl_->is_stopping;
+}
+
 const jobs::pool_state& pool_owner::state() const
 {
     return impl_->state;
--- a/src/pools/pool_owner.hpp
+++ b/src/pools/pool_owner.hpp
@@ -28,7 +28,9 @@
         /// Not accepted, and it never runs.
         refused,
         /// The result is not known yet; the job may still be accepted.
-        unknown
+        unknown,
+        /// Not accepted: another tenant has a job of that id.
+        other_tenant
     };
     kind outcome = kind::accepted;
     base::duration retry_after{};
@@ -52,7 +54,10 @@
         /// No such job.
         absent,
         /// The pool is not loaded, or the change is not stored yet.
-        unavailable
+        unavailable,
+        /// The job belongs to another tenant. Only before a submission;
+        /// otherwise such a job is `absent`.
+        other_tenant
     };
     kind outcome = kind::found;
     jobs::reported_status status = jobs::reported_status::queued;
@@ -133,6 +138,7 @@
     /// Sets all workers of the pool that the store lists.
     void set_workers(std::span<const jobs::worker_description> workers);
 
+    /// `tenant` is the caller's; empty where none applies.
     submission_answer submit(std::string_view id, jobs::job_spec spec,
                              std::string_view queue, base::time_point deadline,
                              admission admitted = admission::all_jobs,
@@ -157,6 +163,9 @@
     [[nodiscard]] const std::string& pool() const;
     [[nodiscard]] std::int64_t fence() const;
     [[nodiscard]] bool is_loaded() const;
+    /// Whether it is loaded and not ending; otherwise nothing is said about
+    /// jobs.
+    [[nodiscard]] bool answers_callers() const;
     [[nodiscard]] const jobs::pool_state& state() const;
 
 private:
--- a/tests/node/earlier_call_test.cpp
+++ b/tests/node/earlier_call_test.cpp
@@ -89,9 +89,10 @@
     known.note_refused("pool", id_a);
     CHECK_FALSE(known.contains("pool", id_a, later + 1s));
     known.note_forwarded("pool", id_b, later);
-    CHECK_FALSE(known.is_accepted("pool", id_b, later));
-    known.note_accepted("pool", id_b);
-    CHECK(known.is_accepted("pool", id_b, later));
+    CHECK_FALSE(known.is_accepted("pool", id_b, "t", later));
+    known.note_accepted("pool", id_b, "t");
+    CHECK(known.is_accepted("pool", id_b, "t", later));
+    CHECK_FALSE(known.is_accepted("pool", id_b, "other", later));
     CHECK_FALSE(
         known.contains("pool", id_b, later + forwarded_jobs::retention + 1ms));
     known.note_member_left("other", 7, later);
--- a/tools/platform_standin/platform_double.cpp
+++ b/tools/platform_standin/platform_double.cpp
@@ -26,6 +26,22 @@
     return {{"Cpu", 4000}, {"MemMb", 8000}, {"Gpu", 0}};
 }
 
+json::object configuration(std::int64_t version, const std::string& pool,
+                           std::span<const std::string> more_pools)
+{
+    json::array services{json::object{{"Name", pool}}};
+    for (const std::string& name : more_pools)
+        services.push_back(json::object{{"Name", name}});
+    const json::object queue{{"Name", "queue"},        {"Host", "h"},
+                             {"Prefix", "/q/"},        {"Service", pool},
+                             {"MaxAttempts", 3},       {"Stretch", 1.6},
+                             {"TargetDurationMs", 600}};
+    return {{"Version", version},
+            {"Routes", json::array{queue}},
+            {"Services", std::move(services)},
+            {"Limits", {{"MaxBodyBytes", 100'000}}}};
+}
+
 } // namespace
 
 platform_double::platform_double()
@@ -133,27 +149,35 @@
 
 void platform_double::configure(std::int64_t version, const std::string& pool)
 {
-    configure(version, pool, {});
+    configure(version, pool, std::span<const std::string>{});
 }
 
 void platform_double::configure(std::int64_t version, const std::string& pool,
                                 std::span<const std::string> more_pools)
 {
-    json::array services{json::object{{"Name", pool}}};
-    for (const std::string& name : more_pools)
-        services.push_back(json::object{{"Name", name}});
-    store.put("op/config", json::serialize(json::object{
-                               {"Version", version},
-                               {"Routes",
-                                {{{"Name", "queue"},
-                                  {"Host", "h"},
-                                  {"Prefix", "/q/"},
-                                  {"Service", pool},
-                                  {"MaxAttempts", 3},
-                                  {"Stretch", 1.6},
-                                  {"TargetDurationMs", 600}}}},
-                               {"Services", std::move(services)},
-                               {"Limits", {{"MaxBodyBytes", 100'000}}}}));
+    store.put("op/config",
+              json::serialize(configuration(version, pool, more_pools)));
+}
+
+void platform_double::configure(std::int64_t version, const std::string& pool,
+                                std::span<const tenant> tenants,
+                                std::span<const std::string> more_pools)
+{
+    json::object whole = configuration(version, pool, more_pools);
+    json::object open = whole["Routes"].as_array().front().as_object();
+    open["Name"] = "open";
+    open["Prefix"] = "/open/";
+    open["Public"] = true;
+    whole["Routes"].as_array().push_back(std::move(open));
+    json::array rows;
+    for (const tenant& entry : tenants)
+        rows.push_back(json::object{
+            {"Name", entry.name},
+            {"ApiKeys", json::array(entry.keys.begin(), entry.keys.end())},
+            {"Weight", 1},
+            {"Cap", {{"Cpu", 0}, {"MemMb", 0}, {"Gpu", 0}}}});
+    whole["Tenants"] = std::move(rows);
+    store.put("op/config", json::serialize(whole));
 }
 
 net::endpoint platform_double::store_address() const
--- a/tools/platform_standin/platform_double.hpp
+++ b/tools/platform_standin/platform_double.hpp
@@ -58,6 +58,16 @@
     /// The same with further pools that no queue uses.
     void configure(std::int64_t version, const std::string& pool,
                    std::span<const std::string> more_pools);
+    /// A tenant of the configuration.
+    struct tenant
+    {
+        std::string name;
+        std::vector<std::string> keys;
+    };
+    /// The same with tenants, and the public queue `/open/` of the same pool.
+    void configure(std::int64_t version, const std::string& pool,
+                   std::span<const tenant> tenants,
+                   std::span<const std::string> more_pools = {});
     [[nodiscard]] net::endpoint store_address() const;
     [[nodiscard]] net::endpoint machine_address() const;
     /// Runs that began, of the task, at all workers.
