Correct a comment in the tests of keys

Callers saw: nothing.

Cause: a comment announced a case that another test has.

Change: the comment says what the lines check.

--- a/tests/node/keys_test.cpp
+++ b/tests/node/keys_test.cpp
@@ -280,7 +280,7 @@
         CHECK(keyed.query(*asked, id_a, key_a) == 200);
         CHECK(keyed.status(*asked, "POST", id_a, key_a, lasting) == 200);
     }
-    // An ended job, and one of a version that stored no tenant.
+    // The record of an ended job has the tenant, too.
     CHECK(keyed.cancel(elsewhere, id_a, key_a) == 200);
     CHECK(keyed.query(here, id_a, key_b) == 410);
     CHECK(keyed.submit(elsewhere, id_a, key_b) == 409);
