--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -106,11 +106,16 @@
     }
 }
 
+bool is_watch(std::string_view target)
+{
+    return target.starts_with("/-/kv-watch?");
+}
+
 bool is_store_call(std::string_view method, std::string_view target)
 {
-    return (method == "GET" && (target.starts_with("/-/kv-key?") ||
-                                target.starts_with("/-/kv-range?") ||
-                                target.starts_with("/-/kv-watch?"))) ||
+    return (method == "GET" &&
+            (target.starts_with("/-/kv-key?") ||
+             target.starts_with("/-/kv-range?") || is_watch(target))) ||
            (method == "POST" &&
             (target == "/-/kv-txn" || target == "/-/kv-lease" ||
              target.starts_with("/-/kv-keep/"))) ||
@@ -235,12 +240,19 @@
             if (failure.code() == base::error_code::timeout)
                 answers.note_timeout(begin);
             report(step, false, base::steady_now() - begin);
-            note_direct(failure.code() == base::error_code::timeout
-                            ? store_outcome::silent
-                            : store_outcome::refused);
+            note_failure(failure, request.target);
             throw;
         }
     }
+    /// A watch without an answer says nothing of the store: its history may
+    /// have been dropped, or its connection may have gone silent.
+    void note_failure(const base::error& failure, std::string_view target) const
+    {
+        if (failure.code() != base::error_code::timeout)
+            note_direct(store_outcome::refused);
+        else if (!is_watch(target))
+            note_direct(store_outcome::silent);
+    }
     void note_direct(store_outcome outcome) const
     {
         if (detour.ended)
