Start tasks of a tenant only within the pool's grant of its cap

Callers saw: a tenant could run its whole load in every pool; its cap in the configuration had no effect.

Cause: owners of pools knew the cap and counted nothing.

Change: each owner counts what a tenant may have running in its pool (jobs/tenant_usage), with starts that may arrive late and with the workers of earlier owners that it has not heard. It starts tasks within the pool's grant only (jobs/quota_share), and raises and lowers the grant by transactions that hold for its ownership and for the revision that it knows (pools/quota_store). Pools of tenants without a cap neither count nor call the store.

--- a/src/jobs/pool_losses.cpp
+++ b/src/jobs/pool_losses.cpp
@@ -74,6 +74,8 @@
     worker->knowledge.forget_report();
     worker->lists_other_runs = false;
     worker->used_by_others = {};
+    worker->other_runs.clear();
+    count_other_runs(*worker);
     worker->has_unknown_runs = false;
     if (loss == run_loss::lapsed)
         return;
@@ -234,6 +236,8 @@
     worker.knowledge.forget_report();
     worker.lists_other_runs = false;
     worker.used_by_others = {};
+    worker.other_runs.clear();
+    count_other_runs(worker);
     worker.has_unknown_runs = false;
     worker.forget_late_stops();
     settle_late_starts(worker, now);
@@ -282,6 +286,7 @@
 {
     entry.late_start_until = worker.note_unanswered(name, run, now);
     entry.late_start_on = worker.description.id;
+    count_late_starts(worker);
 }
 
 void pool_state::release_late_starts(worker_view& worker)
@@ -294,13 +299,18 @@
             entry->late_start_until = {};
     }
     worker.unanswered.clear();
+    count_late_starts(worker);
 }
 
 // An order is carried out once.
 void pool_state::note_arrived(worker_view& worker, const task_id& name, int run,
                               task& entry)
 {
-    worker.note_arrived(name, run);
+    if (!worker.unanswered.empty())
+    {
+        worker.note_arrived(name, run);
+        count_late_starts(worker);
+    }
     if (entry.late_start_on == worker.description.id &&
         !worker.awaits_late_start(name))
         entry.late_start_until = {};
--- a/src/jobs/pool_planner.cpp
+++ b/src/jobs/pool_planner.cpp
@@ -223,6 +223,7 @@
         if (worker.accepts_starts(now) && !worker.knowledge.is_doubtful())
             usable.push_back(&worker);
     std::vector<start_order> orders;
+    begin_quota_plan(usable, now, wall);
     if (usable.empty())
         return orders;
     if (!std::exchange(has_waiting_suspect_, false))
@@ -261,6 +262,8 @@
         if (!may_start(subject, entry, basis) ||
             !has_attempts_left(entry, part, policy_of(subject)))
             continue;
+        if (is_held_back(subject, position, 1))
+            return;
         worker_view* worker = choose_worker_for(
             subject, position, static_cast<int>(index), {}, workers, now);
         if (worker == nullptr && (entry.level() != suspicion::none ||
@@ -288,7 +291,8 @@
     const bool is_waiting = std::all_of(
         tasks.begin(), tasks.end(),
         [&](const task& member) { return may_start(subject, member, basis); });
-    if (!is_waiting)
+    if (!is_waiting ||
+        is_held_back(subject, position, static_cast<int>(tasks.size())))
         return;
     for (const std::string& rack :
          racks_for(subject, position, workers, basis.now))
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -137,7 +137,11 @@
         if (row.number > worker->applied_end)
         {
             apply_end(*worker, row, now, wall);
-            worker->note_arrived(row.task, row.run);
+            if (!worker->unanswered.empty())
+            {
+                worker->note_arrived(row.task, row.run);
+                count_late_starts(*worker);
+            }
             worker->applied_end = row.number;
         }
     // A worker lists a limited number of ends.
@@ -168,7 +172,10 @@
     if (worker->heard_since == base::time_point{})
         worker->heard_since = now;
     if (!report.is_truncated)
+    {
         worker->knowledge.note_report();
+        usage_.note_heard(id);
+    }
     worker->is_reachable = true;
     worker->is_silent = false;
     worker->reported_at = now;
@@ -279,6 +286,7 @@
 {
     worker.lists_other_runs = false;
     worker.used_by_others = {};
+    worker.other_runs.clear();
     worker.has_unknown_runs = false;
     for (const listed_run& row : report.running)
     {
@@ -286,6 +294,7 @@
         if (current != worker.runs.end() && current->second == row.run)
             continue;
         worker.lists_other_runs = true;
+        worker.other_runs.push_back(row.task);
         const job* subject = find_job(row.task.job);
         const step_spec* part =
             subject == nullptr ? nullptr : subject->find_spec(row.task);
@@ -294,6 +303,7 @@
         else
             worker.has_unknown_runs = true;
     }
+    count_other_runs(worker);
 }
 
 void pool_state::note_progress(worker_view& worker, const listed_run& row,
@@ -527,7 +537,10 @@
     if (may_arrive && worker != nullptr && !has_arrived)
     {
         if (entry == nullptr)
+        {
             worker->note_unanswered(order.task, order.run, now);
+            count_late_starts(*worker);
+        }
         else
             note_late_start(*worker, order.task, order.run, *entry, now);
     }
--- a/src/jobs/pool_roster.cpp
+++ b/src/jobs/pool_roster.cpp
@@ -68,6 +68,9 @@
     }
     for (const roster_late_start& start : entry.late_starts)
         inherit_late_start(worker, start, now);
+    count_late_starts(worker);
+    if (!entry.runs)
+        hide_runs(worker, entry.worker.capacity, deadline, now);
     if (!entry.runs)
         return;
     worker.recorded_runs = entry.runs->size();
--- a/src/jobs/pool_state.cpp
+++ b/src/jobs/pool_state.cpp
@@ -48,7 +48,9 @@
     return has_started ? reported_status::running : reported_status::queued;
 }
 
-pool_state::pool_state(std::string pool) : pool_(std::move(pool)) {}
+pool_state::pool_state(std::string pool) : pool_(std::move(pool)), quota_(pool_)
+{
+}
 
 void pool_state::on_decision(decision_hook hook)
 {
@@ -72,13 +74,6 @@
         policies_.try_emplace(policy.name, policy);
 }
 
-void pool_state::set_tenants(std::span<const tenant_policy> tenants)
-{
-    tenants_.clear();
-    for (const tenant_policy& entry : tenants)
-        tenants_.emplace(entry.name, entry);
-}
-
 const queue_policy& pool_state::policy_of(const job& subject) const
 {
     static const queue_policy unknown_queue;
@@ -383,12 +378,14 @@
     if (spec.is_long_running)
         worker.long_running_millis += reserved_resources(spec).cpu_millis;
     worker.runs.emplace(id, run);
+    count_run(worker, id);
     subject.has_started |= state == run_state::running;
 }
 
 void pool_state::clear_run(job& subject, const task_id& id, task& entry)
 {
     const std::size_t position = subject.position_of(id);
+    usage_.end_run(entry.active->worker, id);
     if (worker_view* worker = find_worker(entry.active->worker))
     {
         worker->forget_start(id);
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -7,8 +7,10 @@
 #include "jobs/job.hpp"
 #include "jobs/lasting_places.hpp"
 #include "jobs/ordering.hpp"
+#include "jobs/quota_share.hpp"
 #include "jobs/roster.hpp"
 #include "jobs/tenant.hpp"
+#include "jobs/tenant_usage.hpp"
 #include "jobs/worker_report.hpp"
 #include "jobs/worker_view.hpp"
 
@@ -118,6 +120,12 @@
 
     /// Replaces the tenants of the configuration.
     void set_tenants(std::span<const tenant_policy> tenants);
+    /// The pool's grants of the tenants' caps.
+    [[nodiscard]] quota_share& quota() { return quota_; }
+    [[nodiscard]] const quota_share& quota() const { return quota_; }
+    /// What the tenants may have running in the pool; not counted unless a
+    /// tenant has a cap.
+    [[nodiscard]] const tenant_usage& usage() const { return usage_; }
 
     /// How many times as long a gang runs on more than one rack.
     void set_remote_factor(double factor) { remote_factor_ = factor; }
@@ -355,6 +363,20 @@
     void begin_run(job& subject, std::size_t position, int index, int run,
                    worker_view& worker, run_state state, base::time_point now);
     void clear_run(job& subject, const task_id& id, task& entry);
+    [[nodiscard]] std::optional<tenant_place>
+    place_of(const task_id& task,
+             base::time_point until = base::time_point::max()) const;
+    void count_run(const worker_view& worker, const task_id& task);
+    void count_late_starts(const worker_view& worker);
+    void count_other_runs(const worker_view& worker);
+    void recount_tenants();
+    void hide_runs(const worker_view& worker, const resource_amount& capacity,
+                   base::time_point deadline, base::time_point now);
+    void begin_quota_plan(std::span<worker_view* const> workers,
+                          base::time_point now, base::wall_time wall);
+    /// Whether the grant of the job's tenant does not allow that so many tasks
+    /// of the step start; they count as waiting then.
+    bool is_held_back(const job& subject, std::size_t position, int count);
     void inherit_run(worker_view& worker, const roster_run& inherited,
                      base::time_point now);
     void inherit_late_start(worker_view& worker,
@@ -526,6 +548,8 @@
     std::map<std::string, base::time_point, std::less<>> held_unknown_;
     std::map<std::string, queue_policy, std::less<>> policies_;
     tenant_table tenants_;
+    tenant_usage usage_;
+    quota_share quota_;
     statistics_table statistics_;
     /// Time of the first submission of each refused job. Its objective counts
     /// from there when the caller submits the job again.
--- a/src/jobs/worker_view.hpp
+++ b/src/jobs/worker_view.hpp
@@ -130,6 +130,8 @@
     bool lists_other_runs = false;
     /// Room of these runs.
     resource_amount used_by_others;
+    /// Their tasks.
+    std::vector<task_id> other_runs;
     /// One of these runs is of an unknown task.
     bool has_unknown_runs = false;
     /// It lists runs or ends of jobs whose records cannot be read.
--- a/src/pools/events.hpp
+++ b/src/pools/events.hpp
@@ -32,6 +32,18 @@
     3213, log::severity::error, "learned statistics are unreadable"};
 inline constexpr log::event event_pool_handover{
     3212, log::severity::info, "runs handed over to the pool's next owner"};
+inline constexpr log::event event_quota_changed{
+    3220, log::severity::info, "grant of a tenant's cap changed"};
+inline constexpr log::event event_quota_shortage{
+    3221, log::severity::info, "starts of a tenant are held back by its grant"};
+inline constexpr log::event event_quota_failed{
+    3222, log::severity::warning,
+    "reading or writing grants failed; will retry"};
+inline constexpr log::event event_quota_invalid{
+    3223, log::severity::error,
+    "stored grants are unreadable; the tenant's tasks do not start"};
+inline constexpr log::event event_quota_recovered{
+    3224, log::severity::info, "reading and writing grants has recovered"};
 
 } // namespace pimentograde::pools
 
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -7,6 +7,7 @@
 #include "pools/collect_delay.hpp"
 #include "pools/events.hpp"
 #include "pools/job_writer.hpp"
+#include "pools/quota_store.hpp"
 #include "pools/stored_pool.hpp"
 #include "pools/worker_link.hpp"
 
@@ -60,6 +61,15 @@
                   [this]
                   {
                       return is_stopping;
+                  }}),
+          quotas(parts.pool_, parts.key_, parts.revision_, state, *parts.store_,
+                 parts.counters_,
+                 {[this](std::string_view reason)
+                  { handle_ownership_lost(reason); },
+                  [this] { return is_stopping; },
+                  [this]
+                  {
+                      plan_wakeup.notify();
                   }})
     {
         state.set_remote_factor(parts.remote_factor_);
@@ -92,6 +102,7 @@
     jobs::pool_state state;
     roster_store roster;
     job_writer writer;
+    quota_store quotas;
     std::map<std::string, std::unique_ptr<worker_link>> links;
     /// Links of removed workers, kept until their requests have ended.
     std::vector<std::unique_ptr<worker_link>> closing_links;
@@ -140,6 +151,8 @@
 {
     plan_wakeup.notify();
     writer.notify();
+    if (is_stopping)
+        quotas.notify();
 }
 
 void pool_owner::impl::load()
@@ -167,6 +180,7 @@
         apply_workers();
     fibers.spawn_restarting("store records", [this] { writer.run(); });
     fibers.spawn_restarting("plan", [this] { plan_loop(); });
+    fibers.spawn_restarting("grants", [this] { quotas.run(); });
 }
 
 // Lease ends in the roster hold for its reader only, who may extend them: if
@@ -329,6 +343,7 @@
     for (auto& order : state.plan(base::steady_now(), base::wall_now(), held))
         if (const auto link = links.find(order.worker); link != links.end())
             link->second->send(std::move(order));
+    quotas.notify();
     remove_idle_links();
 }
 
--- a/tests/jobs/pool_world.cpp
+++ b/tests/jobs/pool_world.cpp
@@ -191,7 +191,8 @@
         spec.steps.push_back(part);
     }
     const std::string id = "job" + std::to_string(next_job_++);
-    const auto result = owner_.state->submit(id, spec, "queue", now_, wall);
+    const auto result = owner_.state->submit(
+        id, spec, "queue", now_, wall, odds_.granted_tasks > 0 ? "tenant" : "");
     if (result.outcome == jobs::submit_result::kind::accepted)
         accepted_.push_back(id);
     // A job counts as accepted once it is stored.
@@ -222,6 +223,7 @@
         return;
     if (!is_late)
         note_repeated_ends(order.task);
+    check_grant(order.task, is_late && entry.is_forgotten);
     const bool is_open = is_late && has_new_clock(entry) && entry.is_forgotten;
     worker.running[order.task].is_open_case = is_open;
     std::vector<std::string> found;
@@ -692,6 +694,7 @@
         owner_.state->apply_stop_answer(order, is_done, now_);
     }
     const auto orders = owner_.state->plan(now_, wall, ownership_of(owner_));
+    check_usage();
     if (odds_.unlist == 0 || chance(50))
         forget_unlisted();
     store();
--- a/tests/jobs/pool_world.hpp
+++ b/tests/jobs/pool_world.hpp
@@ -138,6 +138,8 @@
     /// Not 0: a worker lists so many ends at once; the others follow when these
     /// have been acknowledged.
     std::size_t ends_per_answer = 0;
+    /// Not 0: jobs have a tenant whose grant in the pool allows so many tasks.
+    int granted_tasks = 0;
 };
 
 /// What an owner of the simulated pool knows of its workers and of the store.
@@ -361,6 +363,9 @@
     void resize(simulated_worker& worker);
     [[nodiscard]] bool may_fail(const std::string& job) const;
     simulated_worker& worker_of(const std::string& id);
+    void grant_tenant(jobs::pool_state& state) const;
+    void check_usage();
+    void check_grant(const jobs::task_id& task, bool is_unknown);
 
     std::mt19937_64 random_;
     fault_odds odds_;
