--- a/src/jobs/quota_share.cpp
+++ b/src/jobs/quota_share.cpp
@@ -25,11 +25,13 @@
 constexpr std::chrono::milliseconds short_read_interval{250};
 constexpr std::chrono::milliseconds idle_read_interval{500};
 constexpr std::chrono::milliseconds over_cap_read_interval{250};
-constexpr std::chrono::milliseconds new_cap_read_interval{500};
+constexpr std::chrono::milliseconds new_cap_read_interval{250};
 // Writes that gain nothing for this pool are at least this far apart.
 constexpr std::chrono::milliseconds give_interval{250};
 constexpr std::chrono::milliseconds ask_interval{500};
 constexpr std::chrono::milliseconds retry_delay{250};
+// Allows for two looks of a short pool and its write.
+constexpr std::chrono::seconds stale_wish_time{1};
 constexpr std::chrono::seconds report_interval{1};
 // Instances apply a confirmed version within 3 s; grants may be raised under an
 // older cap until then.
@@ -124,20 +126,20 @@
         share& entry = found->second;
         if (entry.cap == policy.cap)
             continue;
-        const bool is_lowered =
-            std::any_of(quota_resources.begin(), quota_resources.end(),
-                        [&](auto resource)
-                        {
-                            return policy.cap.*resource > 0 &&
-                                   (entry.cap.*resource == 0 ||
-                                    policy.cap.*resource < entry.cap.*resource);
-                        });
+        const resource_amount& cap = policy.cap;
+        const auto is_lower = [&cap, &entry](auto resource)
+        {
+            return cap.*resource > 0 && (entry.cap.*resource == 0 ||
+                                         cap.*resource < entry.cap.*resource);
+        };
+        const bool is_lowered = std::any_of(quota_resources.begin(),
+                                            quota_resources.end(), is_lower);
         if (is_lowered && !is_new)
         {
             entry.cap_before =
                 at_least(entry.cap_before.value_or(entry.cap), entry.cap);
-            entry.is_cap_new = true;
         }
+        entry.is_cap_new = true;
         entry.cap = policy.cap;
     }
 }
@@ -184,12 +186,12 @@
     const resource_amount granted =
         entry.cap_before ? at_least(entry.granted, *entry.cap_before)
                          : entry.granted;
+    // Whatever the other pools run within their grants, the cap holds then.
     for (const auto resource : quota_resources)
         if (entry.cap.*resource > 0 && granted.*resource > entry.cap.*resource)
-            result.*resource = static_cast<std::int64_t>(
-                static_cast<double>(result.*resource) *
-                static_cast<double>(entry.cap.*resource) /
-                static_cast<double>(granted.*resource));
+            result.*resource = std::max<std::int64_t>(
+                0,
+                result.*resource - (granted.*resource - entry.cap.*resource));
     return result;
 }
 
@@ -228,7 +230,8 @@
                 counted.*resource + hidden.*resource + one * (count - 1);
             if (before + one <= allowed.*resource)
                 return true;
-            const bool holds_most = grant.*resource * 2 > entry.cap.*resource &&
+            const bool holds_most = entry.is_cap_settled &&
+                                    grant.*resource * 2 > entry.cap.*resource &&
                                     allowed.*resource == grant.*resource;
             return holds_most && knows_use && before <= allowed.*resource;
         });
@@ -263,6 +266,12 @@
     const std::int64_t cap = entry.cap.*resource;
     competition result;
     result.free = std::max<std::int64_t>(0, cap - entry.granted.*resource);
+    result.fair = cap;
+    const bool others_are_short =
+        std::any_of(entry.stored.wanted.begin(), entry.stored.wanted.end(),
+                    [this](const auto& row) { return row.first != pool_; });
+    if (!others_are_short)
+        return result;
     std::vector<std::int64_t> demands{wish.total.*resource};
     for (const auto& [pool, grant] : entry.stored.grants)
         if (pool != pool_ && !entry.stored.wanted.contains(pool))
@@ -272,13 +281,44 @@
         if (pool == pool_)
             continue;
         const std::int64_t held = entry.stored.grant_of(pool).*resource;
+        const auto known = entry.wishes.find(pool);
+        if (known != entry.wishes.end() && known->second.is_stale)
+        {
+            demands.push_back(held);
+            continue;
+        }
         demands.push_back(std::max(held, wanted.*resource));
         result.missing += std::max<std::int64_t>(0, wanted.*resource - held);
     }
-    result.fair = result.missing > 0 ? fair_part(cap, std::move(demands)) : cap;
+    if (result.missing > 0)
+        result.fair = fair_part(cap, std::move(demands));
     return result;
 }
 
+// A pool without an owner, or one that has no jobs left and cannot reach the
+// store, does not withdraw its wish. A short pool takes what is free.
+void quota_share::update_wishes(share& entry, base::time_point now) const
+{
+    const quota_record& stored = entry.stored;
+    std::erase_if(entry.wishes, [&](const auto& known)
+                  { return !stored.wanted.contains(known.first); });
+    for (const auto& [pool, wanted] : stored.wanted)
+    {
+        if (pool == pool_)
+            continue;
+        const resource_amount held = stored.grant_of(pool);
+        bool could_take = false;
+        for (const auto resource : quota_resources)
+            could_take =
+                could_take || (wanted.*resource > held.*resource &&
+                               entry.granted.*resource < entry.cap.*resource);
+        stated_wish& known = entry.wishes.try_emplace(pool).first->second;
+        if (known.wanted != wanted || known.granted != held || !could_take)
+            known = {wanted, held, now};
+        known.is_stale = now - known.since >= stale_wish_time;
+    }
+}
+
 resource_amount quota_share::grown(const share& entry, const demand& wish) const
 {
     const bool is_short =
@@ -312,7 +352,6 @@
 resource_amount quota_share::reduced(share& entry, const demand& wish,
                                      base::time_point now) const
 {
-    const resource_amount allowed = limit(entry);
     entry.peak = at_least(entry.peak, wish.total);
     if (!entry.peak_since)
         entry.peak_since = now;
@@ -327,7 +366,11 @@
             continue;
         std::int64_t target = held;
         if (entry.granted.*resource > cap)
-            target = std::min(target, allowed.*resource);
+            target = std::min(
+                target,
+                static_cast<std::int64_t>(
+                    static_cast<double>(held) * static_cast<double>(cap) /
+                    static_cast<double>(entry.granted.*resource)));
         const competition others = competition_for(entry, wish, resource);
         if (others.missing > others.free)
             target = std::min({target, wish.total.*resource, others.fair});
@@ -400,21 +443,14 @@
         is_larger = is_larger || after.*resource > before.*resource;
         is_short = is_short || wish.total.*resource > after.*resource;
     }
-    quota_write write{tenant, entry.revision, entry.stored, before, after};
-    if (after == resource_amount{})
-        write.record.grants.erase(pool_);
-    else
-        write.record.grants.insert_or_assign(pool_, after);
-    // The stored wish changes little while the demand does.
     const auto wanted = entry.stored.wanted.find(pool_);
-    if (!is_short)
-        write.record.wanted.erase(pool_);
-    else
-        write.record.wanted.insert_or_assign(pool_, wish.total);
+    const bool has_wish = wanted != entry.stored.wanted.end();
+    const bool is_wish_new =
+        is_short ? !has_wish || wanted->second != wish.total : has_wish;
     // After a write without an answer, the next one settles what is stored.
-    if (write.record == entry.stored && !entry.unsure_limit)
+    if (after == before && !is_wish_new && !entry.unsure_limit)
         return std::nullopt;
-    const bool is_first_wish = is_short && wanted == entry.stored.wanted.end();
+    const bool is_first_wish = is_short && !has_wish;
     const base::duration interval =
         is_larger || is_first_wish || entry.unsure_limit
             ? base::duration::zero()
@@ -422,6 +458,15 @@
                           : base::duration(ask_interval);
     if (now < entry.written_at + interval)
         return std::nullopt;
+    quota_write write{tenant, entry.revision, entry.stored, before, after};
+    if (after == resource_amount{})
+        write.record.grants.erase(pool_);
+    else
+        write.record.grants.insert_or_assign(pool_, after);
+    if (is_short)
+        write.record.wanted.insert_or_assign(pool_, wish.total);
+    else
+        write.record.wanted.erase(pool_);
     return write;
 }
 
@@ -433,8 +478,10 @@
     {
         if (std::exchange(entry.is_cap_new, false))
             entry.watch_until = now + cap_change_time;
+        entry.is_cap_settled = now >= entry.watch_until;
         if (entry.sent_limit || now < entry.paused_until)
             continue;
+        update_wishes(entry, now);
         const demand wish =
             demand_of(entry, usage.used_by(name), usage.hidden());
         const auto interval = read_interval(entry, wish, now);
@@ -448,6 +495,7 @@
         if (!write)
             continue;
         entry.written_at = now;
+        entry.sent = write->record;
         // An increase counts once it is stored, a reduction at once.
         entry.sent_limit = at_most(write->grant_before, write->grant_after);
         actions.writes.push_back(std::move(*write));
@@ -463,6 +511,12 @@
     if (found == shares_.end())
         return;
     share& entry = found->second;
+    const bool was_known = entry.is_known;
+    const resource_amount grant_before = entry.grant;
+    const resource_amount limit_before = limit(entry);
+    // After a conflict the pool decides again at once.
+    if (entry.sent_limit && record != entry.sent)
+        entry.written_at = {};
     entry.sent_limit.reset();
     entry.read_at = now;
     // Writes that expect another revision have no effect any more.
@@ -480,6 +534,18 @@
     entry.stored = std::move(*record);
     entry.grant = entry.stored.grant_of(pool_);
     entry.granted = entry.stored.total();
+    // An increase that took effect late, after the cap was lowered: the other
+    // pools do not know yet that the grants exceed the cap.
+    const bool exceeds_cap =
+        std::any_of(quota_resources.begin(), quota_resources.end(),
+                    [&](auto resource)
+                    {
+                        return entry.cap.*resource > 0 &&
+                               entry.grant.*resource > grant_before.*resource &&
+                               entry.granted.*resource > entry.cap.*resource;
+                    });
+    if (was_known && exceeds_cap)
+        entry.unsure_limit = limit_before;
 }
 
 void quota_share::note_unread(std::string_view tenant, base::time_point now)
--- a/src/jobs/quota_share.hpp
+++ b/src/jobs/quota_share.hpp
@@ -102,21 +102,32 @@
                                                const tenant_usage& usage);
 
 private:
+    /// What another pool says to need.
+    struct stated_wish
+    {
+        resource_amount wanted;
+        resource_amount granted;
+        /// Since then it could have taken a free part.
+        base::time_point since;
+        bool is_stale = false;
+    };
     struct share
     {
         resource_amount cap;
         /// Set until the grants have been read after the cap was lowered.
         std::optional<resource_amount> cap_before;
-        /// Other owners may still apply a higher cap.
+        /// Other owners may still apply another cap until then.
         bool is_cap_new = true;
         base::time_point watch_until{};
+        bool is_cap_settled = false;
         bool is_known = false;
         std::int64_t revision = 0;
         quota_record stored;
         /// This pool's part and the sum of all in `stored`.
         resource_amount grant;
         resource_amount granted;
-        /// Limit of the write under way.
+        /// The write under way, and its limit.
+        quota_record sent;
         std::optional<resource_amount> sent_limit;
         /// Limit of earlier writes without an answer. It holds until the
         /// revision that they expect has been replaced.
@@ -128,6 +139,7 @@
         base::time_point read_at{};
         base::time_point written_at{};
         base::time_point paused_until{};
+        std::map<std::string, stated_wish, std::less<>> wishes;
         /// Largest demand since `peak_since`.
         resource_amount peak;
         std::optional<base::time_point> peak_since;
@@ -142,6 +154,7 @@
     [[nodiscard]] competition
     competition_for(const share& entry, const demand& wish,
                     std::int64_t resource_amount::*resource) const;
+    void update_wishes(share& entry, base::time_point now) const;
     [[nodiscard]] resource_amount grown(const share& entry,
                                         const demand& wish) const;
     [[nodiscard]] resource_amount reduced(share& entry, const demand& wish,
