Let tasks wait for a place near their data or group while that pays

What callers saw: with many jobs asking for one rack, a task started remotely as soon as the rack was full and took RemoteFactor times as long, even if a place there was free a moment later; a gang waited for a fixed time, also for a rack whose runs did not end.

Cause: no estimate of when a place on the rack is free.

A decision is made anew in each plan. The place is kept from tasks behind that have another, for the plan. Remote runs enter the run time model divided by the factor. Off: as before.

--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -3,6 +3,7 @@
 
 #include "jobs/crash_history.hpp"
 #include "jobs/job_spec.hpp"
+#include "jobs/locality_wait.hpp"
 #include "jobs/run_time_model.hpp"
 #include "jobs/task_id.hpp"
 
@@ -107,6 +108,20 @@
     }
 };
 
+/// A step's wait for rack-local places; not stored.
+struct step_wait
+{
+    /// Start of the step's only wait.
+    std::optional<base::time_point> since;
+    /// A task of the step waits, as of the last plan.
+    bool is_waiting = false;
+    bool is_over = false;
+    /// Expected length of the wait when it began.
+    double expected_seconds = 0.0;
+    /// Of the last decision.
+    locality_reason reason = locality_reason::no_estimate;
+};
+
 struct step
 {
     std::vector<task> tasks;
@@ -114,6 +129,7 @@
     int active = 0;
     /// Since when it waits for room on one rack; not stored.
     std::optional<base::time_point> awaits_rack_since;
+    step_wait near_wait;
 
     [[nodiscard]] bool is_done() const
     {
--- a/src/jobs/pool_planner.cpp
+++ b/src/jobs/pool_planner.cpp
@@ -177,6 +177,21 @@
     return waiting;
 }
 
+resource_amount pool_state::demand_of(std::span<const waiting_job> waiting)
+{
+    resource_amount demand;
+    for (const waiting_job& entry : waiting)
+        for (const std::size_t position : entry.positions)
+        {
+            const resource_amount need =
+                reserved_resources(entry.subject->spec_of(position));
+            const int count = entry.subject->steps[position].waiting();
+            demand += {need.cpu_millis * count, need.memory_mb * count,
+                       need.gpus * count};
+        }
+    return demand;
+}
+
 int pool_state::same_step_count(const worker_view& worker, const job& subject,
                                 std::size_t position) const
 {
@@ -228,9 +243,13 @@
     if (!std::exchange(has_waiting_suspect_, false))
         release_held_workers(usable, now);
     resource_amount free = largest_free(usable);
-    for (const waiting_job& entry : waiting_jobs(free, now, wall))
+    const std::vector<waiting_job> waiting = waiting_jobs(free, now, wall);
+    if (near_.is_enabled())
+        near_.begin_plan(usable, demand_of(waiting), waiting.size());
+    for (const waiting_job& entry : waiting)
         for (const std::size_t position : entry.positions)
         {
+            entry.subject->steps[position].near_wait.is_waiting = false;
             if (!free.covers(
                     reserved_resources(entry.subject->spec_of(position))))
                 continue;
@@ -241,6 +260,8 @@
                 plan_step(*entry.subject, position, usable, basis, orders);
             if (orders.size() == planned)
                 continue;
+            note_near_starts(*entry.subject, position,
+                             std::span(orders).subspan(planned), now);
             free = largest_free(usable);
             log_starts(std::span(orders).subspan(planned));
         }
@@ -261,7 +282,7 @@
         if (!may_start(subject, entry, basis) ||
             !has_attempts_left(entry, part, policy_of(subject)))
             continue;
-        worker_view* worker = choose_worker_for(
+        worker_view* worker = choose_beside_waits(
             subject, position, static_cast<int>(index), {}, workers, now);
         if (worker == nullptr && (entry.level() != suspicion::none ||
                                   is_bound_to_late_start(entry, part, now)))
@@ -269,6 +290,9 @@
         // The tasks of a step are identical: the next one does not fit either.
         if (worker == nullptr)
             return;
+        if (waits_near(subject, position, static_cast<int>(index), *worker,
+                       workers, now))
+            continue;
         const int run = entry.last_run + 1;
         begin_run(subject, position, static_cast<int>(index), run, *worker,
                   run_state::ordered, now);
@@ -294,9 +318,13 @@
          racks_for(subject, position, workers, basis.now))
         if (start_gang(subject, position, rack, workers, basis, orders))
             return;
+    if (near_.is_enabled() && subject.spec_of(position).needs_same_rack &&
+        !gang_waits_near(subject, position, workers, basis.now))
+        start_gang(subject, position, {}, workers, basis, orders);
 }
 
-// The racks to try, an empty name for all together.
+// The racks to try, an empty name for all together. With the locality wait,
+// `gang_waits_near` decides on the latter.
 std::vector<std::string>
 pool_state::racks_for(job& subject, std::size_t position,
                       std::span<worker_view* const> workers,
@@ -315,6 +343,8 @@
             places += places_in(room_beside_lasting(*worker, {}), part);
         return places >= part.task_count;
     };
+    if (near_.is_enabled())
+        return names;
     // It waits for one rack for as long as it would lose on more than one.
     auto& waits_since = subject.steps[position].awaits_rack_since;
     if (!waits_since)
@@ -351,7 +381,7 @@
     std::vector<start_order> planned;
     for (std::size_t index = 0; index < tasks.size(); ++index)
     {
-        worker_view* worker = choose_worker_for(
+        worker_view* worker = choose_beside_waits(
             subject, position, static_cast<int>(index), rack, workers, now);
         if (worker == nullptr)
             break;
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -3,6 +3,7 @@
 #include "jobs/lease_bound.hpp"
 #include "jobs/placement.hpp"
 #include "jobs/pool_state.hpp"
+#include "jobs/seconds.hpp"
 
 #include <algorithm>
 #include <set>
@@ -372,9 +373,15 @@
     if (is_current && row.how == end_kind::done)
     {
         worker.health.note_done();
+        const base::duration length = now - entry->active->ordered_at;
+        // The model predicts rack-local runs: a hot rack would make it slower.
+        const bool counts_less =
+            near_.is_enabled() && runs_remotely(*subject, position, worker);
         statistics_of(*subject).run_times.add_run(
             subject->spec_of(position).estimate,
-            now - entry->active->ordered_at);
+            counts_less ? from_seconds(base::count_seconds(length) /
+                                       std::max(remote_factor_, 1.0))
+                        : length);
     }
     if (is_current)
     {
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -6,6 +6,7 @@
 #include "jobs/arrival_rate.hpp"
 #include "jobs/job.hpp"
 #include "jobs/lasting_places.hpp"
+#include "jobs/near_placement.hpp"
 #include "jobs/ordering.hpp"
 #include "jobs/roster.hpp"
 #include "jobs/tenant.hpp"
@@ -119,9 +120,22 @@
     /// Replaces the tenants of the configuration.
     void set_tenants(std::span<const tenant_policy> tenants);
 
-    /// How many times as long a gang runs on more than one rack.
+    /// How many times as long a gang runs on more than one rack, or a task away
+    /// from the rack of its data.
     void set_remote_factor(double factor) { remote_factor_ = factor; }
 
+    /// Switches on that tasks wait for rack-local places while that pays, by
+    /// `decide_locality` in production.
+    void set_near_wait(near_placement::rule decide)
+    {
+        near_.set_rule(std::move(decide));
+    }
+    /// Where decisions on placement are counted; nowhere if null.
+    void set_counters(metrics::registry* counters)
+    {
+        near_.set_counters(counters);
+    }
+
     /// The longest time for which a worker lists a run that it was told to
     /// stop.
     void set_stop_time(base::duration longest) { stop_time_ = longest; }
@@ -410,6 +424,9 @@
     std::vector<waiting_job> waiting_jobs(const resource_amount& free,
                                           base::time_point now,
                                           base::wall_time wall);
+    /// Resources of all waiting tasks.
+    [[nodiscard]] static resource_amount
+    demand_of(std::span<const waiting_job> waiting);
     void plan_step(job& subject, std::size_t position,
                    std::span<worker_view* const> workers,
                    const plan_basis& basis, std::vector<start_order>& orders);
@@ -423,6 +440,36 @@
                     std::span<worker_view* const> workers,
                     const plan_basis& basis, std::vector<start_order>& orders);
     void log_starts(std::span<const start_order> orders) const;
+    [[nodiscard]] bool runs_remotely(const job& subject, std::size_t position,
+                                     const worker_view& worker) const;
+    std::vector<room_release> expected_releases(const worker_view& worker,
+                                                base::time_point now);
+    rack_forecast& forecast_of(const std::string& rack, bool is_gang,
+                               std::span<worker_view* const> workers,
+                               base::time_point now);
+    /// Like `choose_worker_for`; takes no place that a task ahead waits for if
+    /// there is another.
+    worker_view* choose_beside_waits(job& subject, std::size_t position,
+                                     int index, const std::string& rack,
+                                     std::span<worker_view* const> workers,
+                                     base::time_point now);
+    locality_case locality_case_of(const job& subject, std::size_t position,
+                                   base::time_point now);
+    [[nodiscard]] bool may_wait_near(const job& subject,
+                                     std::size_t position) const;
+    bool waits_near(job& subject, std::size_t position, int index,
+                    const worker_view& worker,
+                    std::span<worker_view* const> workers,
+                    base::time_point now);
+    bool gang_waits_near(job& subject, std::size_t position,
+                         std::span<worker_view* const> workers,
+                         base::time_point now);
+    void note_near_decision(job& subject, std::size_t position,
+                            const locality_decision& chosen,
+                            double place_seconds, base::time_point now);
+    void note_near_starts(job& subject, std::size_t position,
+                          std::span<const start_order> starts,
+                          base::time_point now);
     int same_step_count(const worker_view& worker, const job& subject,
                         std::size_t position) const;
     void resolve_runs(worker_view& worker);
@@ -558,6 +605,7 @@
     /// others.
     std::optional<base::time_point> left_unanswered_at_;
     double remote_factor_ = 1.0;
+    near_placement near_;
     base::duration stop_time_{};
     std::size_t recorded_workers_ = 0;
     /// A worker was forgotten without its word, since no run could exist there
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -63,6 +63,9 @@
                   }})
     {
         state.set_remote_factor(parts.remote_factor_);
+        if (parts.near_wait_)
+            state.set_near_wait(jobs::decide_locality);
+        state.set_counters(parts.counters_);
         state.set_stop_time(parts.stop_time_);
         state.on_decision([this](const jobs::decision& entry)
                           { log_decision(entry); });
--- a/src/pools/pool_owner.hpp
+++ b/src/pools/pool_owner.hpp
@@ -75,8 +75,10 @@
         builder& http(net::http_client& client);
         /// Maximum lease that workers grant.
         builder& worker_lease(base::duration length);
-        /// How many times as long a gang runs on more than one rack.
+        /// See `jobs::pool_state::set_remote_factor`.
         builder& remote_factor(double factor);
+        /// Whether tasks wait for rack-local places while that pays.
+        builder& near_wait(bool is_enabled);
         /// How long a worker may take to stop a run.
         builder& stop_time(base::duration longest);
         /// Where the owner counts its decisions; nowhere if not set.
@@ -102,6 +104,7 @@
         net::http_client* http_ = nullptr;
         base::duration lease_{};
         double remote_factor_ = 1.0;
+        bool near_wait_ = false;
         base::duration stop_time_{};
         metrics::registry* counters_ = nullptr;
         std::function<bool()> may_order_;
--- a/src/pools/pool_owner_builder.cpp
+++ b/src/pools/pool_owner_builder.cpp
@@ -43,6 +43,12 @@
     return *this;
 }
 
+pool_owner::builder& pool_owner::builder::near_wait(bool is_enabled)
+{
+    near_wait_ = is_enabled;
+    return *this;
+}
+
 pool_owner::builder& pool_owner::builder::stop_time(base::duration longest)
 {
     stop_time_ = longest;
