Place tasks by the observed speed of workers

What callers saw: tasks that started on workers several times slower than others, while others were free or soon would be, ended late.

Cause: placement knew nothing of run times on a worker.

Off: as before.

--- a/src/jobs/near_placement.cpp
+++ b/src/jobs/near_placement.cpp
@@ -81,6 +81,13 @@
             .add();
 }
 
+void near_placement::count_passed_slow() const
+{
+    if (counters_ != nullptr)
+        counters_->get_counter("pimentograde_starts_past_slow_workers_total")
+            .add();
+}
+
 void near_placement::count_wait(std::string_view outcome, double seconds) const
 {
     if (counters_ == nullptr)
--- a/src/jobs/near_placement.hpp
+++ b/src/jobs/near_placement.hpp
@@ -57,6 +57,8 @@
                                          double seconds) const;
 
     void count_start(bool is_local) const;
+    /// A task started elsewhere though a slow worker had room.
+    void count_passed_slow() const;
     void count_wait(std::string_view outcome, double seconds) const;
 
 private:
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -48,6 +48,8 @@
 struct preference
 {
     bool is_avoided = false;
+    /// How many times as long the task takes if a worker is slow.
+    double run_factor = 1.0;
     bool is_on_data_rack = false;
     /// The CPU left, or less than 0 where more is better.
     std::int64_t cpu_left = 0;
@@ -56,6 +58,8 @@
     {
         if (is_avoided != other.is_avoided)
             return !is_avoided;
+        if (run_factor != other.run_factor)
+            return run_factor < other.run_factor;
         if (is_on_data_rack != other.is_on_data_rack)
             return is_on_data_rack;
         return cpu_left < other.cpu_left;
@@ -90,24 +94,32 @@
 {
     worker_view* best = nullptr;
     preference best_preference;
+    bool has_slow = false;
     for (worker_view* worker : workers)
     {
         if (!can_host(*worker, request, now))
             continue;
         const bool would_move_soon =
             request.step->is_long_running && worker->is_leaving_soon;
+        const bool is_near = !request.step->data_rack.empty() &&
+                             worker->has_label(request.step->data_rack);
+        const bool is_remote = !request.step->data_rack.empty() && !is_near;
+        has_slow |= worker->slowness > 1.0;
         const bool is_suspect = request.level != suspicion::none;
-        const preference current{worker->description.id == request.avoided ||
-                                     would_move_soon,
-                                 !request.step->data_rack.empty() &&
-                                     worker->has_label(request.step->data_rack),
-                                 is_suspect ? -worker->free().cpu_millis
-                                            : worker->free().cpu_millis};
+        const preference current{
+            worker->description.id == request.avoided || would_move_soon,
+            worker->slowness * (is_remote ? request.remote_factor : 1.0),
+            is_near,
+            is_suspect ? -worker->free().cpu_millis
+                       : worker->free().cpu_millis};
         if (best != nullptr && !current.is_better_than(best_preference))
             continue;
         best = worker;
         best_preference = current;
     }
+    if (request.passes_slow_worker != nullptr)
+        *request.passes_slow_worker =
+            has_slow && best != nullptr && best->slowness <= 1.0;
     return best;
 }
 
--- a/src/jobs/placement.hpp
+++ b/src/jobs/placement.hpp
@@ -32,6 +32,11 @@
     /// Whether the task starts together with the other one, as in a gang; such
     /// tasks need not be told apart.
     std::function<bool(const task_id&)> is_same_unit;
+    /// How many times as long the task takes away from the rack of its data.
+    double remote_factor = 1.0;
+    /// If not null, set to whether a slow worker had room and another was
+    /// chosen.
+    bool* passes_slow_worker = nullptr;
 };
 
 /// Resources that a task of the step reserves on its worker. Filler tasks
@@ -44,11 +49,12 @@
                        const placement_request& request);
 
 /// Chooses the worker for a task; returns null when no worker fits. For
-/// long-running tasks, avoids workers that are to be maintained soon. Prefers
-/// the rack of the task's data, then the worker with the least free CPU (best
-/// fit), so that whole workers stay free for large tasks and for moves. A task
-/// that may be the cause of crashes goes to the worker with most free CPU, at
-/// an address where none has crashed under it.
+/// long-running tasks, avoids workers that are to be maintained soon. Avoids
+/// slow workers as far as the task takes longer there. Prefers the rack of the
+/// task's data, then the worker with the least free CPU (best fit), so that
+/// whole workers stay free for large tasks and for moves. A task that may be
+/// the cause of crashes goes to the worker with most free CPU, at an address
+/// where none has crashed under it.
 worker_view* choose_worker(std::span<worker_view* const> workers,
                            const placement_request& request,
                            base::time_point now);
--- a/src/jobs/pool_crashes.cpp
+++ b/src/jobs/pool_crashes.cpp
@@ -376,10 +376,9 @@
         level,
         nullptr,
         is_crashing(now),
-        [&](const task_id& other)
-        {
-            return is_same_unit(id, other);
-        }};
+        [&](const task_id& other) { return is_same_unit(id, other); },
+        std::max(remote_factor_, 1.0),
+        &passes_slow_worker_};
     const auto can_host = [&](const worker_view* worker)
     {
         return can_host_later(*worker, request);
--- a/src/jobs/pool_locality.cpp
+++ b/src/jobs/pool_locality.cpp
@@ -80,7 +80,8 @@
         const active_run& run = *entry->active;
         const double expected =
             statistics_of(*subject).run_times.expected_seconds(part.estimate) *
-            (runs_remotely(*subject, position, worker) ? remote_factor_ : 1.0);
+            (runs_remotely(*subject, position, worker) ? remote_factor_ : 1.0) *
+            worker.slowness;
         const auto rest = rest_of_run(
             {base::count_seconds(now - run.ordered_at),
              base::count_seconds(run.progressed_at - run.ordered_at),
@@ -92,18 +93,24 @@
     return releases;
 }
 
-// Forecast of the workers that have the label or, for a gang, are of the rack.
-rack_forecast& pool_state::forecast_of(const std::string& rack, bool is_gang,
+rack_forecast& pool_state::forecast_of(forecast_scope scope,
+                                       const std::string& name,
                                        std::span<worker_view* const> workers,
                                        base::time_point now)
 {
-    const std::string key = (is_gang ? "rack " : "label ") + rack;
+    const std::string key =
+        std::to_string(static_cast<int>(scope)) + ' ' + name;
     if (rack_forecast* known = near_.find(key))
         return *known;
+    const auto is_in_scope = [&](const worker_view& worker)
+    {
+        if (scope == forecast_scope::label)
+            return worker.has_label(name);
+        return scope == forecast_scope::all || worker.rack() == name;
+    };
     rack_forecast forecast;
     for (worker_view* worker : workers)
-        if ((is_gang ? worker->rack() == rack : worker->has_label(rack)) &&
-            !worker->is_reserved(now))
+        if (is_in_scope(*worker) && !worker->is_reserved(now))
             forecast.add_worker(*worker, expected_releases(*worker, now));
     return near_.add(key, std::move(forecast));
 }
@@ -150,14 +157,25 @@
 
 // A step waits once, for one interval, so that its total wait is bounded. An
 // inherited job with nothing running may have waited under its earlier owner.
-bool pool_state::may_wait_near(const job& subject, std::size_t position) const
+bool pool_state::may_wait(const job& subject, std::size_t position)
 {
-    return near_.is_enabled() && remote_factor_ > 1.0 &&
-           !subject.steps[position].near_wait.is_over &&
+    return !subject.steps[position].near_wait.is_over &&
            !subject.spec_of(position).is_long_running &&
            (!subject.is_inherited || has_active_run(subject));
 }
 
+bool pool_state::is_worth_waiting_for(const worker_view& worker,
+                                      const job& subject, std::size_t position,
+                                      const task& entry) const
+{
+    const step_spec& part = subject.spec_of(position);
+    return (part.required_label.empty() ||
+            worker.has_label(part.required_label)) &&
+           worker.description.id != entry.failed_on &&
+           (part.max_per_worker == 0 ||
+            same_step_count(worker, subject, position) < part.max_per_worker);
+}
+
 // `worker` is the place for a remote start.
 bool pool_state::waits_near(job& subject, std::size_t position, int index,
                             const worker_view& worker,
@@ -167,23 +185,22 @@
     const step_spec& part = subject.spec_of(position);
     const task& entry =
         subject.steps[position].tasks[static_cast<std::size_t>(index)];
-    if (!may_wait_near(subject, position) || part.data_rack.empty() ||
+    if (!near_.is_enabled() || remote_factor_ <= 1.0 ||
+        !may_wait(subject, position) || part.data_rack.empty() ||
         worker.has_label(part.data_rack) || entry.level() != suspicion::none ||
         is_bound_to_late_start(entry, part, now))
         return false;
     const resource_amount need = reserved_resources(part);
     const auto accepts = [&](const worker_view& candidate)
     {
-        return (part.required_label.empty() ||
-                candidate.has_label(part.required_label)) &&
-               candidate.description.id != entry.failed_on &&
-               (part.max_per_worker == 0 ||
-                same_step_count(candidate, subject, position) <
-                    part.max_per_worker);
+        return candidate.slowness <= 1.0 &&
+               is_worth_waiting_for(candidate, subject, position, entry);
     };
-    rack_forecast& forecast = forecast_of(part.data_rack, false, workers, now);
+    rack_forecast& forecast =
+        forecast_of(forecast_scope::label, part.data_rack, workers, now);
     const expected_place place = forecast.next_place(need, accepts);
     locality_case input = locality_case_of(subject, position, now);
+    input.remote_factor *= worker.slowness;
     if (place.worker != nullptr)
     {
         input.place_seconds = place.seconds;
@@ -214,7 +231,7 @@
                                  std::span<worker_view* const> workers,
                                  base::time_point now)
 {
-    if (!may_wait_near(subject, position))
+    if (remote_factor_ <= 1.0 || !may_wait(subject, position))
         return false;
     const step_spec& part = subject.spec_of(position);
     const resource_amount need = reserved_resources(part);
@@ -245,7 +262,7 @@
         if (places < part.task_count)
             continue;
         input.has_place_ever = true;
-        auto next = forecast_of(rack, true, workers, now)
+        auto next = forecast_of(forecast_scope::rack, rack, workers, now)
                         .next_places(need, part.task_count, part.max_per_worker,
                                      accepts);
         if (next.empty() ||
@@ -263,7 +280,7 @@
     if (chosen.waits)
         for (const expected_place& place : best)
         {
-            forecast_of(best_rack, true, workers, now)
+            forecast_of(forecast_scope::rack, best_rack, workers, now)
                 .claim(place, need, input.run_seconds);
             near_.reserve(place);
         }
@@ -299,18 +316,18 @@
                                   base::time_point now)
 {
     const step_spec& part = subject.spec_of(position);
-    if (!near_.is_enabled() || part.is_long_running || starts.empty() ||
-        (part.data_rack.empty() && !part.needs_same_rack))
+    if (!plans_waits() || part.is_long_running || starts.empty())
         return;
+    const bool has_rack = !part.data_rack.empty() || part.needs_same_rack;
     bool is_last_local = false;
     for (const start_order& order : starts)
     {
         worker_view* worker = find_worker(order.worker);
-        is_last_local =
-            worker != nullptr && !runs_remotely(subject, position, *worker);
+        is_last_local = worker != nullptr && worker->slowness <= 1.0 &&
+                        !runs_remotely(subject, position, *worker);
         if (worker != nullptr)
             near_.note_start(*worker, reserved_resources(part));
-        if (!part.is_gang || &order == starts.data())
+        if (has_rack && (!part.is_gang || &order == starts.data()))
             near_.count_start(is_last_local);
     }
     step_wait& wait = subject.steps[position].near_wait;
@@ -318,8 +335,9 @@
         return;
     wait.is_over = true;
     const double waited = base::count_seconds(now - *wait.since);
-    const std::string_view reason =
-        is_last_local ? "rack_local" : to_string(wait.reason);
+    const std::string_view reason = !is_last_local ? to_string(wait.reason)
+                                    : has_rack     ? "rack_local"
+                                                   : "faster_worker";
     near_.count_wait(reason, waited);
     log_decision({"wait_ended", subject.id, to_string(starts.back().task),
                   starts.back().run, starts.back().worker,
--- a/src/jobs/pool_planner.cpp
+++ b/src/jobs/pool_planner.cpp
@@ -244,7 +244,8 @@
         release_held_workers(usable, now);
     resource_amount free = largest_free(usable);
     const std::vector<waiting_job> waiting = waiting_jobs(free, now, wall);
-    if (near_.is_enabled())
+    refresh_speeds(usable, now);
+    if (plans_waits())
         near_.begin_plan(usable, demand_of(waiting), waiting.size());
     for (const waiting_job& entry : waiting)
         for (const std::size_t position : entry.positions)
@@ -291,8 +292,12 @@
         if (worker == nullptr)
             return;
         if (waits_near(subject, position, static_cast<int>(index), *worker,
-                       workers, now))
+                       workers, now) ||
+            waits_for_faster(subject, position, static_cast<int>(index),
+                             *worker, workers, now))
             continue;
+        if (passes_slow_worker_)
+            near_.count_passed_slow();
         const int run = entry.last_run + 1;
         begin_run(subject, position, static_cast<int>(index), run, *worker,
                   run_state::ordered, now);
--- a/src/jobs/pool_reports.cpp
+++ b/src/jobs/pool_reports.cpp
@@ -374,6 +374,7 @@
     {
         worker.health.note_done();
         const base::duration length = now - entry->active->ordered_at;
+        note_speed(*subject, position, worker, length, now);
         // The model predicts rack-local runs: a hot rack would make it slower.
         const bool counts_less =
             near_.is_enabled() && runs_remotely(*subject, position, worker);
--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -130,6 +130,8 @@
     {
         near_.set_rule(std::move(decide));
     }
+    /// Whether tasks avoid workers whose runs take longer than expected.
+    void set_worker_speed(bool is_used) { uses_speed_ = is_used; }
     /// Where decisions on placement are counted; nowhere if null.
     void set_counters(metrics::registry* counters)
     {
@@ -444,7 +446,15 @@
                                      const worker_view& worker) const;
     std::vector<room_release> expected_releases(const worker_view& worker,
                                                 base::time_point now);
-    rack_forecast& forecast_of(const std::string& rack, bool is_gang,
+    enum class forecast_scope
+    {
+        /// Workers with the label.
+        label,
+        /// Workers of the rack.
+        rack,
+        all
+    };
+    rack_forecast& forecast_of(forecast_scope scope, const std::string& name,
                                std::span<worker_view* const> workers,
                                base::time_point now);
     /// Like `choose_worker_for`; takes no place that a task ahead waits for if
@@ -455,8 +465,25 @@
                                      base::time_point now);
     locality_case locality_case_of(const job& subject, std::size_t position,
                                    base::time_point now);
-    [[nodiscard]] bool may_wait_near(const job& subject,
-                                     std::size_t position) const;
+    [[nodiscard]] bool plans_waits() const
+    {
+        return uses_speed_ || near_.is_enabled();
+    }
+    [[nodiscard]] static bool may_wait(const job& subject,
+                                       std::size_t position);
+    /// Whether the worker suits the task but for room.
+    [[nodiscard]] bool is_worth_waiting_for(const worker_view& worker,
+                                            const job& subject,
+                                            std::size_t position,
+                                            const task& entry) const;
+    void note_speed(job& subject, std::size_t position, worker_view& worker,
+                    base::duration length, base::time_point now);
+    void refresh_speeds(std::span<worker_view* const> workers,
+                        base::time_point now);
+    bool waits_for_faster(job& subject, std::size_t position, int index,
+                          const worker_view& worker,
+                          std::span<worker_view* const> workers,
+                          base::time_point now);
     bool waits_near(job& subject, std::size_t position, int index,
                     const worker_view& worker,
                     std::span<worker_view* const> workers,
@@ -606,6 +633,12 @@
     std::optional<base::time_point> left_unanswered_at_;
     double remote_factor_ = 1.0;
     near_placement near_;
+    bool uses_speed_ = false;
+    /// A slow worker had room for the task that was placed last.
+    bool passes_slow_worker_ = false;
+    /// See `usual_log_ratio`.
+    double usual_log_ratio_ = 0.0;
+    base::time_point next_speed_refresh_{};
     base::duration stop_time_{};
     std::size_t recorded_workers_ = 0;
     /// A worker was forgotten without its word, since no run could exist there
--- a/src/jobs/worker_view.hpp
+++ b/src/jobs/worker_view.hpp
@@ -6,6 +6,7 @@
 #include "jobs/job_spec.hpp"
 #include "jobs/run_knowledge.hpp"
 #include "jobs/task_id.hpp"
+#include "jobs/worker_speed.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -155,6 +156,9 @@
     /// forget ends that nobody has read, so it gets no new runs.
     base::time_point forgets_ends_until{};
     worker_health health;
+    worker_speed speed;
+    /// How many times as long runs take here; 1 unless it is clearly slow.
+    double slowness = 1.0;
     /// It gets no new runs until then, since its instance is to be maintained
     /// or moved.
     base::time_point leaving_until{};
--- a/src/node/pool_claims.cpp
+++ b/src/node/pool_claims.cpp
@@ -261,6 +261,7 @@
             .worker_lease(settings_.worker_lease)
             .remote_factor(settings_.remote_factor)
             .near_wait(settings_.options.waits_for_near_workers)
+            .worker_speed(settings_.options.uses_worker_speed)
             .stop_time(settings_.stop_time)
             .counters(metrics_)
             .may_order(
--- a/src/pools/pool_owner.cpp
+++ b/src/pools/pool_owner.cpp
@@ -65,6 +65,7 @@
         state.set_remote_factor(parts.remote_factor_);
         if (parts.near_wait_)
             state.set_near_wait(jobs::decide_locality);
+        state.set_worker_speed(parts.worker_speed_);
         state.set_counters(parts.counters_);
         state.set_stop_time(parts.stop_time_);
         state.on_decision([this](const jobs::decision& entry)
--- a/src/pools/pool_owner.hpp
+++ b/src/pools/pool_owner.hpp
@@ -79,6 +79,8 @@
         builder& remote_factor(double factor);
         /// Whether tasks wait for rack-local places while that pays.
         builder& near_wait(bool is_enabled);
+        /// Whether tasks avoid workers whose runs take longer than expected.
+        builder& worker_speed(bool is_used);
         /// How long a worker may take to stop a run.
         builder& stop_time(base::duration longest);
         /// Where the owner counts its decisions; nowhere if not set.
@@ -105,6 +107,7 @@
         base::duration lease_{};
         double remote_factor_ = 1.0;
         bool near_wait_ = false;
+        bool worker_speed_ = false;
         base::duration stop_time_{};
         metrics::registry* counters_ = nullptr;
         std::function<bool()> may_order_;
--- a/src/pools/pool_owner_builder.cpp
+++ b/src/pools/pool_owner_builder.cpp
@@ -49,6 +49,12 @@
     return *this;
 }
 
+pool_owner::builder& pool_owner::builder::worker_speed(bool is_used)
+{
+    worker_speed_ = is_used;
+    return *this;
+}
+
 pool_owner::builder& pool_owner::builder::stop_time(base::duration longest)
 {
     stop_time_ = longest;
