Play histories with locality waits and keep undecided waits open

What operators saw: 30 of about 6,400 waits in random histories ended with the reason place_expected, although tasks of the step still waited.

Cause: a task that starts without a decision, as where a late start may arrive, ended the wait of its step.

Change: such a start leaves the wait open. A job with nothing running is shown to start within 2.5 s although its rack always promises a place.

--- a/src/jobs/pool_locality.cpp
+++ b/src/jobs/pool_locality.cpp
@@ -331,7 +331,11 @@
             near_.count_start(is_last_local);
     }
     step_wait& wait = subject.steps[position].near_wait;
-    if (!wait.since || wait.is_waiting || wait.is_over)
+    // A task that was started without a decision, for example where a late
+    // start may arrive, does not end the wait of the others.
+    const bool is_undecided =
+        !is_last_local && wait.reason == locality_reason::place_expected;
+    if (!wait.since || wait.is_waiting || wait.is_over || is_undecided)
         return;
     wait.is_over = true;
     const double waited = base::count_seconds(now - *wait.since);
--- a/tests/jobs/locality_wait_test.cpp
+++ b/tests/jobs/locality_wait_test.cpp
@@ -305,6 +305,35 @@
     }
 }
 
+// Guards against a job with nothing running for 3 s while there is room, as
+// places on its rack are always expected soon, and against uncounted waits.
+TEST_CASE("a job with nothing running starts within 3 s")
+{
+    near_pool pool;
+    metrics::registry counters;
+    pool.state.set_counters(&counters);
+    step_spec part = near_step("r1");
+    part.estimate = 30s;
+    pool.submit("j", make_job({part}));
+    const base::time_point begin = pool.now;
+    // The run there always promises to end soon.
+    int percent = 50;
+    while (pool.plan().empty())
+    {
+        REQUIRE(pool.now - begin < 3s);
+        pool.now += 150ms;
+        percent = std::min(99, percent + 20);
+        pool.report("a1", running(pool.first, percent));
+    }
+    CHECK(pool.now - begin <= 2500ms);
+    CHECK(counters
+              .get_counter("pimentograde_near_starts_total",
+                           metrics::label("place", "remote"))
+              .value() == 1);
+    CHECK(counters.get_counter("pimentograde_near_wait_milliseconds_total")
+              .value() > 500);
+}
+
 // Guards against a decision that is too slow for an owner with little processor
 // time. The bound of 20 us is for one start in an optimized build; the figures
 // are printed, and the check leaves room for sanitizers.
@@ -351,3 +380,45 @@
         CHECK(with < 0.1);
     }
 }
+
+// Guards against the same for gangs, which look at all racks. A gang takes
+// longer, but counts as many starts.
+TEST_CASE("the decision on a gang that waits is quick")
+{
+    constexpr int gangs = 20;
+    const auto seconds_of_plan = [](int count, const near_placement::rule& rule)
+    {
+        std::vector<worker_description> workers;
+        for (int index = 0; index < count; ++index)
+            workers.push_back(on_rack("w" + std::to_string(1000 + index),
+                                      "r" + std::to_string(index % 10), 8000));
+        pool_fixture pool(workers);
+        pool.state.set_remote_factor(2.0);
+        // Each worker has one place left, each rack one too few.
+        step_spec fill = make_step(count * 4);
+        fill.max_per_worker = 4;
+        pool.submit("fill", make_job({fill}));
+        CHECK(pool.plan_and_start().size() ==
+              static_cast<std::size_t>(count) * 4);
+        step_spec part = make_step(count / 10 + 1, 4000);
+        part.is_gang = true;
+        part.needs_same_rack = true;
+        for (int index = 0; index < gangs; ++index)
+            pool.submit("g" + std::to_string(index), make_job({part}));
+        pool.state.set_near_wait(rule);
+        const auto begin = std::chrono::steady_clock::now();
+        pool.plan();
+        return base::count_seconds(std::chrono::steady_clock::now() - begin);
+    };
+    for (const int count : {60, 400})
+    {
+        const double without = seconds_of_plan(count, {});
+        const double with = seconds_of_plan(count, decide_locality);
+        constexpr double micros = 1e6 / gangs;
+        std::printf("%d gangs of %d, %d workers: %.1f us a gang without the "
+                    "wait, %.1f us with it\n",
+                    gangs, count / 10 + 1, count, without * micros,
+                    with * micros);
+        CHECK(with < 0.2);
+    }
+}
--- a/tests/jobs/pool_history_test.cpp
+++ b/tests/jobs/pool_history_test.cpp
@@ -23,12 +23,15 @@
 {
     constexpr int faulty_steps = 300;
     constexpr int calm_steps = 600;
+    // More than a rack has places, so that tasks wait.
+    constexpr int near_tasks = 7;
     pool_world world(seed, 4, odds);
     world.step();
     for (int index = 0; index < faulty_steps; ++index)
     {
         if (index % 25 == 0)
-            world.submit(1 + index % 5, 1 + index % 3);
+            world.submit(odds.near_wait > 0 ? near_tasks : 1 + index % 5,
+                         1 + index % 3);
         world.step();
     }
     world.stop_faults();
@@ -317,6 +320,21 @@
           true);
 }
 
+// Guards against jobs that wait for ever for a rack or for a faster worker.
+TEST_CASE("tasks wait for racks and avoid slow workers beside faults")
+{
+    check("near, calm", {.near_wait = 1});
+    check("near, long runs", {.long_run = 10, .near_wait = 1});
+    check("near, all", {.lost_answer = 10,
+                        .late_order = 10,
+                        .restart = 1,
+                        .cut = 1,
+                        .takeover = 1,
+                        .failure = 10,
+                        .roster_outage = 1,
+                        .near_wait = 1});
+}
+
 TEST_CASE("all faults combined")
 {
     check("all", {.lost_answer = 10,
--- a/tests/jobs/pool_world.cpp
+++ b/tests/jobs/pool_world.cpp
@@ -34,7 +34,7 @@
     result.id = worker.id;
     result.address = worker.id + ":80";
     result.pool = "pool";
-    result.labels = {"a", "r1"};
+    result.labels = {"a", worker.id.back() % 2 == 0 ? "r1" : "r2"};
     result.born_ms = worker.born_ms;
     result.capacity = {worker.room * 1000, 64'000, 0};
     return result;
@@ -186,6 +186,12 @@
         part.task_count = tasks_per_step;
         part.need = {1000, 1000, 0};
         part.estimate = 200ms;
+        if (odds_.near_wait > 0)
+        {
+            // Racks are full at times, so that there is something to wait for.
+            part.need.cpu_millis = 4000;
+            part.data_rack = next_job_ % 3 == 0 ? "r2" : "r1";
+        }
         if (index > 0)
             part.after = {index - 1};
         spec.steps.push_back(part);
--- a/tests/jobs/pool_world.hpp
+++ b/tests/jobs/pool_world.hpp
@@ -138,6 +138,8 @@
     /// Not 0: a worker lists so many ends at once; the others follow when these
     /// have been acknowledged.
     std::size_t ends_per_answer = 0;
+    /// Not 0: tasks ask for a rack and wait for it, and avoid slow workers.
+    int near_wait = 0;
 };
 
 /// What an owner of the simulated pool knows of its workers and of the store.
--- a/tests/jobs/pool_world_owners.cpp
+++ b/tests/jobs/pool_world_owners.cpp
@@ -65,6 +65,12 @@
     simulated_owner next;
     next.state = std::make_unique<jobs::pool_state>("pool");
     next.state->set_policy({"queue", "pool", 0, 1'000'000, 1.5, 600ms});
+    if (odds_.near_wait > 0)
+    {
+        next.state->set_remote_factor(3.0);
+        next.state->set_near_wait(jobs::decide_locality);
+        next.state->set_worker_speed(true);
+    }
     next.fence = stored_fence_;
     next.known_roster_revision = stored_roster_.revision;
     next.extended_until = owner_.extended_until;
