Mark workers as slow from twice the usual run time on

Cause: 1.5 times the expected run time is not unusual there.

Change: a run is late, and a worker slow, at a factor of 2 (before: 1.5); it is usual again below 1.5 (before: 1.25).

--- a/src/jobs/worker_speed.cpp
+++ b/src/jobs/worker_speed.cpp
@@ -17,10 +17,11 @@
 // eight slow runs known.
 constexpr double half_life_seconds = 5.0;
 // Run times vary by a quarter to a half on equal workers. A run that is late by
-// less, or a worker that is slower by less, counts as usual.
-constexpr double late_ratio = 1.5;
+// less, or a worker that is slower by less, counts as usual. 1.5 marked usual
+// workers where run times vary by half: means were up to 2 % later.
+constexpr double late_ratio = 2.0;
 // Below `late_ratio`, so that a worker near it does not change at each pass.
-constexpr double usual_again_ratio = 1.25;
+constexpr double usual_again_ratio = 1.5;
 constexpr double max_slowness = 10.0;
 // Progress is polled every 80 to 120 ms, which distorts ratios of shorter runs.
 constexpr double min_progressed_seconds = 0.4;
