--- a/src/jobs/pool_state.hpp
+++ b/src/jobs/pool_state.hpp
@@ -7,6 +7,7 @@
 #include "jobs/job.hpp"
 #include "jobs/job_preview.hpp"
 #include "jobs/lasting_places.hpp"
+#include "jobs/near_placement.hpp"
 #include "jobs/ordering.hpp"
 #include "jobs/quota_share.hpp"
 #include "jobs/roster.hpp"
@@ -132,9 +133,24 @@
     /// tenant has a cap.
     [[nodiscard]] const tenant_usage& usage() const { return usage_; }
 
-    /// How many times as long a gang runs on more than one rack.
+    /// How many times as long a gang runs on more than one rack, or a task away
+    /// from the rack of its data.
     void set_remote_factor(double factor) { remote_factor_ = factor; }
 
+    /// Switches on that tasks wait for rack-local places while that pays, by
+    /// `decide_locality` in production.
+    void set_near_wait(near_placement::rule decide)
+    {
+        near_.set_rule(std::move(decide));
+    }
+    /// Whether tasks avoid workers whose runs take longer than expected.
+    void set_worker_speed(bool is_used) { uses_speed_ = is_used; }
+    /// Where decisions on placement are counted; nowhere if null.
+    void set_counters(metrics::registry* counters)
+    {
+        near_.set_counters(counters);
+    }
+
     /// The longest time for which a worker lists a run that it was told to
     /// stop.
     void set_stop_time(base::duration longest) { stop_time_ = longest; }
@@ -454,6 +470,9 @@
     std::vector<waiting_job> waiting_jobs(const resource_amount& free,
                                           base::time_point now,
                                           base::wall_time wall);
+    /// Resources of all waiting tasks.
+    [[nodiscard]] static resource_amount
+    demand_of(std::span<const waiting_job> waiting);
     void plan_step(job& subject, std::size_t position,
                    std::span<worker_view* const> workers,
                    const plan_basis& basis, std::vector<start_order>& orders);
@@ -467,6 +486,61 @@
                     std::span<worker_view* const> workers,
                     const plan_basis& basis, std::vector<start_order>& orders);
     void log_starts(std::span<const start_order> orders) const;
+    [[nodiscard]] bool runs_remotely(const job& subject, std::size_t position,
+                                     const worker_view& worker) const;
+    std::vector<room_release> expected_releases(const worker_view& worker,
+                                                base::time_point now);
+    enum class forecast_scope
+    {
+        /// Workers with the label.
+        label,
+        /// Workers of the rack.
+        rack,
+        all
+    };
+    rack_forecast& forecast_of(forecast_scope scope, const std::string& name,
+                               std::span<worker_view* const> workers,
+                               base::time_point now);
+    /// Like `choose_worker_for`; takes no place that a task ahead waits for if
+    /// there is another.
+    worker_view* choose_beside_waits(job& subject, std::size_t position,
+                                     int index, const std::string& rack,
+                                     std::span<worker_view* const> workers,
+                                     base::time_point now);
+    locality_case locality_case_of(const job& subject, std::size_t position,
+                                   base::time_point now);
+    [[nodiscard]] bool plans_waits() const
+    {
+        return uses_speed_ || near_.is_enabled();
+    }
+    [[nodiscard]] static bool may_wait(const job& subject,
+                                       std::size_t position);
+    /// Whether the worker suits the task but for room.
+    [[nodiscard]] bool is_worth_waiting_for(const worker_view& worker,
+                                            const job& subject,
+                                            std::size_t position,
+                                            const task& entry) const;
+    void note_speed(job& subject, std::size_t position, worker_view& worker,
+                    base::duration length, base::time_point now);
+    void refresh_speeds(std::span<worker_view* const> workers,
+                        base::time_point now);
+    bool waits_for_faster(job& subject, std::size_t position, int index,
+                          const worker_view& worker,
+                          std::span<worker_view* const> workers,
+                          base::time_point now);
+    bool waits_near(job& subject, std::size_t position, int index,
+                    const worker_view& worker,
+                    std::span<worker_view* const> workers,
+                    base::time_point now);
+    bool gang_waits_near(job& subject, std::size_t position,
+                         std::span<worker_view* const> workers,
+                         base::time_point now);
+    void note_near_decision(job& subject, std::size_t position,
+                            const locality_decision& chosen,
+                            double place_seconds, base::time_point now);
+    void note_near_starts(job& subject, std::size_t position,
+                          std::span<const start_order> starts,
+                          base::time_point now);
     int same_step_count(const worker_view& worker, const job& subject,
                         std::size_t position) const;
     void resolve_runs(worker_view& worker);
@@ -607,6 +681,13 @@
     /// others.
     std::optional<base::time_point> left_unanswered_at_;
     double remote_factor_ = 1.0;
+    near_placement near_;
+    bool uses_speed_ = false;
+    /// A slow worker had room for the task that was placed last.
+    bool passes_slow_worker_ = false;
+    /// See `usual_log_ratio`.
+    double usual_log_ratio_ = 0.0;
+    base::time_point next_speed_refresh_{};
     base::duration stop_time_{};
     std::size_t recorded_workers_ = 0;
     /// A worker was forgotten without its word, since no run could exist there
--- a/tests/jobs/pool_world.hpp
+++ b/tests/jobs/pool_world.hpp
@@ -140,6 +140,8 @@
     std::size_t ends_per_answer = 0;
     /// Not 0: jobs have a tenant whose grant in the pool allows so many tasks.
     int granted_tasks = 0;
+    /// Not 0: tasks ask for a rack and wait for it, and avoid slow workers.
+    int near_wait = 0;
 };
 
 /// What an owner of the simulated pool knows of its workers and of the store.
