Relay store calls for refusals only

Cause: calls that got no answer started the relay. Found on the way: several calls that failed at one slow peer counted as several peers, and watches that were cut or silent counted against the store and the peer.

Change: only refusals that come within 100 ms start the relay; an instance that is cut off passes its pools on when its lease has lapsed, as without the relay. Failed peers count once, watches not at all.

--- a/src/node/relay_choice.cpp
+++ b/src/node/relay_choice.cpp
@@ -10,8 +10,6 @@
 
 // One refusal may be a limit on the rate of all instances' calls together.
 constexpr int min_refusals = 2;
-// A call without an answer has waited long already.
-constexpr int min_silences = 1;
 // Peers without service in a row after which the store counts as away. In a
 // fault that a third of the instances share, three peers in a row are refused
 // in one of 27 cases.
@@ -28,17 +26,17 @@
     if (outcome == store_outcome::served)
     {
         refusals_ = 0;
-        silences_ = 0;
         failed_peers_ = 0;
         next_try_at_ = now;
         return;
     }
-    ++(outcome == store_outcome::refused ? refusals_ : silences_);
+    if (outcome == store_outcome::refused)
+        ++refusals_;
 }
 
 bool relay_choice::is_refused() const
 {
-    return refusals_ >= min_refusals || silences_ >= min_silences;
+    return refusals_ >= min_refusals;
 }
 
 bool relay_choice::prefers_peer(base::time_point now) const
@@ -77,6 +75,10 @@
         failed_peers_ = 0;
         return;
     }
+    // Calls that were under way to the same peer count once.
+    const auto known = avoided_until_.find(peer);
+    if (known != avoided_until_.end() && now < known->second)
+        return;
     avoided_until_.insert_or_assign(std::string(peer), now + peer_pause);
     if (++failed_peers_ < max_failed_peers)
         return;
--- a/src/node/relay_choice.hpp
+++ b/src/node/relay_choice.hpp
@@ -18,8 +18,10 @@
 
 /// Decides whether an instance sends its store calls directly or through a
 /// peer, and through which one. Answers the load in which the store refuses
-/// some instances for seconds, or they are cut off from it, while it serves the
-/// others: their pools would be without an owner in the middle of a burst.
+/// some instances for seconds while it serves the others: their pools would be
+/// without an owner in the middle of a burst. An instance that is cut off from
+/// the store, which does not answer it, relays nothing: its pools pass to other
+/// instances when its lease has lapsed.
 class relay_choice
 {
 public:
@@ -42,9 +44,8 @@
 
 private:
     std::uint64_t seed_;
-    /// Calls without service since the last one that was served.
+    /// Refusals since the last call that was served.
     int refusals_ = 0;
-    int silences_ = 0;
     /// The peer that served last.
     std::string current_;
     /// Peers in a row that were not served.
--- a/src/node/store_relay.cpp
+++ b/src/node/store_relay.cpp
@@ -86,8 +86,11 @@
     }
     catch (const base::error& failure)
     {
-        choice_.note_peer(peer, store_outcome::silent, base::steady_now());
         count("failed");
+        // The store may answer a watch late, or cut it.
+        const bool is_watch = call.wait > base::duration::zero();
+        if (!is_watch || !failure.effect_unknown())
+            choice_.note_peer(peer, store_outcome::silent, base::steady_now());
         if (failure.effect_unknown())
             throw;
         return std::nullopt;
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -32,6 +32,9 @@
 // A write that gets no answer is known to have failed only after the full time;
 // two of five lost: four times in a thousand.
 constexpr int max_commit_tries = 6;
+// A connection that is closed or reset later than this was not refused: nothing
+// has answered.
+constexpr std::chrono::milliseconds max_refusal_time{100};
 // How often a detoured instance asks the store directly.
 constexpr std::chrono::milliseconds probe_interval{500};
 
@@ -240,18 +243,17 @@
             if (failure.code() == base::error_code::timeout)
                 answers.note_timeout(begin);
             report(step, false, base::steady_now() - begin);
-            note_failure(failure, request.target);
+            note_failure(request.target, base::steady_now() - begin);
             throw;
         }
     }
-    /// A watch without an answer says nothing of the store: its history may
-    /// have been dropped, or its connection may have gone silent.
-    void note_failure(const base::error& failure, std::string_view target) const
+    /// A watch that is cut or gets no answer says nothing of the store: it may
+    /// have dropped its history.
+    void note_failure(std::string_view target, base::duration length) const
     {
-        if (failure.code() != base::error_code::timeout)
-            note_direct(store_outcome::refused);
-        else if (!is_watch(target))
-            note_direct(store_outcome::silent);
+        if (!is_watch(target))
+            note_direct(length < max_refusal_time ? store_outcome::refused
+                                                  : store_outcome::silent);
     }
     void note_direct(store_outcome outcome) const
     {
