Relay through peers that are no smaller first

Cause: most peers are small instances with a tenth of an owner's link, and the first one that served was kept.

Change: peers with at least the instance's own cores are tried first.

--- a/src/node/store_relay.cpp
+++ b/src/node/store_relay.cpp
@@ -40,14 +40,19 @@
 store_relay::send(const platform::raw_store_call& call,
                   base::time_point deadline)
 {
+    // A smaller peer would carry an owner's writes in a burst too slowly.
     std::vector<std::string> peers;
+    std::vector<std::string> smaller_peers;
     for (const auto& [name, entry] : session_.members())
         if (name != session_.own().name)
-            peers.push_back(name);
+            (entry.cores >= session_.own().cores ? peers : smaller_peers)
+                .push_back(name);
     while (choice_.prefers_peer(base::steady_now()))
     {
         const base::time_point now = base::steady_now();
-        const auto peer = choice_.next_peer(peers, now);
+        auto peer = choice_.next_peer(peers, now);
+        if (!peer)
+            peer = choice_.next_peer(smaller_peers, now);
         if (!peer || now >= deadline)
             break;
         if (auto response = send_through(*peer, call, deadline))
