--- a/src/jobs/job_preview.cpp
+++ b/src/jobs/job_preview.cpp
@@ -150,9 +150,11 @@
                                      .goes_before(rank);
                       }));
     std::vector<worker_view> copies;
+    copies.reserve(workers_.size());
     for (const auto& [id, worker] : workers_)
         copies.push_back(worker);
     std::vector<worker_view*> workers;
+    workers.reserve(copies.size());
     for (worker_view& worker : copies)
         workers.push_back(&worker);
     for (std::size_t position = 0; position < spec.steps.size(); ++position)
