Relay store calls by default where tenants have quotas

Cause: an owner that the store refuses cannot raise the grants of its tenants, and the relay was on only where callers press for room.

Change: the flag's default, auto, is on also where the settings have QuotaExcess. A settings file without it has no excess.

--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -33,21 +33,24 @@
     return log::severity::error;
 }
 
-// `auto` asks for it where the deployment's callers press for more than there
-// is room for.
 bool is_enabled(const setting_values& values, std::string_view flag,
-                const platform::node_settings& settings)
+                bool is_on_by_default)
 {
     const std::string& word = values.find(flag)->second;
-    return word == "on" || (word == "auto" && settings.expects_pressure);
+    return word == "on" || (word == "auto" && is_on_by_default);
 }
 
+// `auto` asks for all of it where the deployment's callers press for more than
+// there is room for. An owner that the store refuses cannot raise its grants of
+// quotas either, so with quotas its calls are relayed, too.
 node::node_options read_options(const setting_values& values,
                                 const platform::node_settings& settings)
 {
-    return {is_enabled(values, "worker-speed", settings),
-            is_enabled(values, "near-wait", settings),
-            is_enabled(values, "store-relay", settings)};
+    const bool has_quotas = settings.quota_excess > 0.0;
+    return {is_enabled(values, "worker-speed", settings.expects_pressure),
+            is_enabled(values, "near-wait", settings.expects_pressure),
+            is_enabled(values, "store-relay",
+                       settings.expects_pressure || has_quotas)};
 }
 
 exit_code run_node(command_input& input)
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -78,7 +78,8 @@
     settings.status_retention = read_seconds(bounds, "status_s", 120.0);
     settings.unavailability_notice = read_millis(bounds, "NoticeMs", 4500);
     settings.remote_factor = read_number(bounds, "RemoteFactor", 1.5);
-    settings.quota_excess = read_number(bounds, "QuotaExcess", 0.1);
+    // Missing where tenants have no quotas.
+    settings.quota_excess = read_number(bounds, "QuotaExcess", 0.0);
     settings.fencing_enforced = read_flag(bounds, "FencingEnforced");
 }
 
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -350,3 +350,16 @@
     CHECK(read_node_settings(head + R"(,"Contracts":["base","pressure"]})")
               .expects_pressure);
 }
+
+// Guards against a relay that is on where no tenant has a quota.
+TEST_CASE("a deployment without quotas has no excess of them")
+{
+    const std::string head =
+        R"({"NodeName":"n","Zone":"z","Ip":"10.0.0.1","InternalPorts":[1,9],
+        "ListenAddrs":{"Front":"10.0.0.1:2","ReadyAddr":"10.0.0.1:3"},
+        "platform":{"Address":"10.0.0.2:4"},"CloudApi":
+        {"Address":"10.0.0.2:5"},"Bounds":)";
+    CHECK(read_node_settings(head + "{}}").quota_excess == 0.0);
+    CHECK(read_node_settings(head + R"({"QuotaExcess":0.1}})").quota_excess ==
+          0.1);
+}
