--- a/review/lib-3/standin.py
+++ b/review/lib-3/standin.py
@@ -302,12 +302,6 @@
         self.seq = 0
         self.born = 0
         self.plug = []
-        # Where it is reached, if a proxy stands before it.
-        self.front_port = 0
-        # Set: the next extension gets no answer and is carried out after so
-        # many seconds; its time counts from then.
-        self.late_grant_s = None
-        self.on_late_grant = None
 
     async def start(self):
         """A new boot: it holds and knows nothing of before."""
@@ -372,8 +366,7 @@
     def entry(self):
         self.seq += 1
         return {"Service": self.pool,
-                "Address": "127.0.0.1:%d" % (self.front_port or self.port),
-                "Zone": "z1",
+                "Address": "127.0.0.1:%d" % self.port, "Zone": "z1",
                 "Version": "v1", "Slots": 8, "State": "ready",
                 "ColdLeftMs": 0, "Capacity": self.capacity(),
                 "Labels": [self.kind, self.rack], "ClockMs": self.clock(),
@@ -386,7 +379,7 @@
         self.deployment.store.put("servers/" + self.id, self.entry())
 
     async def tick(self):
-        last = time.monotonic()
+        last = time.monotonic() - random.uniform(0, 1.5)
         while True:
             await asyncio.sleep(0.01)
             if time.monotonic() - last > 1.5:
@@ -451,25 +444,9 @@
                     self.highest_ended.get(task, 0), body["RunId"])
             return 200, {"ClockMs": self.clock()}
         if path == "/-/hold":
-            if body.get("UntilMs") and self.late_grant_s is not None:
-                return await self.grant_late(int(body["UntilMs"]))
             return await self.hold(body)
         return 400, {}
 
-    async def grant_late(self, until):
-        length = until - self.clock()
-        delay, self.late_grant_s = self.late_grant_s, None
-        self.deployment.record.write(
-            "worker %s leaves an extension unanswered" % self.id)
-        if self.on_late_grant:
-            self.on_late_grant()
-        await asyncio.sleep(delay)
-        self.extend(self.clock() + length)
-        self.deployment.record.write(
-            "worker %s carries it out: its lease lasts %.1f s more" %
-            (self.id, (self.lease_until - self.clock()) / 1000))
-        return None
-
     def start_run(self, body):
         def no(reason):
             return 409, {"ClockMs": self.clock(), "Reason": reason}
